--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+export PYTHONPATH = src
+
+.PHONY: test demo fuzz lint format proto bench setup
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -e '.[dev]'
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest tests
+	$(BIN)/behave --no-color --format progress features
+
+demo: setup
+	$(BIN)/python scripts/demo.py
+
+fuzz: setup
+	HYPOTHESIS_PROFILE=long $(BIN)/python -m pytest tests -k fuzz
+
+bench: setup
+	$(BIN)/python -m benchmarks
+
+lint: setup
+	$(BIN)/black --check --quiet src tests features benchmarks scripts
+	$(BIN)/ruff check src tests features benchmarks scripts
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/black --quiet src tests features benchmarks scripts
+	$(BIN)/ruff check --fix --quiet src tests features benchmarks scripts
+
+proto: setup
+	PATH=$(abspath $(BIN)):$$PATH $(BIN)/python -m grpc_tools.protoc -I src --python_out=src --pyi_out=src \
+	  --grpclib_python_out=src src/jacinthcove/mesh/mesh.proto
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; run one with `python -m benchmarks NAME`."""
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,1 @@
+"""Run the demo."""
--- /dev/null
+++ b/src/jacinthcove/clock.py
@@ -0,0 +1,60 @@
+"""Time in milliseconds, replaceable in tests."""
+
+import time
+from typing import Protocol
+
+import gevent
+
+
+class Clock(Protocol):
+    """A source of time; every value is in milliseconds."""
+
+    def now(self) -> int:
+        """Return monotonic milliseconds."""
+
+    def wall(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+
+    def sleep(self, duration_ms: float) -> None:
+        """Block the calling greenlet for `duration_ms`."""
+
+
+class SystemClock:
+    """The operating system's clocks."""
+
+    def now(self) -> int:
+        """Return monotonic milliseconds."""
+        return time.monotonic_ns() // 1_000_000
+
+    def wall(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+        return time.time_ns() // 1_000_000
+
+    def sleep(self, duration_ms: float) -> None:
+        """Block the calling greenlet for `duration_ms`."""
+        gevent.sleep(duration_ms / 1000)
+
+
+class ManualClock:
+    """A clock that moves only when told to; used by tests."""
+
+    def __init__(self, now_ms: int = 1_000, wall_ms: int = 1_700_000_000_000):
+        self.now_ms = now_ms
+        self.wall_ms = wall_ms
+
+    def now(self) -> int:
+        """Return the current manual time in milliseconds."""
+        return self.now_ms
+
+    def wall(self) -> int:
+        """Return the current manual wall time in milliseconds."""
+        return self.wall_ms
+
+    def sleep(self, duration_ms: float) -> None:
+        """Advance the time instead of blocking."""
+        self.advance(int(duration_ms))
+
+    def advance(self, duration_ms: int) -> None:
+        """Move both clocks forward by `duration_ms`."""
+        self.now_ms += duration_ms
+        self.wall_ms += duration_ms
--- /dev/null
+++ b/src/jacinthcove/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/src/jacinthcove/config/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet configuration and process settings."""
--- /dev/null
+++ b/src/jacinthcove/control/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: lease, orders, acceptance and administration API."""
--- /dev/null
+++ b/src/jacinthcove/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Whole answers, retries and at-most-once claims."""
--- /dev/null
+++ b/src/jacinthcove/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, experiments and reports."""
--- /dev/null
+++ b/src/jacinthcove/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between routers: transport, membership and document spread."""
--- /dev/null
+++ b/src/jacinthcove/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves: canary share, fault detection and steps."""
--- /dev/null
+++ b/src/jacinthcove/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs and metrics."""
--- /dev/null
+++ b/src/jacinthcove/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon and its caller API."""
--- /dev/null
+++ b/src/jacinthcove/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Fair scheduling of requests over shards of targets."""
--- /dev/null
+++ b/src/jacinthcove/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of outside systems for tests and the demo."""
--- /dev/null
+++ b/src/jacinthcove/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Target state, limits and HTTP clients."""
