--- /dev/null
+++ b/src/jacinthcove/config/options.py
@@ -0,0 +1,381 @@
+"""Declared, typed options that validate themselves.
+
+A scalar option turns one raw value into a `Result`; a composite option walks mappings and lists,
+so that a single pass over a document reports every problem in it.
+"""
+
+import difflib
+import math
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from datetime import datetime
+from enum import Enum
+from ipaddress import ip_address
+from typing import Any, Generic, Protocol, TypeVar
+
+from returns.result import Failure, Result, Success
+
+T = TypeVar("T")
+T_co = TypeVar("T_co", covariant=True)
+
+MAX_DURATION_MS = 366 * 24 * 3_600_000
+_UNIT_MS = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000}
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+
+class Severity(Enum):
+    """Whether a problem prevents the use of a document."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
+@dataclass(frozen=True)
+class Problem:
+    """One finding with the file and the path (`workspaces.north.share`) that it concerns."""
+
+    severity: Severity
+    file: str
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        place = ": ".join(part for part in (self.file, self.path) if part)
+        return f"{self.severity.value}: {place}: {self.reason}"
+
+
+def _no_file(path: str) -> str:
+    return ""
+
+
+@dataclass
+class Report:
+    """Collects problems; `origin` returns the file that a path comes from."""
+
+    origin: Callable[[str], str] = _no_file
+    problems: list[Problem] = field(default_factory=list)
+
+    def error(self, path: str, reason: str) -> None:
+        """Add a problem that makes the document unusable."""
+        self.problems.append(Problem(Severity.ERROR, self.origin(path), path, reason))
+
+    def warn(self, path: str, reason: str) -> None:
+        """Add a problem that leaves the document usable."""
+        self.problems.append(Problem(Severity.WARNING, self.origin(path), path, reason))
+
+    @property
+    def errors(self) -> tuple[Problem, ...]:
+        """Return the problems that make the document unusable."""
+        return tuple(p for p in self.problems if p.severity is Severity.ERROR)
+
+    @property
+    def warnings(self) -> tuple[Problem, ...]:
+        """Return the problems that leave the document usable."""
+        return tuple(p for p in self.problems if p.severity is Severity.WARNING)
+
+
+class Option(Protocol[T_co]):
+    """Anything that reads a raw value at a path; None means that a problem was reported."""
+
+    def read(self, raw: Any, path: str, report: Report) -> T_co | None:
+        """Return the typed value, or report why there is none and return None."""
+
+
+class Scalar(Generic[T]):
+    """Base of the options that hold one value."""
+
+    kind = "value"
+
+    def parse(self, raw: Any) -> Result[T, str]:
+        """Return the typed value or the reason for refusing `raw`."""
+        raise NotImplementedError
+
+    def read(self, raw: Any, path: str, report: Report) -> T | None:
+        """Return the typed value, or report the reason of `parse` and return None."""
+        result = self.parse(raw)
+        if isinstance(result, Success):
+            return result.unwrap()
+        report.error(path, result.failure())
+        return None
+
+
+@dataclass(frozen=True)
+class String(Scalar[str]):
+    """Text, optionally limited to a pattern that `what` describes."""
+
+    pattern: re.Pattern[str] | None = None
+    what: str = "text"
+    kind = "string"
+
+    def parse(self, raw: Any) -> Result[str, str]:
+        """Accept text that matches the pattern as a whole."""
+        if not isinstance(raw, str):
+            return Failure(f"expected {self.what}, found {describe(raw)}")
+        if self.pattern is not None and not self.pattern.fullmatch(raw):
+            return Failure(f"expected {self.what}")
+        return Success(raw)
+
+
+NAME = String(_NAME, "a name of up to 63 letters, digits, '.', '_' or '-'")
+KEY_HASH = String(re.compile(r"[0-9a-f]{64}"), "a SHA-256 hash as 64 lower-case hex digits")
+
+
+@dataclass(frozen=True)
+class Integer(Scalar[int]):
+    """A whole number within bounds; text is accepted because flags and variables are text."""
+
+    minimum: int = 0
+    maximum: int = 2**53
+    kind = "integer"
+
+    def parse(self, raw: Any) -> Result[int, str]:
+        """Accept a whole number within the bounds."""
+        if isinstance(raw, str) and re.fullmatch(r"-?\d{1,18}", raw):
+            raw = int(raw)
+        if isinstance(raw, bool) or not isinstance(raw, int):
+            return Failure(f"expected a whole number, found {describe(raw)}")
+        if not self.minimum <= raw <= self.maximum:
+            return Failure(f"{raw} is outside {self.minimum} to {self.maximum}")
+        return Success(raw)
+
+
+@dataclass(frozen=True)
+class Float(Scalar[float]):
+    """A finite number above `above` and up to `maximum`."""
+
+    above: float = -math.inf
+    maximum: float = math.inf
+    kind = "number"
+
+    def parse(self, raw: Any) -> Result[float, str]:
+        """Accept a finite number within the bounds."""
+        try:
+            value = math.nan if isinstance(raw, bool) else float(raw)
+        except (TypeError, ValueError, OverflowError):
+            value = math.nan
+        if not math.isfinite(value):
+            return Failure(f"expected a finite number, found {describe(raw)}")
+        if value <= self.above:
+            return Failure(f"{value:g} is not above {self.above:g}")
+        if value > self.maximum:
+            return Failure(f"{value:g} is above {self.maximum:g}")
+        return Success(value)
+
+
+@dataclass(frozen=True)
+class Boolean(Scalar[bool]):
+    """True or false."""
+
+    kind = "boolean"
+
+    def parse(self, raw: Any) -> Result[bool, str]:
+        """Accept a boolean or the texts `true` and `false`."""
+        value = {"true": True, "false": False}.get(raw, raw) if isinstance(raw, str) else raw
+        if not isinstance(value, bool):
+            return Failure(f"expected true or false, found {describe(raw)}")
+        return Success(value)
+
+
+E = TypeVar("E", bound=Enum)
+
+
+@dataclass(frozen=True)
+class Choice(Scalar[E]):
+    """One value of an enumeration whose values are texts."""
+
+    choices: type[E]
+    kind = "choice"
+
+    def parse(self, raw: Any) -> Result[E, str]:
+        """Accept the text of a member."""
+        for member in self.choices:
+            if raw == member.value:
+                return Success(member)
+        names = [str(member.value) for member in self.choices]
+        return Failure(f"expected one of {', '.join(names)}{suggestion(raw, names)}")
+
+
+@dataclass(frozen=True)
+class Duration(Scalar[int]):
+    """A duration such as `250ms`, `3s`, `5m` or `1h`, read as milliseconds."""
+
+    minimum_ms: int = 0
+    maximum_ms: int = MAX_DURATION_MS
+    kind = "duration"
+
+    def parse(self, raw: Any) -> Result[int, str]:
+        """Accept a number with a unit; a bare number is ambiguous and therefore refused."""
+        match = _DURATION.fullmatch(raw) if isinstance(raw, str) else None
+        if match is None:
+            return Failure(f"expected a duration such as 250ms or 3s, found {describe(raw)}")
+        value = float(match[1]) * _UNIT_MS[match[2]]
+        if not self.minimum_ms <= value <= self.maximum_ms:
+            return Failure(f"{raw} is outside {self.minimum_ms}ms to {self.maximum_ms}ms")
+        if value != int(value):
+            return Failure(f"{raw} is not a whole number of milliseconds")
+        return Success(int(value))
+
+
+@dataclass(frozen=True)
+class Address(Scalar[str]):
+    """An address `ip:port`; names are refused because processes resolve no names."""
+
+    kind = "ip:port"
+
+    def parse(self, raw: Any) -> Result[str, str]:
+        """Accept an IPv4 address, or an IPv6 address in brackets, with a port."""
+        host, _, port = raw.rpartition(":") if isinstance(raw, str) else ("", "", "")
+        if ":" in host and not (host.startswith("[") and host.endswith("]")):
+            return Failure(f"expected an IPv6 address in brackets, found {describe(raw)}")
+        try:
+            ip_address(host.strip("[]"))
+        except ValueError:
+            return Failure(f"expected an address ip:port, found {describe(raw)}")
+        if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+            return Failure(f"expected a port from 1 to 65535, found {describe(port)}")
+        return Success(raw)
+
+
+@dataclass(frozen=True)
+class AddressList(Scalar[tuple[str, ...]]):
+    """Addresses separated by commas; empty text means none."""
+
+    kind = "ip:port,..."
+
+    def parse(self, raw: Any) -> Result[tuple[str, ...], str]:
+        """Accept the list, or refuse it with the first unusable address."""
+        if not isinstance(raw, str):
+            return Failure(f"expected addresses separated by commas, found {describe(raw)}")
+        items = [item.strip() for item in raw.split(",") if item.strip()]
+        for item in items:
+            result = Address().parse(item)
+            if not isinstance(result, Success):
+                return Failure(result.failure())
+        return Success(tuple(items))
+
+
+@dataclass(frozen=True)
+class Time(Scalar[int]):
+    """A point in time, ISO 8601 with a time zone, read as milliseconds since the epoch."""
+
+    kind = "time"
+
+    def parse(self, raw: Any) -> Result[int, str]:
+        """Accept text, or the value that YAML makes of a timestamp."""
+        try:
+            value = datetime.fromisoformat(raw) if isinstance(raw, str) else raw
+        except ValueError:
+            value = None
+        if not isinstance(value, datetime):
+            return Failure(f"expected a time such as 2026-03-02T06:00:00Z, found {describe(raw)}")
+        if value.tzinfo is None:
+            return Failure(f"{raw} has no time zone; add Z or an offset such as -05:00")
+        return Success(round(value.timestamp() * 1000))
+
+
+@dataclass(frozen=True)
+class Field(Generic[T]):
+    """A key of `Fields`: its option, and its default unless it is required."""
+
+    option: Option[T]
+    default: T | None = None
+    required: bool = False
+
+
+@dataclass(frozen=True)
+class Fields(Generic[T]):
+    """A mapping with declared keys; `build` makes the value from the typed parts.
+
+    `build` receives the path, the report and the parts, and runs only if every part is usable.
+    """
+
+    fields: Mapping[str, Field[Any]]
+    build: Callable[[str, Report, dict[str, Any]], T | None]
+
+    def read(self, raw: Any, path: str, report: Report) -> T | None:
+        """Read every declared key and report unknown ones with a suggestion."""
+        if raw is None:
+            raw = {}
+        if not isinstance(raw, dict):
+            report.error(path, f"expected a mapping, found {describe(raw)}")
+            return None
+        for key in raw:
+            if key not in self.fields:
+                hint = suggestion(key, list(self.fields))
+                report.error(join(path, key), f"unknown key{hint}")
+        parts = {key: self._part(raw, key, path, report) for key in self.fields}
+        if any(parts[key] is None and key in raw for key in parts):
+            return None
+        if any(parts[key] is None and self.fields[key].required for key in parts):
+            return None
+        return self.build(path, report, parts)
+
+    def _part(self, raw: dict[Any, Any], key: str, path: str, report: Report) -> Any:
+        declared = self.fields[key]
+        if key in raw:
+            return declared.option.read(raw[key], join(path, key), report)
+        if declared.required:
+            report.error(join(path, key), "is required")
+        return declared.default
+
+
+@dataclass(frozen=True)
+class Named(Generic[T]):
+    """A mapping of named items; `item` makes the option for the item of a name."""
+
+    item: Callable[[str], Option[T]]
+
+    def read(self, raw: Any, path: str, report: Report) -> dict[str, T] | None:
+        """Read every item; items with problems are left out."""
+        if raw is None:
+            raw = {}
+        if not isinstance(raw, dict):
+            report.error(path, f"expected a mapping of names, found {describe(raw)}")
+            return None
+        items = {}
+        for name, value in raw.items():
+            here = join(path, name)
+            if NAME.read(name, here, report) is None:
+                continue
+            item = self.item(name).read(value, here, report)
+            if item is not None:
+                items[name] = item
+        return items
+
+
+@dataclass(frozen=True)
+class ListOf(Generic[T]):
+    """A list of items of one option."""
+
+    item: Option[T]
+
+    def read(self, raw: Any, path: str, report: Report) -> tuple[T, ...] | None:
+        """Read every item; items with problems are left out."""
+        if not isinstance(raw, list):
+            report.error(path, f"expected a list, found {describe(raw)}")
+            return None
+        items = [
+            self.item.read(value, join(path, index), report) for index, value in enumerate(raw)
+        ]
+        return tuple(item for item in items if item is not None)
+
+
+def join(path: str, key: object) -> str:
+    """Return the path of `key` below `path`."""
+    return f"{path}.{key}" if path else str(key)
+
+
+def suggestion(raw: object, known: list[str]) -> str:
+    """Return `; did you mean X?` for a close match, or nothing."""
+    close = difflib.get_close_matches(str(raw), known, n=1)
+    return f"; did you mean {close[0]!r}?" if close else ""
+
+
+def describe(raw: object) -> str:
+    """Return a short description of a raw value for an error message."""
+    if raw is None:
+        return "nothing"
+    text = repr(raw)
+    return text if len(text) <= 40 else f"{text[:37]}..."
--- /dev/null
+++ b/src/jacinthcove/config/settings.py
@@ -0,0 +1,228 @@
+"""Process settings from flags and `JACINTHCOVE_*` environment variables.
+
+Each setting is declared once, as a field of a settings class. A flag beats the environment, which
+beats the default. Durations are in milliseconds in code and have a unit in flags and variables.
+"""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from jacinthcove.config.options import (
+    KEY_HASH,
+    NAME,
+    Address,
+    AddressList,
+    Choice,
+    Duration,
+    Integer,
+    Scalar,
+    String,
+    suggestion,
+)
+from jacinthcove.errors import ConfigurationError
+
+PREFIX = "JACINTHCOVE_"
+S = TypeVar("S", bound="CommonSettings")
+
+
+class LogLevel(Enum):
+    """The least severe level that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+def setting(option: Scalar[Any], default: str | None, help: str, secret: bool = False) -> Any:
+    """Declare a setting; `default` is written as in a flag, None makes the setting required."""
+    metadata = {"option": option, "default": default, "help": help, "secret": secret}
+    return dataclasses.field(metadata=metadata, repr=not secret)
+
+
+@dataclass(frozen=True)
+class CommonSettings:
+    """Settings of the router and the controller."""
+
+    id: str = setting(NAME, None, "name of this process, unique in the fleet")
+    failure_domain: str = setting(NAME, None, "failure domain of the VM")
+    store: str = setting(Address(), None, "address of the platform's object API")
+    store_timeout_ms: int = setting(
+        Duration(10, 60_000), "1s", "time limit of one call to the object API"
+    )
+    stop_timeout_ms: int = setting(
+        Duration(0, 3_600_000), "30s", "time that requests in flight get to finish after SIGTERM"
+    )
+    log_level: LogLevel = setting(Choice(LogLevel), "info", "least severe level that is logged")
+
+    def problems(self) -> tuple[str, ...]:
+        """Return the problems between settings."""
+        return ()
+
+
+@dataclass(frozen=True)
+class RouterSettings(CommonSettings):
+    """Settings of `jacinthcove-router`."""
+
+    mesh_listen: str = setting(
+        Address(), "127.0.0.1:7400", "address for other routers, as they reach it"
+    )
+    caller_listen: str = setting(
+        Address(), "127.0.0.1:7480", "address for callers, as they reach it"
+    )
+    seeds: tuple[str, ...] = setting(
+        AddressList(), "", "mesh addresses of routers to join, besides those on the VM list"
+    )
+    fleet_key: str = setting(
+        String(), "", "key of resume tokens; empty takes fleet_key of the configuration", True
+    )
+    vms_poll_ms: int = setting(
+        Duration(100, 60_000), "1s", "period between readings of the VM list by its pollers"
+    )
+    watch_timeout_ms: int = setting(
+        Duration(100, 300_000), "25s", "longest wait of one watch on the configuration"
+    )
+    probe_interval_ms: int = setting(
+        Duration(50, 10_000), "1s", "period between probes of other routers"
+    )
+    suspect_timeout_ms: int = setting(
+        Duration(100, 60_000), "3s", "time from suspect to dead without an answer"
+    )
+    load_poll_ms: int = setting(
+        Duration(50, 10_000), "500ms", "period between load reports of an owned target"
+    )
+    max_deadline_ms: int = setting(
+        Duration(100, 24 * 3_600_000), "15m", "longest deadline that a caller may ask for"
+    )
+    max_body_bytes: int = setting(
+        Integer(1_024, 64 * 2**20), "1048576", "largest request body in bytes"
+    )
+    max_requests: int = setting(
+        Integer(1, 1_000_000), "5000", "most requests that are open at a time"
+    )
+
+
+@dataclass(frozen=True)
+class ControllerSettings(CommonSettings):
+    """Settings of `jacinthcove-controller`."""
+
+    admin_listen: str = setting(
+        Address(), "127.0.0.1:7490", "address for operators, as they reach it"
+    )
+    router: str = setting(Address(), None, "caller address of the router on the same VM")
+    lease_ttl_ms: int = setting(
+        Duration(500, 300_000), "6s", "time after which an unrenewed lease may be taken over"
+    )
+    order_timeout_ms: int = setting(
+        Duration(100, 300_000), "2s", "time limit of one order to a target"
+    )
+    move_interval_ms: int = setting(
+        Duration(50, 60_000), "500ms", "period between decisions about version moves"
+    )
+    bootstrap_key_hash: str = setting(
+        String(), "", "SHA-256 of an operator key that is valid while no operator is configured"
+    )
+
+    def problems(self) -> tuple[str, ...]:
+        """Return the problems between settings."""
+        found = []
+        if self.order_timeout_ms >= self.lease_ttl_ms:
+            found.append("--order-timeout must be below --lease-ttl")
+        if self.bootstrap_key_hash:
+            reason = KEY_HASH.parse(self.bootstrap_key_hash)
+            if not isinstance(reason, Success):
+                found.append(f"--bootstrap-key-hash: {reason.failure()}")
+        return tuple(found)
+
+
+def flag_name(field_name: str) -> str:
+    """Return the flag of a field; the unit suffix of durations is left out."""
+    return "--" + field_name.removesuffix("_ms").replace("_", "-")
+
+
+def variable_name(field_name: str) -> str:
+    """Return the environment variable of a field."""
+    return PREFIX + field_name.removesuffix("_ms").upper()
+
+
+def read_settings(
+    cls: type[S], arguments: Sequence[str], environment: Mapping[str, str]
+) -> Result[S, tuple[str, ...]]:
+    """Return the settings, or every problem of the flags and variables."""
+    fields = {flag_name(f.name): f for f in dataclasses.fields(cls)}
+    given, errors = _split(arguments, list(fields))
+    values: dict[str, Any] = {}
+    for flag, item in fields.items():
+        variable = variable_name(item.name)
+        raw, source = item.metadata["default"], "default"
+        if flag in given:
+            raw, source = given[flag], flag
+        elif variable in environment:
+            raw, source = environment[variable], variable
+        if raw is None:
+            errors.append(f"{flag} (or {variable}) is required: {item.metadata['help']}")
+            continue
+        result = item.metadata["option"].parse(raw)
+        if isinstance(result, Success):
+            values[item.name] = result.unwrap()
+        else:
+            reason = "is not usable" if item.metadata["secret"] else result.failure()
+            errors.append(f"{source}: {reason}")
+    if errors:
+        return Failure(tuple(errors))
+    settings = cls(**values)
+    between = settings.problems()
+    return Failure(between) if between else Success(settings)
+
+
+def load_settings(cls: type[S], arguments: Sequence[str], environment: Mapping[str, str]) -> S:
+    """Return the settings, or raise `ConfigurationError` that lists every problem."""
+    result = read_settings(cls, arguments, environment)
+    if isinstance(result, Success):
+        return result.unwrap()
+    raise ConfigurationError("\n".join(result.failure()))
+
+
+def _split(arguments: Sequence[str], flags: list[str]) -> tuple[dict[str, str], list[str]]:
+    given: dict[str, str] = {}
+    errors: list[str] = []
+    rest = list(arguments)
+    while rest:
+        argument = rest.pop(0)
+        flag, equals, value = argument.partition("=")
+        if flag not in flags:
+            errors.append(f"unknown argument {flag}{suggestion(flag, flags)}")
+            if not equals and rest and not rest[0].startswith("--"):
+                rest.pop(0)
+            continue
+        if not equals and (not rest or rest[0].startswith("--")):
+            errors.append(f"{flag} needs a value")
+            continue
+        if flag in given:
+            errors.append(f"{flag} is given twice")
+        given[flag] = value if equals else rest.pop(0)
+    return given, errors
+
+
+def settings_table(cls: type[CommonSettings]) -> str:
+    """Return the settings as a Markdown table for docs/operations.md and `--help`."""
+    lines = ["| flag | variable | type | default | meaning |", "| --- | --- | --- | --- | --- |"]
+    for item in dataclasses.fields(cls):
+        data = item.metadata
+        default = "required" if data["default"] is None else f"`{data['default']}`"
+        if data["default"] == "":
+            default = "empty"
+        cells = (
+            f"`{flag_name(item.name)}`",
+            f"`{variable_name(item.name)}`",
+            data["option"].kind,
+            default,
+            data["help"],
+        )
+        lines.append(f"| {' | '.join(cells)} |")
+    return "\n".join(lines)
--- /dev/null
+++ b/src/jacinthcove/platform/connections.py
@@ -0,0 +1,118 @@
+"""Pooled HTTP connections with time limits, for calls with short bodies."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import gevent
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from jacinthcove.errors import JacinthcoveError
+
+
+class NoReply(JacinthcoveError):  # noqa: N818 - names an outcome
+    """A call ended without a whole reply; it may have had an effect unless `refused`."""
+
+    def __init__(self, message: str, refused: bool = False):
+        super().__init__(message)
+        self.refused = refused
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A whole HTTP reply; header names are in lower case."""
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+class Connections:
+    """Keeps up to `max_idle` idle connections to one address.
+
+    After a failed call every idle connection is dropped, because connections that were opened
+    together tend to go silent together.
+    """
+
+    def __init__(self, address: str, timeout_ms: int, max_idle: int = 4):
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self.host = host.strip("[]")
+        self.port = int(port)
+        self.timeout_ms = timeout_ms
+        self.max_idle = max_idle
+        self.idle: list[HTTPClient] = []
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_ms: int | None = None,
+    ) -> Reply:
+        """Make one call without repeating it; raise `NoReply` if no whole reply arrives in time."""
+        limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
+        client = self.idle.pop() if self.idle else self._open()
+        try:
+            with gevent.Timeout(limit_ms / 1000):
+                reply = self._exchange(client, method, path, body, headers or {})
+        except gevent.Timeout:
+            self._drop(client)
+            raise NoReply(f"{self.address} did not answer within {limit_ms} ms") from None
+        except ConnectionRefusedError as error:
+            self._drop(client)
+            raise NoReply(f"{self.address} refused the connection", refused=True) from error
+        except (OSError, HTTPParseError) as error:
+            self._drop(client)
+            raise NoReply(f"{self.address}: {error or type(error).__name__}") from error
+        except BaseException:
+            client.close()
+            raise
+        self._keep(client)
+        return reply
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self.idle:
+            self.idle.pop().close()
+
+    def _open(self) -> HTTPClient:
+        # The time limit of a call is the Timeout in `request`, so that slow bodies count as well.
+        client = HTTPClient(
+            self.host,
+            self.port,
+            concurrency=1,
+            connection_timeout=None,  # type: ignore[arg-type]
+            network_timeout=None,  # type: ignore[arg-type]
+        )
+        # geventhttpclient sends a PUT or DELETE again after a lost reply, `size + 1` times. A
+        # conditional write that is sent again conflicts with itself, so no repetition may happen.
+        client._connection_pool.size = -1
+        return client
+
+    def _exchange(
+        self,
+        client: HTTPClient,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+    ) -> Reply:
+        response = client.request(method, path, body=body, headers=dict(headers))
+        content = bytes(response.read())
+        length = response.get("content-length")
+        if length is not None and len(content) != int(str(length)):
+            raise HTTPParseError("the reply broke off")
+        names = {name.lower(): str(value) for name, value in response.items()}
+        return Reply(int(response.status_code), content, names)
+
+    def _keep(self, client: HTTPClient) -> None:
+        if len(self.idle) < self.max_idle:
+            self.idle.append(client)
+        else:
+            client.close()
+
+    def _drop(self, client: HTTPClient) -> None:
+        client.close()
+        self.close()
