--- /dev/null
+++ b/src/jacinthcove/standins/orders.py
@@ -0,0 +1,64 @@
+"""Orders to targets, with fencing numbers that are checked or ignored."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from jacinthcove.standins.server import Request, Response, error_response, json_response
+
+LOAD_VERSION = "load_version"
+CHANGE_ROLE = "change_role"
+
+
+@dataclass(frozen=True)
+class Order:
+    """One order as received; `accepted` is False when an old fencing number was refused."""
+
+    order_id: str
+    fencing: int
+    kind: str
+    version: str
+    role: str
+    time_limit_ms: int
+    accepted: bool
+
+
+class OrderDesk:
+    """Receives orders, refuses old fencing numbers and repeats known order ids harmlessly."""
+
+    def __init__(self, checks_fencing: bool):
+        self.checks_fencing = checks_fencing
+        self.highest_fencing = 0
+        self.orders: list[Order] = []
+
+    def receive(self, data: dict[str, Any]) -> tuple[Order, bool]:
+        """Record an order; return it and whether it is to be carried out now."""
+        kind = str(data.get("kind", ""))
+        if kind not in (LOAD_VERSION, CHANGE_ROLE):
+            raise ValueError(f"unknown order kind {kind!r}")
+        fencing = int(data.get("fencing", 0))
+        accepted = not (self.checks_fencing and fencing < self.highest_fencing)
+        order = Order(
+            order_id=str(data.get("order_id", "")),
+            fencing=fencing,
+            kind=kind,
+            version=str(data.get("version", "")),
+            role=str(data.get("role", "")),
+            time_limit_ms=int(data.get("time_limit_ms", 0)),
+            accepted=accepted,
+        )
+        repeated = any(o.order_id == order.order_id and o.accepted for o in self.orders)
+        self.highest_fencing = max(self.highest_fencing, fencing)
+        self.orders.append(order)
+        return order, accepted and not repeated
+
+    def serve(self, request: Request) -> tuple[Response, Order | None]:
+        """Answer `GET|POST /orders`; also return the order that is to be carried out, if any."""
+        if request.method == "GET":
+            return json_response({"orders": self.orders}), None
+        order, fresh = self.receive(request.json())
+        if not order.accepted:
+            message = f"fencing number {order.fencing} is below {self.highest_fencing}"
+            return error_response(409, message), None
+        return json_response({"order_id": order.order_id, "accepted": True}), (
+            order if fresh else None
+        )
