--- /dev/null
+++ b/tests/delivery/test_claims.py
@@ -0,0 +1,121 @@
+"""Guards against lost batching, outcomes or limits in the claims of keyed requests."""
+
+import gevent
+import pytest
+
+from jacinthcove.clock import ManualClock, SystemClock
+from jacinthcove.codes import ResultCode
+from jacinthcove.delivery import claimlog
+from jacinthcove.delivery.claims import ClaimKind, Claims, ClaimUsage
+from jacinthcove.errors import RequestRefused
+from tests.fakes.store import FakeStore, Fault
+
+USAGE = ClaimUsage(3, 4)
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def claims(store, clock):
+    return Claims(store, clock, "r1")
+
+
+def take(claims, key="k", content="c", wait_ms=300):
+    return claims.claim("w", key, content, "req", claims.clock.now() + wait_ms)
+
+
+def test_outcome_is_replayed_by_another_router(claims, store, clock):
+    """Guards against a second run after the first one ended."""
+    claims.finish(take(claims).claim, ResultCode.OK, b"answer", USAGE)
+    again = take(Claims(store, clock, "r2"))
+    assert again.kind is ClaimKind.REPLAY
+    assert (again.outcome.output, again.outcome.usage) == (b"answer", USAGE)
+
+
+@pytest.mark.parametrize("content, kind", [("c", "IN_PROGRESS"), ("other", "KEY_REUSED")])
+def test_running_key_is_not_granted(claims, store, clock, content, kind):
+    """Guards against a second run, or another answer, while the first runs."""
+    take(claims)
+    assert take(Claims(store, clock, "r2"), content=content).kind is ClaimKind[kind]
+
+
+def test_abandoned_run_becomes_unknown(claims, store, clock):
+    """Guards against reporting a request of a dead router as running for ever."""
+    take(claims)
+    clock.advance(60_000)
+    assert take(Claims(store, clock, "r2")).kind is ClaimKind.UNKNOWN
+
+
+def test_oversized_output_keeps_only_its_digest(claims):
+    """Guards against segments growing without bound."""
+    claims.finish(take(claims).claim, ResultCode.OK, b"x" * 4097, USAGE)
+    outcome = claims.lookup("w", "k").outcome
+    assert outcome.output is None and len(outcome.digest) == 64
+
+
+def test_outage_refuses_and_lookup_says_so(claims, store):
+    """Guards against granting without the store."""
+    store.down = True
+    for call in (lambda: take(claims), lambda: claims.lookup("w", "k")):
+        with pytest.raises(RequestRefused) as refused:
+            call()
+        assert refused.value.code is ResultCode.STORE_UNAVAILABLE
+
+
+def test_late_write_of_refused_claim_is_released(claims, store, clock):
+    """Guards against a key that stays blocked by a claim that was never sent."""
+    claims.release(take(claims).claim)
+    store.faults.extend([Fault.LATE] * 20)
+    with pytest.raises(RequestRefused):
+        take(claims)
+    store.faults.clear()
+    store.deliver()
+    assert take(Claims(store, clock, "r2")).kind is ClaimKind.IN_PROGRESS
+    assert claims.drain(clock.now() + 1_000) == 0
+    assert take(Claims(store, clock, "r2")).kind is ClaimKind.GRANTED
+
+
+def test_full_segment_is_followed_by_the_next(claims, store, clock, monkeypatch):
+    """Guards against objects above 1 MB."""
+    monkeypatch.setattr(claimlog, "SOFT_SEGMENT_BYTES", 20_000)
+    monkeypatch.setattr("jacinthcove.delivery.claimlog.key_shard", lambda digest: 0)
+    for number in range(30):
+        assert take(claims, f"k{number}").kind is ClaimKind.GRANTED
+    assert len(store.objects) > 5
+    assert take(Claims(store, clock, "r2"), "k0").kind is ClaimKind.IN_PROGRESS
+
+
+def test_waiting_claims_share_one_write(store):
+    """Guards against a write per request."""
+
+    class SlowStore(FakeStore):
+        def put(self, key, value, if_version):
+            gevent.sleep(0.001)
+            return super().put(key, value, if_version)
+
+    slow = SlowStore()
+    claims = Claims(slow, SystemClock(), "r1")
+    tasks = [gevent.spawn(take, claims, f"k{n % 40}", "c", 60_000) for n in range(80)]
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("jacinthcove.delivery.claimlog.key_shard", lambda digest: 0)
+        gevent.joinall(tasks, raise_error=True)
+    kinds = [task.value.kind for task in tasks]
+    assert kinds.count(ClaimKind.GRANTED) == 40
+    assert slow.puts < 10
+
+
+def test_write_interval_bounds_the_writes(store, clock):
+    """Guards against a daemon that exceeds its part of the store's write rate."""
+    claims = Claims(store, clock, "r1", write_interval_ms=50)
+    started = clock.now()
+    for number in range(10):
+        take(claims, f"k{number}", wait_ms=10_000)
+    assert clock.now() - started >= 50 * (store.puts - 1)
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the interfaces, shared by tests."""
