--- a/src/jacinthcove/standins/batch.py
+++ b/src/jacinthcove/standins/batch.py
@@ -149,21 +149,22 @@
                 self.work.clear()
                 self.work.wait()
                 next_step = float(self.clock.now())
-            self._fill()
+            self.fill()
             next_step = max(next_step + self._step_ms(), float(self.clock.now()))
             gevent.sleep((next_step - self.clock.now()) / 1000)
-            self._step()
+            self.step()
 
     def _step_ms(self) -> float:
         settings = self.settings
         above = max(0, len(self.running) - settings.knee)
         return settings.token_ms * (1 + settings.slowdown * above)
 
-    def _fill(self) -> None:
+    def fill(self) -> None:
+        """Move waiting streams into free places of the batch."""
         while self.waiting and len(self.running) < self.settings.max_batch:
             stream = self.waiting.popleft()
             prefill = stream.input_tokens * self.settings.prefill_token_ms
-            if self._use_prefix(stream.prefix_key):
+            if self.use_prefix(stream.prefix_key):
                 prefill *= self.settings.prefix_hit_factor
             stream.ready_at = self.clock.now() + prefill * self._slowness(stream)
             self.running.append(stream)
@@ -172,7 +173,8 @@
         collapse = COLLAPSE_FACTOR if self.over_since is not None else 1.0
         return collapse * self.faults.slow_factor(stream.route, self.load())
 
-    def _step(self) -> None:
+    def step(self) -> None:
+        """Add one token to each running stream whose prefill is over."""
         now = self.clock.now()
         if self.cold() and self.load() > self.capacity():
             self.over_since = now if self.over_since is None else self.over_since
@@ -193,7 +195,8 @@
                     stream.end(failed=False)
         self.running = [stream for stream in self.running if not stream.ended]
 
-    def _use_prefix(self, key: str) -> bool:
+    def use_prefix(self, key: str) -> bool:
+        """Return whether `key` is cached, and cache it as the most recently used."""
         if not key:
             return False
         hit = key in self.prefixes
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,117 @@
+"""Guards against an engine whose answers cannot be verified or whose faults do not show."""
+
+import pytest
+from geventhttpclient.response import HTTPParseError
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.load.events import read_events
+from jacinthcove.standins.batch import COLLAPSE_ERROR_MS, Batch, EngineSettings, Stream
+from jacinthcove.standins.engine import Engine
+from jacinthcove.standins.faults import FaultControl
+from jacinthcove.standins.text import answer_text
+
+
+def request_body(request_id="r1", tokens=5, **more):
+    return {"request_id": request_id, "max_tokens": tokens, **more}
+
+
+def text_of(events):
+    return "".join(event.data.split('"')[3] for event in events if event.kind == "message")
+
+
+def test_stream_carries_the_whole_text_and_an_end_marker(engine):
+    events = list(read_events(engine.send("POST", "/v1/completions", request_body())))
+    assert text_of(events) == answer_text("r1", 0, 5)
+    assert events[-1].kind == "end"
+    assert [event.id for event in events[:-1]] == ["0", "1", "2", "3", "4"]
+
+
+def test_cut_stream_has_no_end_marker_and_resumes_at_its_offset(engine):
+    engine.whole("PUT", "/faults", {"cut_after": 2})
+    response = engine.send("POST", "/v1/completions", request_body())
+    stream = read_events(response)
+    events = [next(stream), next(stream)]
+    with pytest.raises(HTTPParseError):
+        next(stream)
+    rest = engine.send("GET", f"/v1/streams/{response['x-stream-id']}?offset=2")
+    assert text_of(events) + text_of(read_events(rest)) == answer_text("r1", 0, 5)
+
+
+@pytest.mark.parametrize("fault", ["duplicate_rate", "reorder_rate"])
+def test_disorderly_stream_still_carries_every_offset(engine, fault):
+    engine.whole("PUT", "/faults", {fault: 0.5})
+    events = list(read_events(engine.send("POST", "/v1/completions", request_body(tokens=12))))
+    offsets = [int(event.id) for event in events[:-1]]
+    assert sorted(set(offsets)) == list(range(12))
+    assert offsets != list(range(12))
+
+
+def test_not_admitted_request_is_never_counted_as_run(engine):
+    engine.whole("PUT", "/faults", {"leaving": True})
+    response = engine.send("POST", "/v1/completions", request_body())
+    assert (response.status_code, response["x-not-admitted"]) == (503, "1")
+    assert engine.json("GET", "/executions")["requests"] == {}
+
+
+def test_restart_loses_streams_and_changes_the_boot_id(engine):
+    response = engine.send("POST", "/v1/completions", request_body(tokens=10_000))
+    before = engine.json("GET", "/load")["boot_id"]
+    engine.whole("PUT", "/faults", {"restart": True})
+    assert engine.json("GET", "/load")["boot_id"] != before
+    with pytest.raises(HTTPParseError):
+        list(read_events(response))
+    assert engine.whole("GET", f"/v1/streams/{response['x-stream-id']}?offset=0")[0] == 404
+
+
+def test_cancelled_stream_frees_its_place(engine):
+    response = engine.send("POST", "/v1/completions", request_body(tokens=10_000))
+    path = f"/v1/streams/{response['x-stream-id']}"
+    assert engine.whole("DELETE", path)[0] == 200
+    assert engine.whole("GET", path + "?offset=0")[0] == 410
+
+
+@pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+def test_old_fencing_number_is_refused_only_where_checked(started, checks, status):
+    engine = started(Engine("127.0.0.1:0", EngineSettings(checks_fencing=checks)))
+    order = {"kind": "change_role", "version": "", "time_limit_ms": 0}
+    assert engine.whole("POST", "/orders", {**order, "fencing": 5, "order_id": "a"})[0] == 200
+    assert engine.whole("POST", "/orders", {**order, "fencing": 4, "order_id": "b"})[0] == status
+
+
+@pytest.fixture
+def cold_batch():
+    clock = ManualClock()
+    settings = EngineSettings(cold_ms=1_000, cold_capacity=2, max_batch=4)
+    return Batch(settings, clock, FaultControl(clock, 1)), clock
+
+
+def test_cold_engine_collapses_when_more_is_admitted_than_it_bears(cold_batch):
+    batch, clock = cold_batch
+    streams = [Stream(request_body(str(n), 100)) for n in range(3)]
+    for stream in streams:
+        batch.add(stream)
+    batch.fill()
+    for _ in range(31):
+        batch.step()
+    produced = [stream.produced for stream in streams]
+    clock.advance(COLLAPSE_ERROR_MS)
+    batch.step()
+    assert produced == [2, 2, 2]  # 31 steps, slowed by COLLAPSE_FACTOR = 15
+    assert all(stream.failed for stream in streams)
+
+
+def test_engine_warms_up_with_served_requests_and_time(cold_batch):
+    batch, clock = cold_batch
+    assert batch.capacity() == 2
+    batch.served = 1
+    assert batch.capacity() == 3
+    clock.advance(2_000)
+    assert not batch.cold()
+
+
+def test_prefix_cache_forgets_the_least_recently_used(cold_batch):
+    batch, _ = cold_batch
+    hits = [batch.use_prefix(str(n)) for n in range(33)]
+    assert not any(hits)
+    assert batch.use_prefix("32")
+    assert not batch.use_prefix("0")
