Correct the cold engine's period in the collapse test

The test's engine was cold for 1 s while the collapse takes 2 s to fail requests, so it had warmed up enough by then and rightly failed nothing. With a cold period of 5 s the engine stays overloaded; the assertions are unchanged. The warm-up test moves its clock to 1 s after the new period, as before.

--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -81,7 +81,7 @@
 @pytest.fixture
 def cold_batch():
     clock = ManualClock()
-    settings = EngineSettings(cold_ms=1_000, cold_capacity=2, max_batch=4)
+    settings = EngineSettings(cold_ms=5_000, cold_capacity=2, max_batch=4)
     return Batch(settings, clock, FaultControl(clock, 1)), clock
 
 
@@ -105,7 +105,7 @@
     assert batch.capacity() == 2
     batch.served = 1
     assert batch.capacity() == 3
-    clock.advance(2_000)
+    clock.advance(6_000)
     assert not batch.cold()
 
 
