Limit how often a caller's connection is retried by the library

geventhttpclient resends a GET once per connection of its pool when the server closes the connection, so a pool of 2,000 would storm a faulty router. Callers now lend clients of one connection each, and drop an interrupted client since it may still hold its connection.

--- a/src/jacinthcove/load/callers.py
+++ b/src/jacinthcove/load/callers.py
@@ -2,8 +2,9 @@
 
 import re
 import time
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -23,7 +24,7 @@
 DEADLINE_GRACE_MS = 2_000
 # Pause before another attempt when the router names no time or cannot be reached.
 RETRY_PAUSE_MS = 100
-MAX_CONNECTIONS = 2_000
+CONNECT_TIMEOUT_S = 2.0
 TOKEN = re.compile(r"\d+:[0-9a-f]{8} ")
 _NETWORK_ERRORS = (OSError, HTTPParseError)
 
@@ -58,30 +59,42 @@
     valid_until: int = 0
 
 
-@dataclass
 class Connections:
-    """HTTP clients by address, shared by the callers of one process."""
-
-    silence_ms: int = 10_000
-    clients: dict[str, HTTPClient] = field(default_factory=dict)
-
-    def get(self, address: str) -> HTTPClient:
-        """Return the client of `address`; reads fail after `silence_ms` without a byte."""
-        if address not in self.clients:
-            host, _, port = address.rpartition(":")
-            self.clients[address] = HTTPClient(
-                host,
-                int(port),
-                concurrency=MAX_CONNECTIONS,
-                connection_timeout=2.0,
-                network_timeout=self.silence_ms / 1000,
-            )
-        return self.clients[address]
+    """Idle HTTP clients by address, shared by the callers of one process.
+
+    Each client has one connection: the library resends a GET once per connection of its pool, so
+    a large pool would storm a router that closes connections.
+    """
+
+    def __init__(self, silence_ms: int = 10_000):
+        self.silence_ms = silence_ms
+        self.idle: dict[str, list[HTTPClient]] = {}
+
+    @contextmanager
+    def use(self, address: str) -> Iterator[HTTPClient]:
+        """Lend a client of `address`; its reads fail after `silence_ms` without a byte."""
+        idle = self.idle.setdefault(address, [])
+        client = idle.pop() if idle else self._open(address)
+        try:
+            yield client
+        except BaseException:
+            # An interrupted client may still hold its connection, so it is not lent again.
+            client.close()
+            raise
+        idle.append(client)
 
     def close(self) -> None:
         """Close idle connections."""
-        for client in self.clients.values():
-            client.close()
+        for clients in self.idle.values():
+            while clients:
+                clients.pop().close()
+
+    def _open(self, address: str) -> HTTPClient:
+        host, _, port = address.rpartition(":")
+        timeout = self.silence_ms / 1000
+        return HTTPClient(
+            host, int(port), connection_timeout=CONNECT_TIMEOUT_S, network_timeout=timeout
+        )
 
 
 def gap_histogram() -> HdrHistogram:
@@ -179,20 +192,22 @@
         if spec.key:
             headers["Idempotency-Key"] = spec.key
         self.clock.sleep(self.delay_ms)
-        client = self.connections.get(address)
-        try:
-            response = client.request("POST", "/v1/requests", spec.body(deadline_ms), headers)
-        except ConnectionRefusedError:
-            self._forget(address)
-            return Outcome(result_class=ResultClass.NOT_RUN, message="refused")
-        except _NETWORK_ERRORS as error:
-            self._forget(address)
-            return self._lost(answer, f"no answer: {error!r}")
-        try:
-            return self._read(answer, response)
-        except BrokenStream as error:
-            self._forget(address)
-            return self._resume(answer, address, str(error))
+        body = spec.body(deadline_ms)
+        with self.connections.use(address) as client:
+            try:
+                response = client.request("POST", "/v1/requests", body, headers)
+            except ConnectionRefusedError:
+                self._forget(address)
+                return Outcome(result_class=ResultClass.NOT_RUN, message="refused")
+            except _NETWORK_ERRORS as error:
+                self._forget(address)
+                return self._lost(answer, f"no answer: {error!r}")
+            try:
+                return self._read(answer, response)
+            except BrokenStream as error:
+                reason = str(error)
+        self._forget(address)
+        return self._resume(answer, address, reason)
 
     def _read(self, answer: Answer, response: Any) -> Outcome:
         try:
@@ -244,8 +259,8 @@
             answer.resumed += 1
             self.clock.sleep(self.delay_ms)
             try:
-                response = self.connections.get(address).request("GET", path, b"", self._headers())
-                outcome = self._read(answer, response)
+                with self.connections.use(address) as client:
+                    outcome = self._read(answer, client.request("GET", path, b"", self._headers()))
                 if outcome.result_class is not ResultClass.NOT_RUN:
                     return outcome
                 # Only the resumption was refused; the request itself has run.
@@ -305,8 +320,9 @@
 
     def _lookup(self, seed: str, service: str) -> dict[str, Any]:
         path = f"/v1/lookup?service={service}"
-        response = self.connections.get(seed).request("GET", path, b"", self._headers())
-        return orjson.loads(bytes(response.read()))
+        with self.connections.use(seed) as client:
+            response = client.request("GET", path, b"", self._headers())
+            return orjson.loads(bytes(response.read()))
 
     def _forget(self, address: str) -> None:
         for known in self.known.values():
