Drop mesh connections before stopping the server

The server cancels its handlers but leaves connections open, so peers noticed a closed router only after the silence limit. They now see it at once.

--- a/src/jacinthcove/mesh/probing.py
+++ b/src/jacinthcove/mesh/probing.py
@@ -203,10 +203,7 @@
         helpers = [m for m in self.members.others(MemberState.ALIVE) if m.id != member.id]
         chosen = self.rng.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
         calls = [gevent.spawn(self._request_probe, helper, member) for helper in chosen]
-        for call in gevent.iwait(calls):
-            if call.value:
-                return True
-        return False
+        return any(call.value for call in gevent.iwait(calls))
 
     def _request_probe(self, helper: Member, member: Member) -> bool:
         request = pb.ProbeRequest(member_id=member.id)
--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -157,13 +157,13 @@
         self._spawn(self._tick_loop())
 
     async def close(self) -> None:
-        """Flush what is queued, then drop every stream."""
+        """Drop every stream at once."""
         if self.server is None:
             return
-        self.server.close()
-        await asyncio.sleep(0)
+        # First the connections: the server cancels its handlers but leaves connections open.
         for stream in self._streams():
             stream.abort()
+        self.server.close()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
