--- /dev/null
+++ b/tests/control/test_acceptance_fuzz.py
@@ -0,0 +1,168 @@
+"""Guards the acceptance of configurations against lost updates and wrong outcomes.
+
+Operators race call by call against a store with outages, lost answers and late writes.
+"""
+
+from dataclasses import dataclass, replace
+
+import gevent
+import pytest
+from gevent.event import Event
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.config.document import decode
+from jacinthcove.config.model import FailureDomain, FleetConfig
+from jacinthcove.control.acceptance import CURRENT_KEY, Acceptance, OutcomeUnknown
+from jacinthcove.errors import Conflict, StoreUnavailable
+from jacinthcove.platform.memory import MemoryStore
+
+OPERATORS = 3
+FAULTS = ("none", "none", "none", "lose_answers", "lose_requests", "hold_writes", "outage")
+
+
+@dataclass
+class Attempt:
+    """One change by one operator; `outcome` is a revision, "refused", "unknown" or None."""
+
+    domain: str
+    outcome: int | str | None = None
+
+
+class UnconditionalStore(MemoryStore):
+    """Ignores the condition of writes to the current configuration."""
+
+    def _require(self, key, if_version):
+        if key != CURRENT_KEY:
+            super()._require(key, if_version)
+
+
+class Race(RuleBasedStateMachine):
+    store_type = MemoryStore
+
+    def __init__(self):
+        super().__init__()
+        self.store = self.store_type(on_call=self._pause)
+        self.clock = ManualClock()
+        self.running: dict[int, tuple[gevent.Greenlet, Event]] = {}
+        self.by_greenlet: dict[gevent.Greenlet, Event] = {}
+        self.attempts: list[Attempt] = []
+        self.decoded: list[FleetConfig] = []
+
+    def _pause(self, kind, key):
+        turn = self.by_greenlet.get(gevent.getcurrent())
+        if turn is not None:
+            turn.wait()
+            turn.clear()
+
+    def _run(self, attempt, whole_update):
+        acceptance = Acceptance(self.store, self.clock, settle_ms=1_000)
+
+        def edit(config):
+            domains = {**config.failure_domains, attempt.domain: FailureDomain(attempt.domain)}
+            return replace(config, failure_domains=domains)
+
+        try:
+            if whole_update:
+                attempt.outcome = acceptance.update(edit)
+            else:
+                config = acceptance.current()
+                attempt.outcome = acceptance.submit(edit(config), config.revision)
+        except OutcomeUnknown:
+            attempt.outcome = "unknown"
+        except (Conflict, StoreUnavailable):
+            attempt.outcome = "refused"
+
+    def _step(self, operator):
+        greenlet, turn = self.running[operator]
+        turn.set()
+        for _ in range(4):
+            gevent.sleep(0)
+        if greenlet.dead:
+            greenlet.get()
+            del self.running[operator]
+
+    @rule(operator=st.integers(0, OPERATORS - 1), whole_update=st.booleans())
+    def start(self, operator, whole_update):
+        if operator in self.running:
+            return
+        attempt = Attempt(f"d{len(self.attempts)}")
+        self.attempts.append(attempt)
+        greenlet = gevent.Greenlet(self._run, attempt, whole_update)
+        turn = Event()
+        self.by_greenlet[greenlet] = turn
+        self.running[operator] = (greenlet, turn)
+        greenlet.start()
+        gevent.sleep(0)
+
+    @rule(
+        steps=st.lists(
+            st.tuples(st.integers(0, OPERATORS - 1), st.sampled_from(FAULTS)), max_size=12
+        )
+    )
+    def advance(self, steps):
+        for operator, fault in steps:
+            if operator not in self.running:
+                continue
+            if fault != "none":
+                setattr(self.store, fault, 1)
+            self._step(operator)
+            for name in set(FAULTS) - {"none"}:
+                setattr(self.store, name, 0)
+
+    @rule()
+    def release(self):
+        self.store.release_writes()
+
+    def written(self) -> list[FleetConfig]:
+        versions = self.store.versions(CURRENT_KEY)
+        self.decoded += [decode(item.value) for item in versions[len(self.decoded) :]]
+        return self.decoded
+
+    @invariant()
+    def revisions_rise_by_one_and_keep_earlier_changes(self):
+        previous = FleetConfig()
+        for config in self.written():
+            assert config.revision == previous.revision + 1
+            assert config.failure_domains.keys() > previous.failure_domains.keys()
+            previous = config
+
+    @invariant()
+    def reported_outcomes_are_true(self):
+        written = self.written()
+        in_force = written[-1].failure_domains if written else {}
+        for attempt in self.attempts:
+            if isinstance(attempt.outcome, int):
+                assert attempt.domain in written[attempt.outcome - 1].failure_domains
+            elif attempt.outcome == "refused":
+                assert attempt.domain not in in_force
+
+    def teardown(self):
+        for operator in list(self.running):
+            for _ in range(200):
+                if operator in self.running:
+                    self._step(operator)
+        assert not self.running
+        self.store.release_writes()
+        self.revisions_rise_by_one_and_keep_earlier_changes()
+        self.reported_outcomes_are_true()
+
+
+class RaceWithoutCondition(Race):
+    store_type = UnconditionalStore
+
+
+FUZZ = settings(derandomize=True, stateful_step_count=30, deadline=None)
+# The mutant only has to fail; shrinking its failure takes minutes.
+MUTANT = settings(FUZZ, phases=[Phase.generate])
+
+
+def test_racing_operators_never_lose_or_misreport_a_change():
+    run_state_machine_as_test(Race, settings=FUZZ)
+
+
+def test_an_unconditional_write_is_caught():
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(RaceWithoutCondition, settings=MUTANT)
