--- a/src/jacinthcove/load/callers.py
+++ b/src/jacinthcove/load/callers.py
@@ -2,7 +2,7 @@
 
 import re
 import time
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from random import Random
@@ -106,7 +106,8 @@
     """Sends requests of one workspace and verifies the answers.
 
     `pinned` callers use their seed addresses only and do no lookup. `delay_ms` is the simulated
-    one-way delay to the routers. `gaps` receives the times between tokens in microseconds.
+    one-way delay to the routers. `gaps` receives the times between tokens in microseconds,
+    `on_tokens` each number of new tokens with the input tokens that they make due.
     """
 
     def __init__(
@@ -121,17 +122,21 @@
         pinned: bool = False,
         delay_ms: float = 0.0,
         seed: int = 0,
+        on_tokens: Callable[[int, int], None] | None = None,
     ):
         self.workspace = workspace
         self.key = key
-        self.seeds = tuple(seeds)
         self.clock = clock or SystemClock()
         self.connections = connections or Connections()
         self.gaps = gap_histogram() if gaps is None else gaps
         self.pinned = pinned
         self.delay_ms = delay_ms
         self.random = Random(f"{workspace}/{seed}")
+        # The first address is used first, so a random order spreads callers over the routers.
+        self.seeds = tuple(self._shuffled(seeds))
         self.known: dict[str, Addresses] = {}
+        self.on_tokens = on_tokens
+        self.received_tokens = 0
 
     def addresses(self, service: str) -> tuple[str, ...]:
         """Return router addresses for `service`, looked up again when their lifetime is over.
@@ -246,6 +251,10 @@
         if text != expected or offset != answer.tokens:
             answer.corrupt = True
         answer.tokens = max(answer.tokens, offset + count)
+        self.received_tokens += count
+        if self.on_tokens is not None:
+            first = answer.first_at is None
+            self.on_tokens(count, answer.spec.input_tokens if first else 0)
         if answer.first_at is None:
             answer.first_at = self.clock.now()
         else:
@@ -316,7 +325,7 @@
         addresses = self.addresses(service)
         others = [address for address in addresses if address != avoid]
         others = others or [address for address in self.seeds if address != avoid]
-        return self.random.choice(others or list(addresses))
+        return (others or list(addresses))[0]
 
     def _lookup(self, seed: str, service: str) -> dict[str, Any]:
         path = f"/v1/lookup?service={service}"
--- /dev/null
+++ b/src/jacinthcove/router/api.py
@@ -0,0 +1,248 @@
+"""The HTTP API for callers."""
+
+import hashlib
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+from urllib.parse import parse_qs, unquote
+
+import gevent.socket
+import orjson
+import structlog
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from jacinthcove.clock import Clock
+from jacinthcove.codes import ResultCode, http_status
+from jacinthcove.config.model import ServiceKind, Workspace
+from jacinthcove.errors import RequestRefused
+from jacinthcove.observe.metrics import Metrics
+from jacinthcove.router.answer import Answer, EventStream
+from jacinthcove.router.current import AppliedState
+from jacinthcove.router.lookup import Lookup
+from jacinthcove.router.request import MAX_BODY_BYTES, CallerRequest, decode_body, parse_request
+
+log = structlog.get_logger()
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Callable[[bytes], Any]]
+
+REASONS = {
+    200: "OK", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
+    409: "Conflict", 410: "Gone", 413: "Content Too Large", 422: "Unprocessable Content",
+    429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+MAX_OPEN_REQUESTS = 4_000
+OVERLOADED_RETRY_AFTER_MS = 1_000
+MAX_AUTHORIZATION_LENGTH = 512
+# A caller's connection is dropped when sent data stays unacknowledged for this long, so that a
+# silent or very slow caller does not hold a target's slot.
+UNACKNOWLEDGED_TIMEOUT_MS = 15_000
+
+
+class RequestHandling(Protocol):
+    """What the API needs from the router for requests."""
+
+    def handle(self, request: CallerRequest, stream: EventStream | None) -> Answer:
+        """Run a request and return its final answer."""
+
+    def resume(self, workspace: str, token: str, offset: int, stream: EventStream) -> Answer:
+        """Relay the rest of a stream."""
+
+    def cancel(self, workspace: str, token: str) -> Answer:
+        """Cancel a stream at its target."""
+
+    def keyed_status(self, workspace: str, key: str) -> Answer:
+        """Return what is known about a keyed request."""
+
+    def refusal(self) -> RequestRefused | None:
+        """Return why the router takes no new requests at present, or None."""
+
+    def status(self) -> dict[str, Any]:
+        """Return the router's status for operators."""
+
+
+class CallerHandler(WSGIHandler):
+    """A connection of a caller with the socket options that streaming needs."""
+
+    def handle(self) -> None:
+        """Serve the connection."""
+        tcp = gevent.socket.IPPROTO_TCP
+        self.socket.setsockopt(tcp, gevent.socket.TCP_NODELAY, 1)
+        self.socket.setsockopt(tcp, gevent.socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+        super().handle()
+
+
+class CallerApi:
+    """Routes HTTP requests of callers to the router."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: AppliedState,
+        lookup: Lookup,
+        handling: RequestHandling,
+        metrics: Metrics,
+        listen: str,
+    ):
+        self.clock = clock
+        self.state = state
+        self.lookup = lookup
+        self.handling = handling
+        self.metrics = metrics
+        host, _, port = listen.rpartition(":")
+        self.server = WSGIServer(
+            (host, int(port)), self, handler_class=CallerHandler, log=None, error_log=None
+        )
+        self.open_requests = 0
+
+    def start(self) -> None:
+        """Accept connections."""
+        self.server.start()
+
+    def close(self) -> None:
+        """Stop accepting connections and drop idle ones."""
+        self.server.stop(timeout=1)
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one HTTP request."""
+        try:
+            return self._route(environ, start_response)
+        except RequestRefused as refusal:
+            self.metrics.counter("requests_refused_total", code=refusal.code.name.lower()).add()
+            answer = Answer(
+                refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms
+            )
+            return _json_answer(start_response, answer)
+
+    def _route(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if method == "POST" and path == "/v1/requests":
+            return self._request(environ, start_response)
+        if method == "GET" and path == "/v1/lookup":
+            return self._lookup(environ, start_response)
+        if path.startswith("/v1/streams/") and method in ("GET", "DELETE"):
+            return self._stream(environ, start_response, path.removeprefix("/v1/streams/"))
+        if method == "GET" and path.startswith("/v1/keyed/"):
+            workspace = self._authenticate(environ)
+            key = unquote(path.removeprefix("/v1/keyed/"))
+            return _json_answer(start_response, self.handling.keyed_status(workspace.name, key))
+        if method == "GET" and path == "/v1/status":
+            return _json(start_response, 200, orjson.dumps(self.handling.status()))
+        if method == "GET" and path == "/metrics":
+            return _json(start_response, 200, self.metrics.render().encode(), "text/plain")
+        if method == "GET" and path == "/healthz":
+            return _json(start_response, 200, b'{"status":"ok"}')
+        start_response("404 Not Found", [("Content-Type", "application/json")])
+        return [Answer(ResultCode.BAD_REQUEST, message=f"no such path: {method} {path}").encode()]
+
+    def _authenticate(self, environ: Environ) -> Workspace:
+        header = environ.get("HTTP_AUTHORIZATION", "")
+        scheme, _, key = header.partition(" ")
+        if scheme.lower() == "bearer" and key and len(header) <= MAX_AUTHORIZATION_LENGTH:
+            digest = hashlib.sha256(key.strip().encode("latin-1", "replace")).hexdigest()
+            workspace = self.state.workspace_by_key_hash.get(digest)
+            if workspace is not None:
+                return workspace
+        raise RequestRefused(ResultCode.UNAUTHENTICATED, "the workspace key is missing or unknown")
+
+    def _lookup(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        workspace = self._authenticate(environ)
+        service = _query(environ, "service")
+        if service not in self.state.config.services:
+            raise RequestRefused(ResultCode.UNKNOWN_SERVICE, f"there is no service {service!r}")
+        answer = self.lookup.answer(workspace.name, service)
+        data = {"addresses": list(answer.addresses), "lifetime_ms": answer.lifetime_ms}
+        return _json(start_response, 200, orjson.dumps(data))
+
+    def _request(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        workspace = self._authenticate(environ)
+        self._check_open()
+        request = parse_request(
+            self.state.config,
+            workspace,
+            decode_body(_read_body(environ)),
+            uuid.uuid4().hex,
+            environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+            self.clock.now(),
+        )
+        stream = None
+        if request.stream and request.service.kind is ServiceKind.ENGINE:
+            stream = _event_stream(start_response)
+        self.open_requests += 1
+        started = self.clock.now()
+        try:
+            answer = self.handling.handle(request, stream)
+        finally:
+            self.open_requests -= 1
+        self.metrics.counter("requests_total", code=answer.code.name.lower()).add()
+        self.metrics.histogram("request_ms").observe(self.clock.now() - started)
+        return _finish(start_response, stream, answer)
+
+    def _check_open(self) -> None:
+        refusal = self.handling.refusal()
+        if refusal is not None:
+            raise refusal
+        if self.open_requests >= MAX_OPEN_REQUESTS:
+            message = "the router has too many open requests"
+            raise RequestRefused(ResultCode.OVERLOADED, message, OVERLOADED_RETRY_AFTER_MS)
+
+    def _stream(
+        self, environ: Environ, start_response: StartResponse, token: str
+    ) -> Iterable[bytes]:
+        workspace = self._authenticate(environ)
+        if environ["REQUEST_METHOD"] == "DELETE":
+            return _json_answer(start_response, self.handling.cancel(workspace.name, token))
+        offset_text = _query(environ, "offset") or "0"
+        if not offset_text.isdigit():
+            raise RequestRefused(ResultCode.BAD_REQUEST, "offset is not a non-negative integer")
+        stream = _event_stream(start_response)
+        self.open_requests += 1
+        try:
+            answer = self.handling.resume(workspace.name, token, int(offset_text), stream)
+        finally:
+            self.open_requests -= 1
+        return _finish(start_response, stream, answer)
+
+
+def _event_stream(start_response: StartResponse) -> EventStream:
+    headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")]
+    return EventStream(lambda: start_response("200 OK", headers))
+
+
+def _finish(
+    start_response: StartResponse, stream: EventStream | None, answer: Answer
+) -> Iterable[bytes]:
+    if stream is None or not stream.begun:
+        return _json_answer(start_response, answer)
+    if answer.code is ResultCode.OK:
+        stream.end(answer.usage.output_tokens, answer.usage)
+    else:
+        stream.error(answer)
+    return []
+
+
+def _json_answer(start_response: StartResponse, answer: Answer) -> Iterable[bytes]:
+    return _json(start_response, http_status(answer.code), answer.encode())
+
+
+def _json(
+    start_response: StartResponse, status: int, body: bytes, content_type: str = "application/json"
+) -> Iterable[bytes]:
+    headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    start_response(f"{status} {REASONS[status]}", headers)
+    return [body]
+
+
+def _read_body(environ: Environ) -> bytes:
+    length = environ.get("CONTENT_LENGTH") or ""
+    if length.isdigit() and int(length) > MAX_BODY_BYTES:
+        raise RequestRefused(
+            ResultCode.BODY_TOO_LARGE, f"the body is larger than {MAX_BODY_BYTES} bytes"
+        )
+    return environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+
+
+def _query(environ: Environ, name: str) -> str:
+    values = parse_qs(environ.get("QUERY_STRING", "")).get(name, [""])
+    return values[0]
--- /dev/null
+++ b/src/jacinthcove/router/current.py
@@ -0,0 +1,50 @@
+"""The configuration and VM list that this router has applied."""
+
+from collections.abc import Callable
+
+import structlog
+
+from jacinthcove.config.document import decode
+from jacinthcove.config.model import FleetConfig, Workspace
+from jacinthcove.mesh.documents import CONFIG, VMS, Document, Documents
+from jacinthcove.platform.vms import VmList, decode_vms
+
+log = structlog.get_logger()
+
+
+class AppliedState:
+    """Decodes documents once and tells the parts of the router about each change."""
+
+    def __init__(self) -> None:
+        self.config = FleetConfig()
+        self.vms = VmList()
+        self.workspace_by_key_hash: dict[str, Workspace] = {}
+        self.config_listeners: list[Callable[[FleetConfig], None]] = []
+        self.vms_listeners: list[Callable[[VmList], None]] = []
+
+    def follow(self, documents: Documents) -> None:
+        """Apply the known documents and every newer one."""
+        for kind, apply in ((CONFIG, self.apply_config), (VMS, self.apply_vms)):
+            known = documents.get(kind)
+            if known is not None:
+                apply(known)
+            documents.subscribe(kind, apply)
+
+    def apply_config(self, document: Document) -> None:
+        """Put a configuration in force unless a newer one already is."""
+        if document.revision <= self.config.revision:
+            return
+        config = decode(document.body)
+        self.config = config
+        self.workspace_by_key_hash = {w.key_hash: w for w in config.workspaces.values()}
+        for listener in self.config_listeners:
+            listener(config)
+        log.info("configuration_applied", revision=config.revision)
+
+    def apply_vms(self, document: Document) -> None:
+        """Put a VM list in force unless a newer one already is."""
+        if document.revision <= self.vms.revision:
+            return
+        self.vms = decode_vms(document.body)
+        for listener in self.vms_listeners:
+            listener(self.vms)
--- /dev/null
+++ b/src/jacinthcove/router/daemon.py
@@ -0,0 +1,221 @@
+"""The router: wires its parts together, starts and stops them."""
+
+import random
+from dataclasses import asdict
+from typing import Any
+
+import gevent
+import structlog
+from gevent.event import Event
+
+from jacinthcove.clock import SystemClock
+from jacinthcove.codes import ResultCode
+from jacinthcove.config.model import FleetConfig
+from jacinthcove.config.settings import RouterSettings
+from jacinthcove.delivery.claims import Claims
+from jacinthcove.delivery.retry import Retries
+from jacinthcove.errors import RequestRefused
+from jacinthcove.mesh.documents import CONFIG, VMS, Document
+from jacinthcove.mesh.links import PeerLinks
+from jacinthcove.mesh.members import Membership
+from jacinthcove.mesh.peers import Member, MemberState
+from jacinthcove.mesh.probing import Probing
+from jacinthcove.mesh.spread import SpreadDocuments
+from jacinthcove.mesh.status import StatusService
+from jacinthcove.mesh.transport import open_listener
+from jacinthcove.mesh.watching import CONFIG_KEY, Watching, config_document, follow_vm_list, vms_document
+from jacinthcove.observe.metrics import Metrics
+from jacinthcove.platform.client import HttpStore
+from jacinthcove.router.answer import Answer, EventStream
+from jacinthcove.router.api import CallerApi
+from jacinthcove.router.current import AppliedState
+from jacinthcove.router.keyed import KeyedRequests
+from jacinthcove.router.lookup import Lookup
+from jacinthcove.router.request import CallerRequest
+from jacinthcove.router.resume import StreamResumer
+from jacinthcove.router.runner import RequestRunner
+from jacinthcove.router.versions import VersionControl
+from jacinthcove.scheduling.dispatch import MeshDispatch
+from jacinthcove.scheduling.estimate import CostEstimator
+from jacinthcove.targets.table import TargetTable
+
+log = structlog.get_logger()
+
+JOIN_TIMEOUT_S = 5.0
+# Callers learn of a leaving router from its refusals, so that few still arrive after this time.
+LEAVE_NOTICE_MS = 500
+CLAIMS_CLOSE_MS = 5_000
+DRAIN_POLL_S = 0.05
+RETRY_ELSEWHERE_MS = 0
+
+
+class Router:
+    """One router daemon."""
+
+    def __init__(self, settings: RouterSettings):
+        self.settings = settings
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        self.state = AppliedState()
+        self.stopping = False
+        self.serving = Event()
+        self.store = HttpStore(settings.store, settings.store_timeout_ms)
+        me = Member(
+            settings.id, settings.mesh_listen, settings.caller_listen, settings.failure_domain
+        )
+        self.members = Membership(me, self.clock)
+        self.links = PeerLinks(
+            self.members, open_listener(settings.mesh_listen), settings.fleet_key.encode()
+        )
+        self.documents = SpreadDocuments(self.members, self.links)
+        self.probing = Probing(self.members, self.links, settings.seeds, self.documents)
+        self.watch = Watching(self.members, self.documents, self.store, self.store.fetch_vms)
+        self.table = TargetTable()
+        self.dispatch = MeshDispatch(
+            self.clock, self.members, self.links, self.config, self.table
+        )
+        self.versions = VersionControl(self.clock, self.config, self.links, self.dispatch)
+        self.status_service = StatusService(self.members, self.links, self.member_status)
+        self.claims = Claims(self.store, self.clock, settings.id)
+        self.keyed = KeyedRequests(self.claims)
+        self.runner = RequestRunner(
+            self.clock,
+            self.dispatch,
+            self.versions,
+            CostEstimator(),
+            self.versions,
+            self.fleet_key,
+            Retries(self.clock),
+        )
+        self.resumer = StreamResumer(self.clock, self.fleet_key, self.config)
+        lookup = Lookup(self.members, self.config, self.owners_of, random.Random())
+        self.api = CallerApi(
+            self.clock, self.state, lookup, self, self.metrics, settings.caller_listen
+        )
+
+    def config(self) -> FleetConfig:
+        """Return the configuration in force here."""
+        return self.state.config
+
+    def fleet_key(self) -> str:
+        """Return the key that signs resume tokens."""
+        return self.settings.fleet_key or self.state.config.fleet_key
+
+    def start(self) -> None:
+        """Join the fleet, learn configuration and targets, and serve callers."""
+        self.links.start()
+        self.probing.join(JOIN_TIMEOUT_S)
+        self.probing.start()
+        self.watch.start()
+        self.state.config_listeners.append(self.table.update_config)
+        self.state.vms_listeners.append(self.table.update_vms)
+        follow_vm_list(self.documents, self.members)
+        self.documents.bootstrap(CONFIG, self._stored_config)
+        self.documents.bootstrap(VMS, lambda: vms_document(self.store.fetch_vms()))
+        self.state.follow(self.documents)
+        self.claims.start()
+        self.dispatch.start()
+        self.versions.start()
+        self.api.start()
+        self.serving.set()
+        log.info("router_serving", revision=self.state.config.revision)
+
+    def close(self) -> None:
+        """Leave the fleet, finish requests in flight and stop."""
+        self.stopping = True
+        if self.serving.is_set():
+            log.info("router_leaving", open_requests=self.api.open_requests)
+            self.probing.leave()
+            self.dispatch.drain()
+            self.clock.sleep(LEAVE_NOTICE_MS)
+            self._finish_requests()
+            self.api.close()
+            self.claims.close(self.clock.now() + CLAIMS_CLOSE_MS)
+            self.versions.close()
+            self.dispatch.close()
+        self.watch.close()
+        self.probing.close()
+        self.links.close()
+        self.store.close()
+        log.info("router_stopped")
+
+    def _stored_config(self) -> Document | None:
+        stored = self.store.get(CONFIG_KEY)
+        return None if stored is None else config_document(stored)
+
+    def _finish_requests(self) -> None:
+        deadline = self.clock.now() + self.settings.stop_timeout_ms
+        while self.api.open_requests and self.clock.now() < deadline:
+            gevent.sleep(DRAIN_POLL_S)
+        if self.api.open_requests:
+            log.warning("requests_cut_off", open_requests=self.api.open_requests)
+
+    def handle(self, request: CallerRequest, stream: EventStream | None) -> Answer:
+        """Run a request and return its final answer."""
+        if not request.idempotency_key:
+            return self.runner.run(request, stream)
+        return self.keyed.run(request, lambda: self.runner.run(request, stream))
+
+    def resume(self, workspace: str, token: str, offset: int, stream: EventStream) -> Answer:
+        """Relay the rest of a stream."""
+        return self.resumer.resume(workspace, token, offset, stream)
+
+    def cancel(self, workspace: str, token: str) -> Answer:
+        """Cancel a stream at its target."""
+        return self.resumer.cancel(workspace, token)
+
+    def keyed_status(self, workspace: str, key: str) -> Answer:
+        """Return what is known about a keyed request."""
+        return self.keyed.status(workspace, key)
+
+    def refusal(self) -> RequestRefused | None:
+        """Return why the router takes no new requests at present, or None."""
+        if self.stopping:
+            message = "the router is shutting down; ask another one"
+            return RequestRefused(ResultCode.ROUTER_STOPPING, message, RETRY_ELSEWHERE_MS)
+        domain = self.state.config.failure_domains.get(self.settings.failure_domain)
+        if domain is not None and domain.drained:
+            message = f"failure domain {domain.name} is drained; ask another router"
+            return RequestRefused(ResultCode.ROUTER_STOPPING, message, RETRY_ELSEWHERE_MS)
+        return None
+
+    def owners_of(self, workspace: str, service: str) -> list[str]:
+        """Return the members that own the workspace's shards of a service, without repeats."""
+        version = self.state.config.services[service].version
+        shards = self.dispatch.placement.shards_of(workspace, service, version)
+        return list(dict.fromkeys(shard.owner for shard in shards))
+
+    def member_status(self) -> Any:
+        """Return this router's part of the fleet status."""
+        return self.versions.member_status(self.members.me.id, self.state.config.revision)
+
+    def status(self) -> dict[str, Any]:
+        """Return the status page for operators."""
+        known = [self.members.me, *self.members.others(*MemberState)]
+        members = [
+            {
+                "id": member.id,
+                "address": member.caller_address,
+                "failure_domain": member.failure_domain,
+                "state": member.state.name.lower(),
+                "incarnation": member.incarnation,
+            }
+            for member in known
+        ]
+        traffic = self.links.traffic()
+        return {
+            "id": self.settings.id,
+            "revision": self.state.config.revision,
+            "vms_revision": self.state.vms.revision,
+            "stopping": self.stopping,
+            "open_requests": self.api.open_requests,
+            "members": members,
+            "shards": [asdict(shard) for shard in self.dispatch.stats()],
+            "control_bytes": {"sent": traffic.sent, "received": traffic.received},
+            "store_calls": dict(self.store.calls),
+            "documents": {
+                kind: document.revision
+                for kind in (CONFIG, VMS)
+                if (document := self.documents.get(kind)) is not None
+            },
+        }
--- /dev/null
+++ b/src/jacinthcove/router/runner.py
@@ -0,0 +1,210 @@
+"""Runs one caller request from its claim to its final answer."""
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Protocol
+
+import gevent
+import orjson
+import structlog
+
+from jacinthcove.clock import Clock
+from jacinthcove.codes import ResultCode
+from jacinthcove.config.model import ServiceKind
+from jacinthcove.delivery.retry import Retries
+from jacinthcove.errors import RequestRefused
+from jacinthcove.router.answer import Answer, EventStream
+from jacinthcove.router.attempt import EngineAttempt, PlainAttempt, input_tokens
+from jacinthcove.router.request import CallerRequest
+from jacinthcove.router.results import AttemptResult, ResultRecorder, VersionResult
+from jacinthcove.scheduling.estimate import CostEstimator, Estimate, engine_units
+from jacinthcove.scheduling.ticket import Dispatch, GrantedTarget, TicketRequest, Usage
+
+log = structlog.get_logger()
+
+KEEP_ALIVE_INTERVAL_S = 1.0
+NOT_ADMITTED_RETRY_AFTER_MS = 500
+
+
+class VersionChoice(Protocol):
+    """Chooses the version of a service that serves the next request of a route."""
+
+    def choose(self, service: str, route: str) -> str:
+        """Return the name of the version."""
+
+
+class RequestRunner:
+    """Finds a target, runs the request on it and tries again where that is safe."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        dispatch: Dispatch,
+        versions: VersionChoice,
+        estimator: CostEstimator,
+        recorder: ResultRecorder,
+        fleet_key: Callable[[], str],
+        retries: Retries,
+    ):
+        self.clock = clock
+        self.dispatch = dispatch
+        self.versions = versions
+        self.estimator = estimator
+        self.recorder = recorder
+        self.fleet_key = fleet_key
+        self.retries = retries
+
+    def run(self, request: CallerRequest, stream: EventStream | None) -> Answer:
+        """Return the final answer; its class says whether the request ran."""
+        self.retries.budget.request(request.workspace.name)
+        estimate = self._estimate(request)
+        avoid: frozenset[str] = frozenset()
+        attempt = 0
+        while True:
+            attempt += 1
+            try:
+                grant = self._acquire(self._ticket(request, estimate, avoid, attempt), stream)
+            except RequestRefused as refusal:
+                return Answer(
+                    refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms
+                )
+            result = self._attempt(request, grant, stream)
+            self._learn(request, grant, estimate, result)
+            if not self._may_retry(request, result, attempt):
+                return self._final(result.answer)
+            avoid |= {grant.target_id}
+            log.info(
+                "request_retried",
+                request_id=request.id,
+                workspace=request.workspace.name,
+                target=grant.target_id,
+                code=int(result.code),
+                attempt=attempt,
+            )
+
+    def _estimate(self, request: CallerRequest) -> Estimate:
+        hinted = None
+        if request.service.kind is ServiceKind.ENGINE and request.output_tokens:
+            hinted = engine_units(input_tokens(request), request.output_tokens)
+        return self.estimator.estimate(request.workspace.name, request.route.name, hinted)
+
+    def _ticket(
+        self, request: CallerRequest, estimate: Estimate, avoid: frozenset[str], attempt: int
+    ) -> TicketRequest:
+        return TicketRequest(
+            id=f"{request.id}.{attempt}",
+            workspace=request.workspace.name,
+            service=request.service.name,
+            route=request.route.name,
+            version=self.versions.choose(request.service.name, request.route.name),
+            estimate=estimate.units,
+            deadline=request.deadline,
+            short=estimate.short,
+            prefix_key=request.prefix_key,
+            avoid=avoid,
+        )
+
+    def _acquire(self, ticket: TicketRequest, stream: EventStream | None) -> GrantedTarget:
+        """Wait for a target and keep a streaming caller's connection alive meanwhile."""
+        if stream is None:
+            return self.dispatch.acquire(ticket)
+        worker = gevent.spawn(self._acquire_or_refusal, ticket)
+        while not worker.ready():
+            worker.join(KEEP_ALIVE_INTERVAL_S)
+            if not worker.ready():
+                stream.idle()
+        outcome = worker.get()
+        if isinstance(outcome, RequestRefused):
+            raise outcome
+        return outcome
+
+    def _acquire_or_refusal(self, ticket: TicketRequest) -> GrantedTarget | RequestRefused:
+        try:
+            return self.dispatch.acquire(ticket)
+        except RequestRefused as refusal:
+            return refusal
+
+    def _attempt(
+        self, request: CallerRequest, grant: GrantedTarget, stream: EventStream | None
+    ) -> AttemptResult:
+        result = AttemptResult(Answer(ResultCode.INTERNAL, message="the router failed"))
+        try:
+            if request.service.kind is ServiceKind.ENGINE:
+                result = EngineAttempt(
+                    self.clock, self.dispatch, self.fleet_key(), request, grant, stream
+                ).run()
+            else:
+                result = PlainAttempt(self.clock, request, grant).run()
+        finally:
+            self._report(grant, result)
+        return result
+
+    def _report(self, grant: GrantedTarget, result: AttemptResult) -> None:
+        self.dispatch.report(
+            grant,
+            Usage(
+                used=result.used,
+                ended=True,
+                code=result.code,
+                first_token_ms=result.first_token_ms,
+                token_ms_sum=result.token_ms_sum,
+                tokens=result.tokens,
+                unreachable=result.unreachable,
+            ),
+        )
+
+    def _learn(
+        self,
+        request: CallerRequest,
+        grant: GrantedTarget,
+        estimate: Estimate,
+        result: AttemptResult,
+    ) -> None:
+        if result.code is ResultCode.OK:
+            self.estimator.observe(
+                request.workspace.name, request.route.name, estimate, result.used
+            )
+        self.recorder.record(
+            VersionResult(
+                service=request.service.name,
+                route=request.route.name,
+                version=grant.version,
+                code=result.code,
+                first_token_ms=result.first_token_ms,
+                token_ms_sum=result.token_ms_sum,
+                tokens=result.tokens,
+            )
+        )
+        log.info(
+            "request_attempted",
+            request_id=request.id,
+            workspace=request.workspace.name,
+            service=request.service.name,
+            route=request.route.name,
+            target=grant.target_id,
+            version=grant.version,
+            code=int(result.code),
+            reason=result.answer.message or "answered",
+            used=round(result.used, 1),
+            first_token_ms=result.first_token_ms,
+        )
+
+    def _may_retry(self, request: CallerRequest, result: AttemptResult, attempt: int) -> bool:
+        """Return whether another attempt is safe and affordable."""
+        # A caller that received part of an answer cannot be given the start of another one.
+        idempotent = request.route.idempotent and not result.delivered
+        return self.retries.allow(
+            request.workspace.name, result.code, idempotent, attempt, request.deadline
+        )
+
+    def _final(self, answer: Answer) -> Answer:
+        if answer.code is ResultCode.NOT_ADMITTED and answer.retry_after_ms is None:
+            return replace(answer, retry_after_ms=NOT_ADMITTED_RETRY_AFTER_MS)
+        return answer
+
+
+def content_hash(request: CallerRequest) -> str:
+    """Return a digest of what a keyed request asks for, to detect a reused key."""
+    content = [request.service.name, request.route.name, request.payload]
+    return hashlib.sha256(orjson.dumps(content, option=orjson.OPT_SORT_KEYS)).hexdigest()[:32]
--- /dev/null
+++ b/src/jacinthcove/targets/client.py
@@ -0,0 +1,166 @@
+"""HTTP requests to targets with a strict answer to whether a request was sent.
+
+Every request uses a fresh connection: a pooled one may have gone silent, and a failure on it could
+not be told apart from a failure after the target had received the request.
+"""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import gevent.socket
+import orjson
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
+
+from jacinthcove.errors import NotAdmitted, TargetFailed
+
+CONNECT_TIMEOUT_MS = 1_000
+IDLE_INTERVAL_MS = 1_000
+RECEIVE_BYTES = 16_384
+# The kernel drops a connection whose sent data stays unacknowledged for this long.
+UNACKNOWLEDGED_TIMEOUT_MS = 10_000
+MAX_ERROR_BODY_BYTES = 2_000
+
+
+class TargetUnreachable(NotAdmitted):
+    """No connection to the target could be made, so it received nothing."""
+
+
+class TargetStalled(TargetFailed):
+    """The target sent nothing for the stall timeout."""
+
+
+def _ignore_idle() -> None:
+    return
+
+
+class StallingSocket:
+    """A socket whose `recv` reports idle intervals and gives up after the stall timeout."""
+
+    def __init__(self, sock: Any, stall_ms: int, on_idle: Callable[[], None]):
+        self.sock = sock
+        self.stall_ms = stall_ms
+        self.on_idle = on_idle
+        sock.settimeout(min(IDLE_INTERVAL_MS, stall_ms) / 1000)
+
+    def recv(self, size: int) -> bytes:
+        """Receive bytes; raises `TargetStalled` when none arrive for `stall_ms`."""
+        waited_ms = 0
+        while True:
+            try:
+                return self.sock.recv(size)
+            except TimeoutError:
+                waited_ms += IDLE_INTERVAL_MS
+                if waited_ms >= self.stall_ms:
+                    raise TargetStalled(f"no data for {self.stall_ms} ms") from None
+                self.on_idle()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.sock.close()
+
+
+@dataclass(frozen=True)
+class TargetRequest:
+    """One HTTP request to a target at `address` (`ip:port`)."""
+
+    address: str
+    method: str
+    path: str
+    body: bytes = b""
+    stall_ms: int = 5_000
+    on_idle: Callable[[], None] = _ignore_idle
+
+
+def connect(address: str) -> Any:
+    """Open a connection; raises `TargetUnreachable`."""
+    host, _, port = address.rpartition(":")
+    sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+    try:
+        sock.settimeout(CONNECT_TIMEOUT_MS / 1000)
+        sock.connect((host, int(port)))
+        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            gevent.socket.IPPROTO_TCP, gevent.socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+        )
+    except OSError as error:
+        sock.close()
+        raise TargetUnreachable(f"cannot connect to {address}: {error}") from error
+    return sock
+
+
+def _head(request: TargetRequest) -> bytes:
+    return (
+        f"{request.method} {request.path} HTTP/1.1\r\nHost: {request.address}\r\n"
+        f"Connection: close\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(request.body)}\r\n\r\n"
+    ).encode()
+
+
+@contextlib.contextmanager
+def open_response(request: TargetRequest) -> Iterator[HTTPSocketResponse]:
+    """Send `request` and yield the response once its headers are read.
+
+    Raises `TargetUnreachable` or `NotAdmitted` when the target did not take the request, and
+    `TargetFailed` when it may have.
+    """
+    sock = connect(request.address)
+    try:
+        stalling = StallingSocket(sock, request.stall_ms, request.on_idle)
+        try:
+            sock.sendall(_head(request) + request.body)
+            response = HTTPSocketResponse(stalling, block_size=RECEIVE_BYTES, method=request.method)
+        except (OSError, HTTPParseError) as error:
+            raise TargetFailed(f"{request.address} broke off: {error}") from error
+        _check_status(request, response)
+        yield response
+    finally:
+        sock.close()
+
+
+def _check_status(request: TargetRequest, response: HTTPSocketResponse) -> None:
+    status = response.status_code
+    if status == 503 and response.get("X-Not-Admitted") == "1":
+        raise NotAdmitted(f"{request.address} did not admit the request")
+    if status >= 500:
+        raise TargetFailed(f"{request.address} answered {status}")
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """A complete answer of a target."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded body; raises `TargetFailed` if it is not JSON."""
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as error:
+            raise TargetFailed("the target's answer is not JSON") from error
+
+
+def fetch(request: TargetRequest) -> WholeAnswer:
+    """Send `request` and read the whole answer; raises as `open_response` does."""
+    with open_response(request) as response:
+        try:
+            body = response.read()
+        except (OSError, HTTPParseError) as error:
+            raise TargetFailed(f"{request.address} broke off: {error}") from error
+        if not response.message_complete:
+            raise TargetFailed(f"{request.address} broke off before the end of its answer")
+        return WholeAnswer(response.status_code, bytes(body))
+
+
+def read_events(response: HTTPSocketResponse) -> Iterator[bytes]:
+    """Yield each server-sent event block without its blank line, until the body ends."""
+    while True:
+        try:
+            block = response.readline(b"\n\n")
+        except (OSError, HTTPParseError) as error:
+            raise TargetFailed(f"the stream broke off: {error}") from error
+        if not block:
+            return
+        yield block[:-2]
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Starts local fleets of real processes for the demo, features, benchmarks and experiments."""
