--- /dev/null
+++ b/tests/config/test_options.py
@@ -0,0 +1,77 @@
+"""Guards against options that accept unusable values or refuse usable ones."""
+
+import pytest
+
+from jacinthcove.config.model import ServiceKind
+from jacinthcove.config.options import (
+    Address,
+    AddressList,
+    Boolean,
+    Choice,
+    Duration,
+    Field,
+    Fields,
+    Float,
+    Integer,
+    Report,
+    String,
+    Time,
+)
+
+USABLE = [
+    (Integer(), "12", 12),
+    (Float(above=0), 0.5, 0.5),
+    (Boolean(), "true", True),
+    (Choice(ServiceKind), "plain", ServiceKind.PLAIN),
+    (Duration(), "250ms", 250),
+    (Duration(), "1.5s", 1_500),
+    (Address(), "[::1]:80", "[::1]:80"),
+    (AddressList(), "10.0.0.1:1, 10.0.0.2:2", ("10.0.0.1:1", "10.0.0.2:2")),
+    (Time(), "2026-03-02T06:00:00Z", 1_772_431_200_000),
+]
+UNUSABLE = [
+    (String(), 3),
+    (Integer(), True),
+    (Integer(1, 5), 6),
+    (Integer(), 1.5),
+    (Float(above=0), 0),
+    (Float(), float("nan")),
+    (Float(), True),
+    (Boolean(), 1),
+    (Choice(ServiceKind), "engin"),
+    (Duration(), 3),
+    (Duration(), "3"),
+    (Duration(), "-3s"),
+    (Duration(maximum_ms=1_000), "2s"),
+    (Duration(), "0.5ms"),
+    (Address(), "localhost:80"),
+    (Address(), "10.0.0.1"),
+    (Address(), "10.0.0.1:70000"),
+    (Address(), "::1:80"),
+    (AddressList(), "10.0.0.1:1,x"),
+    (Time(), "2026-03-02T06:00:00"),
+    (Time(), "soon"),
+]
+
+
+@pytest.mark.parametrize(("option", "raw", "value"), USABLE)
+def test_a_usable_value_is_not_refused(option, raw, value):
+    assert option.parse(raw).unwrap() == value
+
+
+@pytest.mark.parametrize(("option", "raw"), UNUSABLE)
+def test_an_unusable_value_is_not_accepted(option, raw):
+    report = Report(lambda path: "site.yml")
+    assert option.read(raw, "a.b", report) is None
+    assert str(report.errors[0]).startswith("error: site.yml: a.b: ")
+
+
+def test_one_bad_key_does_not_hide_the_others():
+    fields = Fields(
+        {"share": Field(Float(), required=True), "max": Field(Integer(), 5)},
+        lambda path, report, parts: parts,
+    )
+    report = Report()
+    assert fields.read({"shaer": 1, "max": "x"}, "", report) is None
+    assert [problem.path for problem in report.errors] == ["shaer", "share", "max"]
+    assert "did you mean 'share'?" in report.errors[0].reason
