--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -20,7 +20,7 @@
     TWICE = 4  # the write takes effect and a duplicate arrives later
     CRASH_BEFORE = 5
     CRASH_AFTER = 6
-    RACE = 7  # another router works right before the write arrives
+    RACE = 7  # another router works right before the call arrives
 
 
 class FakeStore:
@@ -35,6 +35,9 @@
 
     def get(self, key: str) -> StoredObject | None:
         self._check()
+        if self.faults and self.faults[0] is Fault.RACE:
+            self.faults.popleft()
+            self.race()
         return self.objects.get(key)
 
     def list(self, prefix: str) -> list[StoredObject]:
