Replace broken streams in use and test the mesh

A stream that breaks while in use is opened again and its member is probed at once, so the crash of a router is suspected without waiting for its turn.

--- a/src/jacinthcove/mesh/links.py
+++ b/src/jacinthcove/mesh/links.py
@@ -3,6 +3,7 @@
 import itertools
 import socket
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,7 +15,14 @@
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import KINDS
 from jacinthcove.mesh.peers import Handler, Members
-from jacinthcove.mesh.streams import CallsFailed, Outgoing, Received, StreamNote, StreamTable
+from jacinthcove.mesh.streams import (
+    CallsFailed,
+    Outgoing,
+    PeerLost,
+    Received,
+    StreamNote,
+    StreamTable,
+)
 from jacinthcove.mesh.transport import FleetKey, HubQueue, LoopThread, TlsOptions
 
 CLOSE_TIMEOUT_S = 5.0
@@ -48,6 +56,7 @@
         self.owns_loop = loop is None
         self.loop = loop or LoopThread()
         self.handlers: dict[str, Handler] = {}
+        self.lost_callbacks: list[Callable[[str], None]] = []
         self.pending: dict[int, AsyncResult] = {}
         self.call_ids = itertools.count(1)
         self.outbox: deque[Outgoing] = deque()
@@ -102,6 +111,10 @@
             return
         self._post(Outgoing(address, member_id, self._envelope(0, kind, message)))
 
+    def on_lost(self, callback: Callable[[str], None]) -> None:
+        """Call `callback` in its own greenlet with each member to which a used stream broke."""
+        self.lost_callbacks.append(callback)
+
     def traffic(self) -> Traffic:
         """Return the bytes sent and received by kind."""
         return Traffic(dict(self.table.sent), dict(self.table.received))
@@ -175,6 +188,9 @@
                 self._take_envelope(item, envelope)
         elif isinstance(item, CallsFailed):
             self._fail(item.call_ids, item.reason)
+        elif isinstance(item, PeerLost):
+            for callback in self.lost_callbacks:
+                gevent.spawn(callback, item.member_id)
         elif isinstance(item, StreamNote):
             self.log.warning(item.event, member=self.members.me.id, **item.fields)
 
--- a/src/jacinthcove/mesh/probing.py
+++ b/src/jacinthcove/mesh/probing.py
@@ -48,6 +48,9 @@
     def register(self, kind: str, handler: Handler) -> None:
         """Register a handler."""
 
+    def on_lost(self, callback: Callable[[str], None]) -> None:
+        """Call `callback` with each member to which a used stream broke."""
+
 
 class Revisions(Protocol):
     """The document revisions that travel on probes."""
@@ -81,6 +84,7 @@
         self.log = structlog.get_logger()
         peers.register(PROBE, self.answer_probe)
         peers.register(PROBE_REQUEST, self.answer_probe_request)
+        peers.on_lost(self.probe_lost)
         members.subscribe(self._on_change)
 
     def start(self) -> None:
@@ -88,7 +92,7 @@
         loops: list[tuple[Callable[[], Any], Callable[[], float]]] = [
             (self.probe_next, self.period_s),
             (self.members.expire, lambda: EXPIRY_PERIOD_S),
-            (self.contact_lost, lambda: REJOIN_PERIOD_S),
+            (self.contact_unreachable, lambda: REJOIN_PERIOD_S),
             (self.exchange_tables, self.exchange_period_s),
             (self._flush_urgent, lambda: URGENT_PERIOD_S),
         ]
@@ -148,7 +152,13 @@
         self.members.suspect(member.id, member.incarnation)
         return False
 
-    def contact_lost(self) -> None:
+    def probe_lost(self, member_id: str) -> None:
+        """Probe a member at once whose stream broke."""
+        member = self.members.get(member_id)
+        if self.greenlets and member is not None and member.state is MemberState.ALIVE:
+            self.probe(member)
+
+    def contact_unreachable(self) -> None:
         """Try one dead member, seed or listed address, so that partitions heal by themselves."""
         dead = [m.mesh_address for m in self.members.others(MemberState.DEAD)]
         addresses = dead + self._unknown_seeds() + self.members.unknown_addresses()
--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -19,11 +19,14 @@
 
 HEARTBEAT_S = 0.9
 # With the tick below a silent stream is replaced within the 3 s that the design allows.
-SILENCE_S = 2.75
+SILENCE_S = 2.6
 TICK_S = 0.2
 IDLE_S = 60.0
 # The side that opened a stream closes it, so that nothing is lost; the other side only cleans up.
 ACCEPTED_IDLE_S = 75.0
+# A broken stream that carried messages within this time is replaced at once. Peers retire only
+# streams that were unused for longer, and those are not opened again.
+RECENT_USE_S = 10.0
 DIAL_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 64
 MAX_QUEUED = 4096
@@ -61,6 +64,13 @@
     reason: str
 
 
+@dataclass
+class PeerLost:
+    """A stream in recent use broke, which may mean that the member died."""
+
+    member_id: str
+
+
 @dataclass
 class StreamNote:
     """Something about a stream that deserves a log line."""
@@ -283,6 +293,7 @@
         await self._read(peer, accepted)
 
     async def _read(self, peer: Peer, stream: Stream) -> None:
+        clean = False
         try:
             async for frame in stream.raw:
                 stream.last_received = self.loop.time()
@@ -290,12 +301,24 @@
                 if frame.envelopes:
                     stream.last_used = stream.last_received
                     self.emit(Received(peer.address, stream.member_id, list(frame.envelopes)))
+            clean = True
         finally:
+            retired = not stream.usable
             stream.usable = False
             peer.streams.remove(stream)
+            if not clean and not retired:
+                self._replace(peer, stream)
             if stream.calls:
                 self.emit(CallsFailed(list(stream.calls), "the stream was lost"))
 
+    def _replace(self, peer: Peer, stream: Stream) -> None:
+        if self.loop.time() - stream.last_used > RECENT_USE_S:
+            return
+        self.emit(PeerLost(stream.member_id))
+        if stream.opened_here and peer.stream() is None:
+            peer.redial = True
+            peer.wake.set()
+
     def _streams(self) -> list[Stream]:
         return [stream for peer in self.peers.values() for stream in peer.streams]
 
@@ -338,9 +361,8 @@
         if now - stream.last_received > SILENCE_S:
             self.emit(StreamNote("silent stream replaced", {"peer": stream.member_id}))
             stream.abort()
-            if stream.opened_here and peer.stream() is None:
-                peer.redial = True
-                peer.wake.set()
+            stream.last_used = now
+            self._replace(peer, stream)
         elif not stream.usable:
             return
         elif now - stream.last_used > (IDLE_S if stream.opened_here else ACCEPTED_IDLE_S):
--- /dev/null
+++ b/tests/mesh/test_links.py
@@ -0,0 +1,202 @@
+"""Links over loopback sockets; time limits are generous and no speed is asserted."""
+
+import random
+from dataclasses import replace
+
+import gevent
+import pytest
+from gevent import socket as gsocket
+from gevent.server import StreamServer
+
+from jacinthcove.clock import SystemClock
+from jacinthcove.errors import PeerUnavailable
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.kinds import GRANT, SERVICE_USED, TICKET_PULL
+from jacinthcove.mesh.links import PeerLinks
+from jacinthcove.mesh.members import Membership
+from jacinthcove.mesh.peers import Member, MemberState
+from jacinthcove.mesh.probing import Probing
+from jacinthcove.mesh.transport import listener_address, open_listener, split_address
+
+LIMIT_S = 30
+
+
+class Node:
+    def __init__(self, name, key=b"fleet", seeds=()):
+        listener = open_listener("127.0.0.1:0")
+        address = listener_address(listener)
+        self.members = Membership(Member(name, address, address, "fd0"), SystemClock())
+        self.links = PeerLinks(self.members, listener, key)
+        self.probing = Probing(self.members, self.links, seeds, rng=random.Random(1))
+        self.links.start()
+
+    @property
+    def address(self):
+        return self.members.me.mesh_address
+
+    def close(self):
+        self.probing.close()
+        self.links.close()
+
+
+@pytest.fixture
+def make_node():
+    nodes = []
+
+    def make(name, **options):
+        nodes.append(Node(name, **options))
+        return nodes[-1]
+
+    yield make
+    for node in nodes:
+        node.close()
+
+
+@pytest.fixture
+def pair(make_node):
+    first, second = make_node("a"), make_node("b")
+    first.members.merge(second.members.me)
+    second.members.merge(first.members.me)
+    return first, second
+
+
+def wait_for(condition):
+    with gevent.Timeout(LIMIT_S):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def accept_grant(sender, grant):
+    return pb.GrantReply(accepted=grant.ticket_id == f"for {sender}")
+
+
+def test_calls_run_both_ways_and_on_itself(pair):
+    # A reply that reaches another caller or is lost breaks every decision built on calls.
+    for node in pair:
+        node.links.register(GRANT, accept_grant)
+    first, second = pair
+    routes = [(first, "b", "a"), (second, "a", "b"), (first, "a", "a")] * 20
+    calls = [
+        gevent.spawn(n.links.call, to, GRANT, pb.Grant(ticket_id=f"for {me}"), LIMIT_S * 1000)
+        for n, to, me in routes
+    ]
+    assert all(call.get().accepted for call in calls)
+    assert first.links.traffic().sent[GRANT] > 0
+    assert not first.links.pending
+
+
+def test_failures_raise_peer_unavailable(pair):
+    # A call that hangs or raises another type would end the greenlet of a request.
+    first, second = pair
+    second.links.register(GRANT, lambda sender, grant: 1 / 0)
+    second.links.register(TICKET_PULL, lambda sender, pull: gevent.sleep(LIMIT_S))
+    first.members.merge(Member("gone", "127.0.0.1:1", "", "", 1))
+    for member_id, kind, message in [
+        ("b", GRANT, pb.Grant()),
+        ("b", TICKET_PULL, pb.TicketPull()),
+        ("b", SERVICE_USED, pb.ServiceUsed()),
+        ("gone", GRANT, pb.Grant()),
+        ("unknown", GRANT, pb.Grant()),
+    ]:
+        with pytest.raises(PeerUnavailable):
+            first.links.call(member_id, kind, message, 500)
+
+
+def test_one_way_message_arrives(pair):
+    got = []
+    pair[1].links.register(SERVICE_USED, lambda sender, used: got.append((sender, used.slot)))
+    pair[0].links.send("b", SERVICE_USED, pb.ServiceUsed(slot=9))
+    wait_for(lambda: got == [("a", 9)])
+
+
+def test_call_for_another_member_at_the_address_fails(pair):
+    # A replaced VM can reuse an address; its router must not answer for the former one.
+    first, second = pair
+    second.links.register(GRANT, accept_grant)
+    first.members.merge(replace(second.members.me, id="former"))
+    with pytest.raises(PeerUnavailable, match="belongs to member b"):
+        first.links.call("former", GRANT, pb.Grant(), LIMIT_S * 1000)
+
+
+def test_wrong_fleet_key_is_refused(make_node):
+    # Without the check any process could join the fleet or grant targets.
+    first, stranger = make_node("a"), make_node("s", key=b"other")
+    first.links.register(GRANT, accept_grant)
+    for caller, called in [(stranger, first), (first, stranger)]:
+        with pytest.raises(PeerUnavailable, match="fleet key"):
+            caller.links.call_address(called.address, GRANT, pb.Grant(), LIMIT_S * 1000)
+    assert first.links.connections() == 0
+
+
+class SwallowingProxy:
+    """Forwards connections until told to swallow the bytes of the open ones."""
+
+    def __init__(self, target):
+        self.target = split_address(target)
+        self.accepted = 0
+        self.swallowed = 0
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def swallow(self):
+        self.swallowed = self.accepted
+
+    def serve(self, client, _):
+        self.accepted += 1
+        number = self.accepted
+        with gsocket.create_connection(self.target) as upstream:
+            pumps = [(client, upstream), (upstream, client)]
+            gevent.joinall([gevent.spawn(self.pump, number, *pump) for pump in pumps])
+
+    def pump(self, number, source, sink):
+        try:
+            while data := source.recv(65536):
+                if number > self.swallowed:
+                    sink.sendall(data)
+            sink.shutdown(gsocket.SHUT_WR)
+        except OSError:
+            pass
+
+
+def test_silent_stream_is_replaced(pair):
+    # An open connection that went silent must not hold up calls while new ones work.
+    first, second = pair
+    second.links.register(GRANT, accept_grant)
+    proxy = SwallowingProxy(second.address)
+    grant = pb.Grant(ticket_id="for a")
+    try:
+        assert first.links.call_address(proxy.address, GRANT, grant, LIMIT_S * 1000).accepted
+        proxy.swallow()
+        wait_for(lambda: proxy.accepted == 2)
+        assert first.links.call_address(proxy.address, GRANT, grant, LIMIT_S * 1000).accepted
+        assert proxy.accepted == 2
+    finally:
+        proxy.server.stop()
+
+
+def test_dead_member_is_detected_and_returns(make_node):
+    # Shards of a dead router stay unserved until it is found, and must return with it.
+    first = make_node("a")
+    others = [make_node(name, seeds=[first.address]) for name in ("b", "c")]
+    for node in (first, *others):
+        assert node.probing.join(LIMIT_S)
+        node.probing.start()
+    nodes = (first, *others)
+    wait_for(lambda: all(len(node.members.alive()) == 3 for node in nodes))
+    dead = others.pop()
+    dead.close()
+    wait_for(lambda: all(n.members.get("c").state is MemberState.DEAD for n in (first, *others)))
+    again = make_node("c", seeds=[first.address])
+    assert again.probing.join(LIMIT_S)
+    again.probing.start()
+    wait_for(lambda: all(len(n.members.alive()) == 3 for n in (first, *others, again)))
+
+
+def test_leaving_member_is_known_at_once(make_node):
+    first = make_node("a")
+    second = make_node("b", seeds=[first.address])
+    assert second.probing.join(LIMIT_S)
+    second.probing.leave()
+    wait_for(lambda: first.members.get("b").state is MemberState.LEAVING)
+    assert "b" not in {m.id for m in first.members.alive()}
