--- /dev/null
+++ b/src/jacinthcove/targets/reports.py
@@ -0,0 +1,97 @@
+"""Polling of the load reports of owned targets."""
+
+from collections.abc import Callable
+from contextlib import suppress
+
+import gevent
+import orjson
+from geventhttpclient import HTTPClient
+
+from jacinthcove.targets.state import LoadReport, TargetState
+
+POLL_MS = 500
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 1.0
+
+
+def decode_report(body: bytes) -> LoadReport:
+    """Decode a load report; raises `ValueError` for anything else."""
+    try:
+        data = orjson.loads(body)
+        return LoadReport(
+            boot_id=str(data["boot_id"]),
+            running=int(data["running"]),
+            waiting=int(data["waiting"]),
+            version=str(data["version"]),
+            leaving=bool(data.get("leaving", False)),
+            cold=bool(data.get("cold", False)),
+        )
+    except (KeyError, TypeError, AttributeError, orjson.JSONDecodeError) as error:
+        raise ValueError(f"malformed load report: {error!r}") from error
+
+
+class LoadPoller:
+    """One greenlet per target that polls `GET /load`.
+
+    `changed` is called after every report that arrives and after every refused connection.
+    """
+
+    def __init__(self, state: TargetState, changed: Callable[[], None], poll_ms: int = POLL_MS):
+        self.state = state
+        self.changed = changed
+        self.poll_ms = poll_ms
+        self._client: HTTPClient | None = None
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start polling."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop polling."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        self._drop()
+
+    def poll(self) -> None:
+        """Poll once."""
+        try:
+            self.state.on_report(decode_report(self._get()))
+        except ConnectionRefusedError:
+            self._drop()
+            self.state.on_unreachable()
+        except (OSError, ValueError):
+            # A fresh connection follows; the report grows stale if this goes on.
+            self._drop()
+            return
+        self.changed()
+
+    def _run(self) -> None:
+        while True:
+            self.poll()
+            gevent.sleep(self.poll_ms / 1000)
+
+    def _get(self) -> bytes:
+        if self._client is None:
+            host, _, port = self.state.target.address.rpartition(":")
+            self._client = HTTPClient(
+                host,
+                int(port),
+                concurrency=1,
+                connection_timeout=CONNECT_TIMEOUT_S,
+                network_timeout=READ_TIMEOUT_S,
+            )
+        response = self._client.get("/load")
+        try:
+            body = bytes(response.read())
+        finally:
+            response.release()
+        if response.status_code != 200:
+            raise ValueError(f"load report has status {response.status_code}")
+        return body
+
+    def _drop(self) -> None:
+        client, self._client = self._client, None
+        if client is not None:
+            with suppress(OSError):
+                client.close()
--- /dev/null
+++ b/src/jacinthcove/targets/table.py
@@ -0,0 +1,120 @@
+"""The targets that the VM list and the configuration name."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from jacinthcove.config.model import FleetConfig
+from jacinthcove.platform.vms import Vm, VmList
+
+
+@dataclass(frozen=True, order=True)
+class Pool:
+    """The targets with the same service, version and failure domain."""
+
+    service: str
+    version: str
+    failure_domain: str
+
+
+@dataclass(frozen=True)
+class Target:
+    """One target VM; `drained` says that its failure domain is drained in the configuration."""
+
+    id: str
+    pool: Pool
+    address: str
+    leaving: bool = False
+    drained: bool = False
+
+    @property
+    def takes_work(self) -> bool:
+        """Return whether new work may be sent here."""
+        return not (self.leaving or self.drained)
+
+
+class TargetTable:
+    """Known targets by id and by pool; `revision` rises with every change."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.routers: tuple[Vm, ...] = ()
+        self.targets: dict[str, Target] = {}
+        self.pools: dict[Pool, tuple[str, ...]] = {}
+        self._vms: dict[str, Vm] = {}
+        self._drained: frozenset[str] = frozenset()
+        self._pool_of: dict[tuple[str, str, str], Pool] = {}
+        self._subscribers: list[Callable[[], None]] = []
+
+    def get(self, target_id: str) -> Target | None:
+        """Return a known target, or None."""
+        return self.targets.get(target_id)
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after every change."""
+        self._subscribers.append(callback)
+
+    def update_vms(self, vm_list: VmList) -> None:
+        """Take the targets and routers of `vm_list`; unchanged entries cost one comparison."""
+        vms = {vm.id: vm for vm in vm_list.targets()}
+        touched: set[Pool] = set()
+        changed = False
+        for vm_id, vm in vms.items():
+            if self._vms.get(vm_id) == vm:
+                continue
+            changed = True
+            self._place(vm, touched)
+        for vm_id in self._vms.keys() - vms.keys():
+            changed = True
+            touched.add(self.targets.pop(vm_id).pool)
+        self._vms = vms
+        routers = tuple(sorted(vm_list.routers(), key=lambda vm: vm.id))
+        if routers != self.routers:
+            self.routers = routers
+            changed = True
+        self._rebuild(touched)
+        if changed:
+            self._announce()
+
+    def update_config(self, config: FleetConfig) -> None:
+        """Take the drained failure domains of `config`."""
+        drained = frozenset(d.name for d in config.failure_domains.values() if d.drained)
+        moved = drained ^ self._drained
+        self._drained = drained
+        if not moved:
+            return
+        for target_id, target in self.targets.items():
+            if target.pool.failure_domain in moved:
+                self.targets[target_id] = replace(
+                    target, drained=target.pool.failure_domain in drained
+                )
+        self._announce()
+
+    def _place(self, vm: Vm, touched: set[Pool]) -> None:
+        key = (vm.service, vm.version, vm.failure_domain)
+        pool = self._pool_of.setdefault(key, Pool(*key))
+        old = self.targets.get(vm.id)
+        if old is None or old.pool != pool:
+            touched.add(pool)
+            if old is not None:
+                touched.add(old.pool)
+        self.targets[vm.id] = Target(
+            vm.id, pool, vm.address, vm.leaving, vm.failure_domain in self._drained
+        )
+
+    def _rebuild(self, touched: set[Pool]) -> None:
+        if not touched:
+            return
+        members: dict[Pool, list[str]] = {pool: [] for pool in touched}
+        for target in self.targets.values():
+            if target.pool in members:
+                members[target.pool].append(target.id)
+        for pool, ids in members.items():
+            if ids:
+                self.pools[pool] = tuple(sorted(ids))
+            else:
+                self.pools.pop(pool, None)
+
+    def _announce(self) -> None:
+        self.revision += 1
+        for callback in self._subscribers:
+            callback()
