Add shard scheduling and dispatch over the mesh

Entry routers queue tickets at shard owners and accept at most one grant for each. An owner keeps a slot until its end is known, so a lost message neither leaks a slot nor frees one that is in use. Levels are exchanged through account holders with absolute lifts, which merge by maximum.

--- /dev/null
+++ b/src/jacinthcove/scheduling/accounts.py
@@ -0,0 +1,252 @@
+"""Service accounts: what each workspace has received from each service in the whole fleet.
+
+Service is divided by the workspace's share when it is charged, so a change of share affects only
+later service. Accounts are kept per service, because a level compares workspaces that compete for
+the same targets.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import gevent
+
+from jacinthcove.clock import Clock
+from jacinthcove.config.model import FleetConfig
+from jacinthcove.errors import PeerUnavailable
+from jacinthcove.mesh import kinds
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.peers import Members, Peers
+from jacinthcove.scheduling import rendezvous
+from jacinthcove.scheduling.holder import AccountHolder, Key
+
+# A workspace that no other router saw backlogged for two exchange periods counts as idle; one lost
+# report does not make it idle.
+IDLE_PERIODS = 2
+# Accounts unchanged for this many periods are no longer reported.
+QUIET_PERIODS = 10
+CALL_TIMEOUT_MS = 1_000
+
+
+@dataclass
+class Account:
+    """The reporter's side of one account; all values are service units divided by share."""
+
+    served: float = 0.0
+    included: float = 0.0
+    highest: float = 0.0
+    lift: float = 0.0
+    pending: float = 0.0
+    waiting_shards: int = 0
+    active_at: int = 0
+    # Level that a workspace has until the holder says whether it was idle; None once known.
+    provisional: float | None = None
+    # The workspace started to wait here, so an idle one keeps the provisional level.
+    lifting: bool = False
+
+    def total(self) -> float:
+        """Return the fleet total at the last exchange plus own service since."""
+        return max(self.highest, self.lift) + self.served - self.included
+
+    def level(self) -> float:
+        """Return the total with the estimated rest of requests in flight."""
+        return max(self.total(), self.provisional or 0.0) + self.pending
+
+    def raise_to(self, level: float) -> None:
+        """Lift the account so that its total is at least `level`."""
+        self.lift = max(self.lift, level - (self.served - self.included))
+
+
+class Accounts:
+    """Charges, levels and the exchange with account holders; also holds accounts for others.
+
+    The reporter's incarnation is the wall time at construction, because a member's incarnation
+    changes without a loss of state.
+    """
+
+    def __init__(
+        self, clock: Clock, members: Members, peers: Peers, config: Callable[[], FleetConfig]
+    ):
+        self.clock = clock
+        self.members = members
+        self.peers = peers
+        self.config = config
+        self.incarnation = clock.wall()
+        self.accounts: dict[Key, Account] = {}
+        self.virtual: dict[str, float] = {}
+        self.holder = AccountHolder(clock, lambda: self.config().exchange_period_ms)
+        self._greenlet: gevent.Greenlet | None = None
+        peers.register(kinds.ACCOUNT_REPORT, self._on_report)
+
+    def start(self) -> None:
+        """Start the periodic exchange."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stop the periodic exchange."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def level(self, service: str, workspace: str) -> float:
+        """Return the level of `workspace` at `service`."""
+        account = self.accounts.get((service, workspace))
+        return account.level() if account is not None else 0.0
+
+    def use(self, service: str, workspace: str, units: float) -> None:
+        """Charge service that was received."""
+        account = self._account(service, workspace)
+        account.served += max(0.0, units) / self._share(workspace)
+        account.active_at = self.clock.now()
+
+    def hold(self, service: str, workspace: str, units: float) -> float:
+        """Add expected service to the level and return the amount to pass to `unhold`."""
+        amount = max(0.0, units) / self._share(workspace)
+        self._account(service, workspace).pending += amount
+        return amount
+
+    def unhold(self, service: str, workspace: str, amount: float) -> None:
+        """Take an amount that `hold` returned out of the level."""
+        account = self._account(service, workspace)
+        account.pending = max(0.0, account.pending - amount)
+
+    def backlogged(self, service: str, workspace: str, moved: bool = False) -> None:
+        """Note that `workspace` waits at one more shard here.
+
+        When it waited nowhere before, its level is lifted to the least level of the others, until
+        the holder tells whether it waits at other routers. Tickets that moved here waited before.
+        """
+        account = self._account(service, workspace)
+        if account.waiting_shards == 0 and not moved:
+            account.provisional = max(account.total(), self._least(service))
+            account.lifting = True
+        account.waiting_shards += 1
+        account.active_at = self.clock.now()
+
+    def relieved(self, service: str, workspace: str) -> None:
+        """Note that `workspace` waits at one shard less here."""
+        account = self._account(service, workspace)
+        account.waiting_shards = max(0, account.waiting_shards - 1)
+        account.active_at = self.clock.now()
+
+    def learn(self, service: str, workspace: str, level: float) -> None:
+        """Take the level that came with a ticket until the holder tells the total."""
+        account = self._account(service, workspace)
+        if account.level() < level:
+            account.provisional = max(account.provisional or 0.0, level - account.pending)
+
+    def note_grant(self, service: str, workspace: str) -> None:
+        """Advance the service's virtual time to the level that is being served."""
+        self._merge_virtual_level(service, self.level(service, workspace))
+
+    def exchange(self) -> None:
+        """Report to all holders in parallel and wait for their answers."""
+        reports = self._reports()
+        jobs = [gevent.spawn(self._exchange_with, who, report) for who, report in reports.items()]
+        gevent.joinall(jobs)
+        self.holder.trim()
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(self.config().exchange_period_ms / 1000)
+            self.exchange()
+
+    def _reports(self) -> dict[str, pb.AccountReport]:
+        alive = [member.id for member in self.members.alive()]
+        now = self.clock.now()
+        quiet_ms = QUIET_PERIODS * self.config().exchange_period_ms
+        reports: dict[str, pb.AccountReport] = {}
+        for (service, workspace), account in self.accounts.items():
+            if account.waiting_shards:
+                account.active_at = now
+            quiet = now - account.active_at > quiet_ms and account.included >= account.served
+            who = rendezvous.owner(f"account/{service}/{workspace}", alive)
+            if quiet or who is None:
+                continue
+            if who not in reports:
+                reports[who] = self._empty_report()
+            reports[who].workspaces.append(
+                pb.WorkspaceService(
+                    workspace=workspace,
+                    service=service,
+                    served=account.served,
+                    included=account.included,
+                    highest_total=account.highest,
+                    lift=account.lift,
+                    backlogged=account.waiting_shards > 0,
+                )
+            )
+        return reports
+
+    def _empty_report(self) -> pb.AccountReport:
+        levels = [pb.ServiceLevel(service=s, level=v) for s, v in self.virtual.items()]
+        return pb.AccountReport(
+            reporter=self.members.me.id, incarnation=self.incarnation, levels=levels
+        )
+
+    def _exchange_with(self, holder: str, report: pb.AccountReport) -> None:
+        if holder == self.members.me.id:
+            reply = self._on_report(holder, report)
+        else:
+            try:
+                reply = self.peers.call(holder, kinds.ACCOUNT_REPORT, report, CALL_TIMEOUT_MS)
+            except PeerUnavailable:
+                return
+        self.apply(report, reply)
+
+    def apply(self, report: pb.AccountReport, reply: pb.AccountReply) -> None:
+        """Take a holder's reply to `report`; old and repeated replies change nothing."""
+        self._merge_virtual(reply.levels)
+        sent = {(item.service, item.workspace): item.served for item in report.workspaces}
+        for item in reply.workspaces:
+            key = (item.service, item.workspace)
+            account = self.accounts.get(key)
+            if account is None or key not in sent:
+                continue
+            account.highest = max(account.highest, item.total)
+            account.included = max(account.included, sent[key])
+            account.lift = max(account.lift, item.lift)
+            if account.provisional is not None:
+                if (
+                    account.lifting
+                    and item.idle_ms > IDLE_PERIODS * self.config().exchange_period_ms
+                ):
+                    virtual = self.virtual.get(item.service, 0.0)
+                    alone = self._backlogged_level(item.service, item.workspace) is None
+                    account.raise_to(max(account.provisional, virtual if alone else 0.0))
+                account.provisional = None
+                account.lifting = False
+
+    def _on_report(self, sender: str, report: pb.AccountReport) -> pb.AccountReply:
+        del sender
+        self._merge_virtual(report.levels)
+        reply = self.holder.on_report(report)
+        levels = [pb.ServiceLevel(service=s, level=v) for s, v in self.virtual.items()]
+        reply.levels.extend(levels)
+        return reply
+
+    def _merge_virtual(self, levels: Iterable[pb.ServiceLevel]) -> None:
+        for item in levels:
+            self._merge_virtual_level(item.service, item.level)
+
+    def _merge_virtual_level(self, service: str, level: float) -> None:
+        self.virtual[service] = max(self.virtual.get(service, 0.0), level)
+
+    def _backlogged_level(self, service: str, skip: str | None = None) -> float | None:
+        return min(
+            (
+                account.level()
+                for (name, workspace), account in self.accounts.items()
+                if name == service and account.waiting_shards and workspace != skip
+            ),
+            default=None,
+        )
+
+    def _least(self, service: str) -> float:
+        least = self._backlogged_level(service)
+        return self.virtual.get(service, 0.0) if least is None else least
+
+    def _account(self, service: str, workspace: str) -> Account:
+        return self.accounts.setdefault((service, workspace), Account())
+
+    def _share(self, workspace: str) -> float:
+        known = self.config().workspaces.get(workspace)
+        return known.share if known is not None and known.share > 0 else 1.0
--- /dev/null
+++ b/src/jacinthcove/scheduling/dispatch.py
@@ -0,0 +1,137 @@
+"""Dispatch of requests to targets over the mesh."""
+
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from jacinthcove.clock import Clock
+from jacinthcove.config.model import FleetConfig
+from jacinthcove.mesh import kinds
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.peers import Member, Members, Peers
+from jacinthcove.scheduling.accounts import Accounts
+from jacinthcove.scheduling.entry import EntrySide
+from jacinthcove.scheduling.owner import OwnerSide
+from jacinthcove.scheduling.placement import Placement
+from jacinthcove.scheduling.shard import ShardStats
+from jacinthcove.scheduling.ticket import GrantedTarget, TicketRequest, Usage
+from jacinthcove.scheduling.wire import OfferOutcome, decode_ticket, decode_usage
+from jacinthcove.targets.reports import LoadPoller
+from jacinthcove.targets.table import TargetTable
+
+# Changes wake the maintenance greenlet at once; the period covers what comes without an event.
+MAINTAIN_MS = 1_000
+
+
+class MeshDispatch:
+    """Implements `Dispatch`: the entry side and the owner side of one router.
+
+    `config` returns the configuration in force and `table` holds the known targets. The caller
+    keeps the table up to date with `update_vms` and `update_config`. `poller` polls the load of an
+    owned target and is replaced in tests.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        members: Members,
+        peers: Peers,
+        config: Callable[[], FleetConfig],
+        table: TargetTable,
+        poller: Callable[..., LoadPoller] = LoadPoller,
+    ):
+        self.clock = clock
+        self.members = members
+        self.peers = peers
+        self.placement = Placement(table, members, config)
+        self.accounts = Accounts(clock, members, peers, config)
+        self.owners = OwnerSide(
+            clock, members, peers, config, self.placement, self.accounts, poller
+        )
+        self.entry = EntrySide(clock, members, peers, self.placement, self.owners)
+        self.owners.entry = self.entry
+        self._changed = Event()
+        self._greenlets: list[gevent.Greenlet] = []
+        table.subscribe(self._changed.set)
+        members.subscribe(self._on_member)
+        peers.register(kinds.TICKET_OFFER, self._on_offer)
+        peers.register(kinds.TICKET_CANCEL, self._on_cancel)
+        peers.register(kinds.TICKET_PULL, self.owners.pulls.on_pull)
+        peers.register(kinds.GRANT, self.entry.on_grant)
+        peers.register(kinds.SERVICE_USED, self._on_used)
+
+    def start(self) -> None:
+        """Take over the owned shards and start the background work."""
+        self.refresh()
+        self.accounts.start()
+        self._greenlets = [gevent.spawn(self._maintain), gevent.spawn(self.owners.pulls.run)]
+
+    def close(self) -> None:
+        """Stop the background work; call `drain` first for a graceful stop."""
+        gevent.killall(self._greenlets, block=False)
+        self.accounts.close()
+        self.owners.close()
+
+    def drain(self) -> None:
+        """Grant nothing more and hand all queued tickets back; requests in flight go on."""
+        self.owners.drain()
+
+    def acquire(self, request: TicketRequest) -> GrantedTarget:
+        """Wait for a target; raises `RequestRefused` with a not-run code."""
+        return self.entry.acquire(request)
+
+    def report(self, grant: GrantedTarget, usage: Usage) -> None:
+        """Report service used; the report with `ended` frees the slot."""
+        self.entry.report(grant, usage)
+
+    def stats(self) -> tuple[ShardStats, ...]:
+        """Return the state of the owned shards for metrics."""
+        return tuple(shard.stats() for shard in self.owners.schedulers.values())
+
+    def refresh(self) -> None:
+        """Follow changes of targets, members and configuration now."""
+        self.placement.refresh()
+        self.owners.refresh()
+        self.entry.on_change()
+
+    def _maintain(self) -> None:
+        while True:
+            self._changed.wait(MAINTAIN_MS / 1000)
+            self._changed.clear()
+            self.refresh()
+            self.owners.sweep()
+
+    def _on_member(self, member: Member) -> None:
+        self.owners.on_member(member)
+        self.entry.on_member(member)
+        self._changed.set()
+
+    def _on_offer(self, sender: str, message: pb.TicketOffer) -> pb.TicketOfferReply:
+        if message.moved:
+            waits = self.entry.on_moved(sender, message.ticket.id, message.shard)
+            outcome = OfferOutcome.QUEUED if waits else OfferOutcome.NOT_OWNER
+            return pb.TicketOfferReply(outcome=int(outcome))
+        ticket = decode_ticket(message.ticket, self.clock.now())
+        outcome, retry_after = self.owners.offer(message.shard, ticket)
+        scheduler = self.owners.schedulers.get(message.shard)
+        return pb.TicketOfferReply(
+            outcome=int(outcome),
+            retry_after_ms=retry_after,
+            queued=len(scheduler.queue) if scheduler is not None else 0,
+            free=scheduler.free_slots() if scheduler is not None else 0,
+        )
+
+    def _on_cancel(self, sender: str, message: pb.TicketCancel) -> pb.Empty:
+        # An entry router cancels at the holder; a holder hands back with the same message.
+        if message.ticket_id in self.entry.waiting:
+            self.entry.on_handed_back(sender, message.ticket_id)
+        else:
+            self.owners.cancel(message.ticket_id)
+        return pb.Empty()
+
+    def _on_used(self, sender: str, message: pb.ServiceUsed) -> pb.Empty:
+        usage = decode_usage(message)
+        if not self.owners.on_usage(message.slot, usage):
+            self.owners.adopt(sender, message, usage)
+        return pb.Empty()
--- /dev/null
+++ b/src/jacinthcove/scheduling/entry.py
@@ -0,0 +1,312 @@
+"""The entry router's side of dispatch: requests that wait for a target and grants in use."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import Event
+
+from jacinthcove.clock import Clock
+from jacinthcove.codes import ResultCode
+from jacinthcove.errors import PeerUnavailable, RequestRefused
+from jacinthcove.mesh import kinds
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.peers import Member, Members, MemberState, Peers
+from jacinthcove.scheduling.fair import QueuedTicket
+from jacinthcove.scheduling.owner import OwnerSide
+from jacinthcove.scheduling.placement import Placement, Shard
+from jacinthcove.scheduling.ticket import GrantedTarget, TicketRequest, Usage
+from jacinthcove.scheduling.wire import OfferOutcome, encode_ticket, encode_usage, queued_ticket
+
+OFFER_TIMEOUT_MS = 1_000
+USED_TIMEOUT_MS = 2_000
+# Pause between rounds of offers that no owner took.
+ROUND_PAUSE_MS = 100
+# An offer is repeated this often as a safety net for queues lost without a sign.
+REPEAT_OFFER_MS = 15_000
+# A full queue at two shards is taken for the state of all.
+FULL_LIMIT = 2
+# An owner that did not answer is offered tickets last for this long.
+SILENT_OWNER_MS = 2_000
+HINT_LIFETIME_MS = 5_000
+NO_TARGET_RETRY_MS = 1_000
+# The end of a use is repeated until the owner has it; later it counts the slot as lost anyway.
+END_RETRY_MS = 500
+END_GIVE_UP_MS = 60_000
+
+
+@dataclass(eq=False)
+class Waiting:
+    """A request that waits; `owner` and `shard` say where its ticket is, if anywhere."""
+
+    request: TicketRequest
+    event: Event = field(default_factory=Event)
+    owner: str = ""
+    shard: str = ""
+    grant: GrantedTarget | None = None
+    # Every member that may hold the ticket, to be told when the wait ends.
+    holders: set[str] = field(default_factory=set)
+
+
+class EntrySide:
+    """Offers tickets to owners, accepts at most one grant for each, and reports their use."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        members: Members,
+        peers: Peers,
+        placement: Placement,
+        owners: OwnerSide,
+        rng: Callable[[], float] = random.random,
+    ):
+        self.clock = clock
+        self.members = members
+        self.peers = peers
+        self.placement = placement
+        self.owners = owners
+        self.rng = rng
+        self.waiting: dict[str, Waiting] = {}
+        self.held: dict[tuple[str, int], GrantedTarget] = {}
+        self._ending: set[tuple[str, int]] = set()
+        self._hints: dict[str, tuple[int, int]] = {}
+        self._silent: dict[str, int] = {}
+
+    def acquire(self, request: TicketRequest) -> GrantedTarget:
+        """Wait for a target; raises `RequestRefused` with a not-run code."""
+        waiting = Waiting(request)
+        self.waiting[request.id] = waiting
+        try:
+            grant = self._wait(waiting)
+        except BaseException:
+            if waiting.grant is not None:
+                code = ResultCode.DEADLINE_BEFORE_START
+                self.report(waiting.grant, Usage(0.0, ended=True, code=code))
+            raise
+        finally:
+            del self.waiting[request.id]
+            self._withdraw(waiting)
+        return grant
+
+    def report(self, grant: GrantedTarget, usage: Usage) -> None:
+        """Report the use of `grant` to its owner without waiting."""
+        key = (grant.owner, grant.slot)
+        if key not in self.held or key in self._ending:
+            return
+        if grant.owner == self.members.me.id:
+            if usage.ended:
+                del self.held[key]
+            self.owners.on_usage(grant.slot, usage)
+        elif usage.ended:
+            self._ending.add(key)
+            gevent.spawn(self._deliver_end, grant, usage)
+        else:
+            self.peers.send(grant.owner, kinds.SERVICE_USED, encode_usage(grant, usage))
+
+    def on_grant(self, sender: str, message: pb.Grant) -> pb.GrantReply:
+        """Accept a grant once; a repeated grant of a slot in use is accepted again.
+
+        A void grant is refused: its owner may have freed the slot since.
+        """
+        now = self.clock.now()
+        if (sender, message.slot) in self.held:
+            return pb.GrantReply(accepted=True, entry_ms=now)
+        waiting = self.waiting.get(message.ticket_id)
+        if waiting is None or waiting.grant is not None or now >= waiting.request.deadline:
+            return pb.GrantReply(accepted=False, entry_ms=now)
+        if now > message.valid_until_ms or message.target_id in waiting.request.avoid:
+            return pb.GrantReply(accepted=False, waiting=True, entry_ms=now)
+        waiting.grant = GrantedTarget(
+            ticket_id=message.ticket_id,
+            workspace=waiting.request.workspace,
+            service=waiting.request.service,
+            shard=message.shard,
+            owner=sender,
+            target_id=message.target_id,
+            address=message.target_address,
+            version=message.version,
+            slot=message.slot,
+        )
+        self.held[(sender, message.slot)] = waiting.grant
+        waiting.holders.discard(sender)
+        waiting.event.set()
+        return pb.GrantReply(accepted=True, entry_ms=now)
+
+    def on_moved(self, holder: str, ticket_id: str, shard: str) -> bool:
+        """Note that `holder` pulled a ticket; return whether the ticket still waits."""
+        waiting = self.waiting.get(ticket_id)
+        if waiting is None or waiting.grant is not None:
+            return False
+        previous = waiting.owner
+        waiting.owner, waiting.shard = holder, shard
+        waiting.holders.add(holder)
+        if previous and previous != holder:
+            waiting.holders.discard(previous)
+            self._cancel(previous, ticket_id)
+        return True
+
+    def on_handed_back(self, holder: str, ticket_id: str) -> None:
+        """Offer a ticket again after its holder gave it back."""
+        waiting = self.waiting.get(ticket_id)
+        if waiting is not None and waiting.owner == holder:
+            waiting.holders.discard(holder)
+            waiting.owner = ""
+            waiting.event.set()
+
+    def on_change(self) -> None:
+        """Offer tickets again whose owner is gone or no longer owns their shard."""
+        for waiting in list(self.waiting.values()):
+            if not waiting.owner:
+                continue
+            shard = self.placement.shards.get(waiting.shard)
+            if shard is None or shard.owner != waiting.owner:
+                waiting.owner = ""
+                waiting.event.set()
+
+    def on_member(self, member: Member) -> None:
+        """Offer the tickets of a member again that died, leaves or came back without state."""
+        if member.state is MemberState.SUSPECT:
+            return
+        for waiting in list(self.waiting.values()):
+            if waiting.owner == member.id:
+                waiting.owner = ""
+                waiting.event.set()
+
+    def _wait(self, waiting: Waiting) -> GrantedTarget:
+        request = waiting.request
+        while waiting.grant is None:
+            remaining = request.deadline - self.clock.now()
+            if remaining <= 0:
+                raise RequestRefused(
+                    ResultCode.DEADLINE_BEFORE_START,
+                    "the deadline passed before a target was free",
+                )
+            if not waiting.owner:
+                waiting.event.clear()
+                self._place(waiting)
+                remaining = request.deadline - self.clock.now()
+            if waiting.grant is not None:
+                break
+            pause = REPEAT_OFFER_MS if waiting.owner else ROUND_PAUSE_MS
+            woken = waiting.event.wait(max(0, min(remaining, pause)) / 1000)
+            waiting.event.clear()
+            if not woken and remaining > pause:
+                waiting.owner = ""
+        return waiting.grant
+
+    def _place(self, waiting: Waiting) -> None:
+        full = 0
+        retry_after = 0
+        outcomes: set[OfferOutcome | None] = set()
+        for shard in self._order(waiting):
+            outcome, hint = self._offer(waiting, shard)
+            if waiting.grant is not None:
+                return
+            if outcome is OfferOutcome.QUEUED:
+                waiting.owner, waiting.shard = shard.owner, shard.name
+                return
+            outcomes.add(outcome)
+            if outcome is OfferOutcome.QUEUE_FULL:
+                full += 1
+                retry_after = max(retry_after, hint)
+                if full >= FULL_LIMIT:
+                    break
+        if full:
+            raise RequestRefused(
+                ResultCode.QUEUE_FULL, "the workspace's queue is full", max(1, retry_after)
+            )
+        if outcomes <= {OfferOutcome.NO_TARGET}:
+            raise RequestRefused(
+                ResultCode.NO_TARGET, "no target can take the request", NO_TARGET_RETRY_MS
+            )
+
+    def _order(self, waiting: Waiting) -> list[Shard]:
+        """Return the shards to offer to: the better of two random ones, then the others."""
+        request = waiting.request
+        shards = self._usable(
+            self.placement.shards_of(request.workspace, request.service, request.version), request
+        )
+        if not shards:
+            names = self.placement.open_shards(request.service, request.version)
+            shards = self._usable((self.placement.shards[name] for name in names), request)
+        order = sorted(shards, key=lambda _: self.rng())
+        if len(order) > 1 and self._backlog(order[1]) < self._backlog(order[0]):
+            order[0], order[1] = order[1], order[0]
+        now = self.clock.now()
+        order.sort(key=lambda shard: self._silent.get(shard.owner, 0) > now)
+        # The shard that has the ticket goes first, so that a repeated offer changes nothing.
+        order.sort(key=lambda shard: shard.name != waiting.shard)
+        return order
+
+    def _usable(self, shards: Iterable[Shard], request: TicketRequest) -> list[Shard]:
+        me = self.members.me.id
+        targets = self.placement.table.targets
+        return [
+            shard
+            for shard in shards
+            if shard.owner
+            and not (shard.owner == me and self.owners.draining)
+            and any(t in targets and t not in request.avoid for t in shard.targets)
+        ]
+
+    def _backlog(self, shard: Shard) -> int:
+        if shard.owner == self.members.me.id:
+            return self.owners.backlog(shard.name)
+        backlog, at = self._hints.get(shard.name, (0, 0))
+        return backlog if self.clock.now() - at < HINT_LIFETIME_MS else 0
+
+    def _offer(self, waiting: Waiting, shard: Shard) -> tuple[OfferOutcome | None, int]:
+        """Offer once; the outcome is None when the owner did not answer."""
+        ticket = queued_ticket(waiting.request, self.members.me.id)
+        if shard.owner == self.members.me.id:
+            return self.owners.offer(shard.name, ticket)
+        waiting.holders.add(shard.owner)
+        reply = self._call_offer(shard, ticket)
+        if reply is None:
+            return None, 0
+        outcome = OfferOutcome(reply.outcome)
+        if outcome is not OfferOutcome.QUEUED:
+            waiting.holders.discard(shard.owner)
+        self._hints[shard.name] = (reply.queued - reply.free, self.clock.now())
+        return outcome, reply.retry_after_ms
+
+    def _call_offer(self, shard: Shard, ticket: QueuedTicket) -> pb.TicketOfferReply | None:
+        now = self.clock.now()
+        offer = pb.TicketOffer(ticket=encode_ticket(ticket, now), shard=shard.name)
+        timeout = min(OFFER_TIMEOUT_MS, max(1, ticket.deadline - now))
+        try:
+            reply: pb.TicketOfferReply = self.peers.call(
+                shard.owner, kinds.TICKET_OFFER, offer, timeout
+            )
+        except PeerUnavailable:
+            self._silent[shard.owner] = self.clock.now() + SILENT_OWNER_MS
+            return None
+        return reply
+
+    def _withdraw(self, waiting: Waiting) -> None:
+        # The local queue is always asked, because an unplaced ticket may still be there.
+        for holder in waiting.holders | {self.members.me.id}:
+            self._cancel(holder, waiting.request.id)
+
+    def _cancel(self, holder: str, ticket_id: str) -> None:
+        if holder == self.members.me.id:
+            self.owners.cancel(ticket_id)
+        else:
+            self.peers.send(holder, kinds.TICKET_CANCEL, pb.TicketCancel(ticket_id=ticket_id))
+
+    def _deliver_end(self, grant: GrantedTarget, usage: Usage) -> None:
+        key = (grant.owner, grant.slot)
+        message = encode_usage(grant, usage)
+        give_up = self.clock.now() + END_GIVE_UP_MS
+        while self.clock.now() < give_up:
+            try:
+                self.peers.call(grant.owner, kinds.SERVICE_USED, message, USED_TIMEOUT_MS)
+                break
+            except PeerUnavailable:
+                member = self.members.get(grant.owner)
+                if member is None or member.state is MemberState.DEAD:
+                    break
+                self.clock.sleep(END_RETRY_MS)
+        self.held.pop(key, None)
+        self._ending.discard(key)
--- /dev/null
+++ b/src/jacinthcove/scheduling/fair.py
@@ -0,0 +1,123 @@
+"""The fair queue of one shard: the backlogged workspace with the least level goes first."""
+
+import heapq
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class QueuedTicket:
+    """A ticket in a queue; `deadline` is in monotonic ms of the router that holds it.
+
+    `entry_offset` added to this router's clock gives at most the entry router's clock.
+    """
+
+    id: str
+    entry: str
+    workspace: str
+    service: str
+    version: str
+    route: str
+    estimate: float
+    deadline: int
+    short: bool = False
+    prefix_key: str = ""
+    avoid: frozenset[str] = field(default_factory=frozenset)
+    entry_offset: int = 0
+
+
+class QueueFull(Exception):  # noqa: N818 - a normal outcome of an offer
+    """The workspace has as many tickets in this queue as it may have."""
+
+
+class FairQueue:
+    """Tickets per workspace in order of arrival; `level` returns a workspace's level."""
+
+    def __init__(self, level: Callable[[str], float]):
+        self.level = level
+        self.tickets: dict[str, QueuedTicket] = {}
+        self._lanes: dict[str, deque[QueuedTicket]] = {}
+        self._deadlines: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self.tickets)
+
+    def workspaces(self) -> list[str]:
+        """Return the backlogged workspaces."""
+        return list(self._lanes)
+
+    def queued(self, workspace: str) -> int:
+        """Return the number of tickets of `workspace`."""
+        return len(self._lanes.get(workspace, ()))
+
+    def add(self, ticket: QueuedTicket, bound: int | None, first: bool = False) -> None:
+        """Queue `ticket`; a known id is left alone. Raises `QueueFull` beyond `bound`."""
+        if ticket.id in self.tickets:
+            return
+        lane = self._lanes.get(ticket.workspace)
+        if bound is not None and len(lane or ()) >= bound:
+            raise QueueFull(ticket.workspace)
+        if lane is None:
+            lane = self._lanes[ticket.workspace] = deque()
+        if first:
+            lane.appendleft(ticket)
+        else:
+            lane.append(ticket)
+        self.tickets[ticket.id] = ticket
+        heapq.heappush(self._deadlines, (ticket.deadline, ticket.id))
+
+    def remove(self, ticket_id: str) -> QueuedTicket | None:
+        """Take a ticket out of the queue, or return None if it is not there."""
+        ticket = self.tickets.pop(ticket_id, None)
+        if ticket is None:
+            return None
+        lane = self._lanes[ticket.workspace]
+        lane.remove(ticket)
+        if not lane:
+            del self._lanes[ticket.workspace]
+        if len(self._deadlines) > 2 * len(self.tickets) + 64:
+            self._deadlines = [(t.deadline, t.id) for t in self.tickets.values()]
+            heapq.heapify(self._deadlines)
+        return ticket
+
+    def pick(self, fits: Callable[[QueuedTicket], bool]) -> QueuedTicket | None:
+        """Return the first fitting ticket of the least level, without removing it."""
+        for workspace in self.by_level():
+            for ticket in self._lanes[workspace]:
+                if fits(ticket):
+                    return ticket
+        return None
+
+    def take(self, count: int, max_level: float) -> list[QueuedTicket]:
+        """Remove up to `count` tickets, least level first, of levels up to `max_level`."""
+        taken: list[QueuedTicket] = []
+        # One ticket per workspace and pass, so that a pull does not carry off one workspace only.
+        while len(taken) < count:
+            order = [name for name in self.by_level() if self.level(name) <= max_level]
+            if not order:
+                break
+            for workspace in order[: count - len(taken)]:
+                ticket = self._lanes[workspace][0]
+                taken.append(ticket)
+                self.remove(ticket.id)
+        return taken
+
+    def expire(self, now: int) -> list[QueuedTicket]:
+        """Remove and return the tickets whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, ticket_id = heapq.heappop(self._deadlines)
+            ticket = self.tickets.get(ticket_id)
+            if ticket is not None and ticket.deadline <= now:
+                self.remove(ticket_id)
+                expired.append(ticket)
+        return expired
+
+    def least_level(self) -> float | None:
+        """Return the least level of a backlogged workspace, or None when empty."""
+        return min((self.level(workspace) for workspace in self._lanes), default=None)
+
+    def by_level(self) -> Iterator[str]:
+        """Yield the backlogged workspaces by rising level."""
+        yield from sorted(self._lanes, key=lambda workspace: (self.level(workspace), workspace))
--- /dev/null
+++ b/src/jacinthcove/scheduling/holder.py
@@ -0,0 +1,122 @@
+"""The account holder's side of the service accounts."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from jacinthcove.clock import Clock
+from jacinthcove.mesh import mesh_pb2 as pb
+
+Key = tuple[str, str]  # service, workspace
+
+# Entries only recognise repeated reports, so the oldest may go; the total keeps their service.
+MAX_REPORTERS = 4_096
+# An account without reports for this long is forgotten; reporters restore it with their totals.
+FORGET_MS = 600_000
+NEVER_IDLE_MS = 10**9
+
+
+@dataclass
+class Entry:
+    """The highest cumulative service that one incarnation of a reporter has reported."""
+
+    incarnation: int
+    served: float
+    backlogged_at: int | None = None
+    backlog_since: int = 0
+
+
+@dataclass
+class HeldAccount:
+    """A fleet total; service of dead reporters stays in it when their entries go."""
+
+    total: float = 0.0
+    lift: float = 0.0
+    entries: OrderedDict[str, Entry] = field(default_factory=OrderedDict)
+    reported_at: int = 0
+
+
+class AccountHolder:
+    """Merges cumulative reports by maximum, so repeated and late reports change nothing.
+
+    A report says how much of its cumulative service is part of the highest total that its sender
+    has seen. A holder without state starts from that total and adds the rest.
+    """
+
+    def __init__(self, clock: Clock, period_ms: Callable[[], int]):
+        self.clock = clock
+        self.period_ms = period_ms
+        self.accounts: dict[Key, HeldAccount] = {}
+
+    def on_report(self, report: pb.AccountReport) -> pb.AccountReply:
+        """Merge `report` and return the totals of its workspaces."""
+        reply = pb.AccountReply()
+        for item in report.workspaces:
+            account = self.accounts.setdefault((item.service, item.workspace), HeldAccount())
+            self._merge(account, report.reporter, report.incarnation, item)
+            idle_ms = self._idle_ms(account, report.reporter)
+            reply.workspaces.append(
+                pb.WorkspaceTotal(
+                    service=item.service,
+                    workspace=item.workspace,
+                    total=account.total,
+                    lift=account.lift,
+                    idle_ms=idle_ms,
+                )
+            )
+        return reply
+
+    def trim(self) -> None:
+        """Forget accounts that nobody reports any more."""
+        limit = self.clock.now() - FORGET_MS
+        for key in [k for k, account in self.accounts.items() if account.reported_at < limit]:
+            del self.accounts[key]
+
+    def _merge(
+        self, account: HeldAccount, reporter: str, incarnation: int, item: pb.WorkspaceService
+    ) -> None:
+        account.reported_at = self.clock.now()
+        entry = account.entries.get(reporter)
+        if entry is not None and incarnation < entry.incarnation:
+            return
+        if entry is not None and incarnation == entry.incarnation:
+            known = entry.served
+        else:
+            known = item.included
+        account.lift = max(account.lift, item.lift)
+        account.total = max(account.total, item.highest_total, item.lift)
+        account.total += max(0.0, item.served - known)
+        fresh = Entry(incarnation, max(known, item.served))
+        self._note_backlog(fresh, entry, item)
+        account.entries[reporter] = fresh
+        account.entries.move_to_end(reporter)
+        if len(account.entries) > MAX_REPORTERS:
+            account.entries.popitem(last=False)
+
+    def _note_backlog(self, entry: Entry, old: Entry | None, item: pb.WorkspaceService) -> None:
+        now = self.clock.now()
+        if old is not None:
+            entry.backlogged_at, entry.backlog_since = old.backlogged_at, old.backlog_since
+        if not item.backlogged:
+            return
+        started = entry.backlogged_at is None or now - entry.backlogged_at > self._recent_ms()
+        if started:
+            # A holder without state cannot date the backlog of an account with service; an old
+            # backlog leaves levels unchanged.
+            unknown = old is None and item.highest_total > 0
+            entry.backlog_since = now - self._recent_ms() if unknown else now
+        entry.backlogged_at = now
+
+    def _idle_ms(self, account: HeldAccount, reporter: str) -> int:
+        now = self.clock.now()
+        idle = NEVER_IDLE_MS
+        for name, entry in account.entries.items():
+            if name == reporter or entry.backlogged_at is None:
+                continue
+            # Routers that join a backlog at the same time all learn of the idleness before it.
+            if now - entry.backlog_since >= self._recent_ms():
+                idle = min(idle, now - entry.backlogged_at)
+        return idle
+
+    def _recent_ms(self) -> int:
+        return 2 * self.period_ms()
--- /dev/null
+++ b/src/jacinthcove/scheduling/owner.py
@@ -0,0 +1,348 @@
+"""The owner's side of dispatch: the shards of this router, their targets and grants."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Protocol
+
+import gevent
+
+from jacinthcove.clock import Clock
+from jacinthcove.config.model import FleetConfig, Limits
+from jacinthcove.errors import PeerUnavailable
+from jacinthcove.mesh import kinds
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.peers import Member, Members, MemberState, Peers
+from jacinthcove.scheduling.accounts import Accounts
+from jacinthcove.scheduling.fair import QueuedTicket, QueueFull
+from jacinthcove.scheduling.placement import Placement
+from jacinthcove.scheduling.pulls import Pulls
+from jacinthcove.scheduling.shard import ShardScheduler, Slot
+from jacinthcove.scheduling.ticket import Usage
+from jacinthcove.scheduling.wire import OfferOutcome
+from jacinthcove.targets.reports import LoadPoller
+from jacinthcove.targets.state import TargetState
+
+GRANT_TIMEOUT_MS = 1_000
+# An entry router refuses a grant after this time, and an owner keeps an unanswered slot as long.
+GRANT_VALID_MS = 2_000
+GRANT_RETRY_MS = 200
+# Usage comes every 250 ms; a slot silent for longer is checked with its entry router.
+SILENT_SLOT_MS = 5_000
+MAX_ENDED = 10_000
+# Slot ids start at the wall time, so that a restarted router does not repeat them.
+SLOT_ID_SHIFT = 20
+
+
+class GrantReceiver(Protocol):
+    """The entry side of the same router."""
+
+    def on_grant(self, sender: str, message: pb.Grant) -> pb.GrantReply:
+        """Accept or refuse a grant."""
+
+    def on_moved(self, holder: str, ticket_id: str, shard: str) -> bool:
+        """Note where a ticket is now; return whether it still waits."""
+
+    def on_handed_back(self, holder: str, ticket_id: str) -> None:
+        """Offer a ticket again."""
+
+
+def _slot_ids(clock: Clock) -> Iterator[int]:
+    slot = clock.wall() << SLOT_ID_SHIFT
+    while True:
+        slot += 1
+        yield slot
+
+
+class OwnerSide:
+    """Shard schedulers of the owned shards and the grants that they give.
+
+    A slot is freed only when its entry router reports the end, refuses the grant or does not know
+    the slot, or is declared dead and can no longer accept the grant.
+    """
+
+    entry: GrantReceiver
+
+    def __init__(
+        self,
+        clock: Clock,
+        members: Members,
+        peers: Peers,
+        config: Callable[[], FleetConfig],
+        placement: Placement,
+        accounts: Accounts,
+        poller: Callable[..., LoadPoller],
+    ):
+        self.clock = clock
+        self.members = members
+        self.peers = peers
+        self.config = config
+        self.placement = placement
+        self.accounts = accounts
+        self.poller = poller
+        self.draining = False
+        self.visible = placement.visible_fraction()
+        self.schedulers: dict[str, ShardScheduler] = {}
+        self.retired: list[ShardScheduler] = []
+        self.targets: dict[str, TargetState] = {}
+        self.pulls = Pulls(self)
+        self._pollers: dict[str, LoadPoller] = {}
+        self._slot_ids = _slot_ids(clock)
+        self._ended: OrderedDict[int, None] = OrderedDict()
+
+    def refresh(self) -> None:
+        """Create and drop schedulers as placement changes; hand back what cannot be served."""
+        self.visible = self.placement.visible_fraction()
+        owned = {} if self.draining else {shard.name: shard for shard in self.placement.owned()}
+        for name in self.schedulers.keys() - owned.keys():
+            self._drop(name)
+        self._follow_targets({target for shard in owned.values() for target in shard.targets})
+        for name, shard in owned.items():
+            scheduler = self.schedulers.get(name)
+            if scheduler is None:
+                scheduler = self.schedulers[name] = ShardScheduler(
+                    shard,
+                    self.targets,
+                    self.accounts,
+                    self.clock,
+                    self.config,
+                    lambda: self.visible,
+                    self._deliver,
+                    self._slot_ids,
+                )
+                scheduler.start()
+            scheduler.shard = shard
+            for ticket in list(scheduler.queue.tickets.values()):
+                if not scheduler.takes(ticket):
+                    scheduler.cancel(ticket.id)
+                    self.hand_back(ticket)
+            scheduler.wake()
+        self.retired = [scheduler for scheduler in self.retired if scheduler.slots]
+
+    def close(self) -> None:
+        """Stop schedulers and pollers."""
+        for scheduler in self.schedulers.values():
+            scheduler.close()
+        for poller in self._pollers.values():
+            poller.close()
+
+    def drain(self) -> None:
+        """Drop all shards and hand their tickets back."""
+        self.draining = True
+        self.refresh()
+
+    def offer(self, shard: str, ticket: QueuedTicket) -> tuple[OfferOutcome, int]:
+        """Queue a ticket; returns the outcome and the time to retry after in ms."""
+        scheduler = self.schedulers.get(shard)
+        if scheduler is None and not self.draining:
+            self.refresh()
+            scheduler = self.schedulers.get(shard)
+        if scheduler is None:
+            return OfferOutcome.NOT_OWNER, 0
+        if not scheduler.takes(ticket):
+            return OfferOutcome.NO_TARGET, 0
+        try:
+            scheduler.offer(ticket)
+        except QueueFull:
+            return OfferOutcome.QUEUE_FULL, scheduler.retry_after_ms()
+        if len(scheduler.queue):
+            self.pulls.on_backlog()
+        return OfferOutcome.QUEUED, 0
+
+    def cancel(self, ticket_id: str) -> None:
+        """Forget a ticket that its entry router no longer wants here."""
+        self.pulls.settle(ticket_id)
+        for scheduler in self.schedulers.values():
+            if scheduler.cancel(ticket_id):
+                return
+
+    def backlog(self, shard: str) -> int:
+        """Return queued tickets minus free slots of an owned shard."""
+        scheduler = self.schedulers.get(shard)
+        return len(scheduler.queue) - scheduler.free_slots() if scheduler is not None else 0
+
+    def hand_back(self, ticket: QueuedTicket) -> None:
+        """Let the entry router offer a ticket again."""
+        if ticket.entry == self.members.me.id:
+            self.entry.on_handed_back(ticket.entry, ticket.id)
+        else:
+            message = pb.TicketCancel(ticket_id=ticket.id)
+            self.peers.send(ticket.entry, kinds.TICKET_CANCEL, message)
+
+    def on_usage(self, slot_id: int, usage: Usage) -> bool:
+        """Take a usage report; return whether the slot is known or its end is."""
+        for scheduler in self._all():
+            if scheduler.on_usage(slot_id, usage):
+                if usage.ended:
+                    self._note_ended(slot_id)
+                    self.pulls.on_end(scheduler)
+                return True
+        return slot_id in self._ended
+
+    def adopt(self, sender: str, message: pb.ServiceUsed, usage: Usage) -> None:
+        """Count a running request whose slot was freed while its entry router seemed dead."""
+        if usage.ended:
+            self._note_ended(message.slot)
+            return
+        for scheduler in self.schedulers.values():
+            if message.target_id in scheduler.shard.targets and message.target_id in self.targets:
+                self._adopt(scheduler, sender, message, usage)
+                return
+
+    def on_member(self, member: Member) -> None:
+        """Free the slots and drop the tickets of a router that is declared dead."""
+        if member.state is not MemberState.DEAD:
+            return
+        for scheduler in self._all():
+            for slot in list(scheduler.slots.values()):
+                # An unanswered grant may still be accepted until it is void; `_send_grant` waits.
+                if slot.ticket.entry == member.id and slot.accepted:
+                    scheduler.free(slot.id)
+            for ticket in list(scheduler.queue.tickets.values()):
+                if ticket.entry == member.id:
+                    scheduler.cancel(ticket.id)
+
+    def sweep(self) -> None:
+        """Check silent slots with their entry routers and requeue tickets of lost pulls."""
+        limit = self.clock.now() - SILENT_SLOT_MS
+        for scheduler in self._all():
+            for slot in list(scheduler.slots.values()):
+                remote = slot.ticket.entry != self.members.me.id
+                if remote and slot.accepted and slot.heard_at < limit:
+                    slot.heard_at = self.clock.now()
+                    gevent.spawn(self._check_slot, scheduler, slot)
+        self.pulls.sweep()
+
+    def _all(self) -> Iterator[ShardScheduler]:
+        yield from list(self.schedulers.values())
+        yield from list(self.retired)
+
+    def _drop(self, name: str) -> None:
+        scheduler = self.schedulers.pop(name)
+        for ticket in scheduler.close():
+            self.hand_back(ticket)
+        if scheduler.slots:
+            self.retired.append(scheduler)
+
+    def _follow_targets(self, owned: set[str]) -> None:
+        for target_id in self.targets.keys() - owned:
+            del self.targets[target_id]
+            self._pollers.pop(target_id).close()
+        for target_id in owned:
+            target = self.placement.table.targets[target_id]
+            service = self.config().services.get(target.pool.service)
+            limits = service.limits if service is not None else Limits()
+            state = self.targets.get(target_id)
+            if state is not None and state.target.address != target.address:
+                self._pollers.pop(target_id).close()
+                state.on_unreachable()
+            if state is None:
+                state = self.targets[target_id] = TargetState(target, limits, self.clock)
+            state.target = target
+            state.limit.configure(limits)
+            if target_id not in self._pollers:
+                poller = self._pollers[target_id] = self.poller(state, self._wake)
+                poller.start()
+
+    def _wake(self) -> None:
+        for scheduler in self.schedulers.values():
+            scheduler.wake()
+
+    def _deliver(self, scheduler: ShardScheduler, slot: Slot) -> None:
+        if slot.ticket.entry != self.members.me.id:
+            gevent.spawn(self._send_grant, scheduler, slot)
+            return
+        slot.valid_until = self.clock.now()
+        reply = self.entry.on_grant(self.members.me.id, self._grant(scheduler, slot))
+        if reply.accepted:
+            slot.accepted = True
+        else:
+            scheduler.free(slot.id)
+
+    def _grant(self, scheduler: ShardScheduler, slot: Slot) -> pb.Grant:
+        return pb.Grant(
+            ticket_id=slot.ticket.id,
+            shard=scheduler.shard.name,
+            target_id=slot.target_id,
+            target_address=slot.address,
+            version=scheduler.shard.pool.version,
+            slot=slot.id,
+            valid_until_ms=max(0, slot.valid_until + slot.ticket.entry_offset),
+        )
+
+    def _send_grant(self, scheduler: ShardScheduler, slot: Slot) -> None:
+        entry = slot.ticket.entry
+        while slot.id in scheduler.slots and not slot.accepted:
+            slot.valid_until = self.clock.now() + GRANT_VALID_MS
+            grant = self._grant(scheduler, slot)
+            try:
+                reply = self.peers.call(entry, kinds.GRANT, grant, GRANT_TIMEOUT_MS)
+            except PeerUnavailable:
+                if self._gone(entry):
+                    self.clock.sleep(max(0, slot.valid_until - self.clock.now()) + 1)
+                    if not slot.accepted:
+                        scheduler.free(slot.id)
+                    return
+                self.clock.sleep(GRANT_RETRY_MS)
+                continue
+            self._on_grant_reply(scheduler, slot, reply)
+            return
+
+    def _on_grant_reply(self, scheduler: ShardScheduler, slot: Slot, reply: pb.GrantReply) -> None:
+        if reply.accepted:
+            slot.accepted = True
+            slot.heard_at = self.clock.now()
+            if slot.id not in scheduler.slots and slot.id not in self._ended:
+                scheduler.adopt(slot)
+            return
+        freed = scheduler.free(slot.id)
+        if freed is not None and reply.waiting:
+            offset = reply.entry_ms - self.clock.now()
+            ticket = replace(slot.ticket, entry_offset=offset)
+            if scheduler.closed:
+                self.hand_back(ticket)
+            else:
+                scheduler.offer(ticket, bounded=False, first=True)
+
+    def _check_slot(self, scheduler: ShardScheduler, slot: Slot) -> None:
+        grant = self._grant(scheduler, slot)
+        # A void grant is accepted only by an entry router that already uses the slot.
+        grant.valid_until_ms = 0
+        try:
+            reply = self.peers.call(slot.ticket.entry, kinds.GRANT, grant, GRANT_TIMEOUT_MS)
+        except PeerUnavailable:
+            if self._gone(slot.ticket.entry):
+                scheduler.free(slot.id)
+            return
+        if not reply.accepted:
+            scheduler.free(slot.id)
+
+    def _adopt(
+        self, scheduler: ShardScheduler, sender: str, message: pb.ServiceUsed, usage: Usage
+    ) -> None:
+        now = self.clock.now()
+        pool = scheduler.shard.pool
+        ticket = QueuedTicket(
+            id="",
+            entry=sender,
+            workspace=message.workspace,
+            service=pool.service,
+            version=pool.version,
+            route="",
+            estimate=0.0,
+            deadline=now,
+        )
+        address = self.targets[message.target_id].target.address
+        slot = Slot(message.slot, ticket, message.target_id, address, 0.0, now, now, now)
+        slot.usage = usage
+        slot.accepted = True
+        scheduler.adopt(slot)
+
+    def _gone(self, member_id: str) -> bool:
+        member = self.members.get(member_id)
+        return member is None or member.state is MemberState.DEAD
+
+    def _note_ended(self, slot_id: int) -> None:
+        self._ended[slot_id] = None
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
--- /dev/null
+++ b/src/jacinthcove/scheduling/wire.py
@@ -0,0 +1,105 @@
+"""Conversion between tickets, grants, usage and the messages of the mesh."""
+
+from enum import IntEnum
+
+from jacinthcove.codes import ResultCode
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.scheduling.fair import QueuedTicket
+from jacinthcove.scheduling.ticket import GrantedTarget, TicketRequest, Usage
+
+
+class OfferOutcome(IntEnum):
+    """The answer of an owner to a ticket offer, as in `TicketOfferReply.outcome`."""
+
+    QUEUED = 1
+    QUEUE_FULL = 2
+    NOT_OWNER = 3
+    NO_TARGET = 4
+
+
+def queued_ticket(request: TicketRequest, entry: str) -> QueuedTicket:
+    """Return the ticket of a request for a queue of its own entry router."""
+    return QueuedTicket(
+        id=request.id,
+        entry=entry,
+        workspace=request.workspace,
+        service=request.service,
+        version=request.version,
+        route=request.route,
+        estimate=request.estimate,
+        deadline=request.deadline,
+        short=request.short,
+        prefix_key=request.prefix_key,
+        avoid=request.avoid,
+    )
+
+
+def encode_ticket(ticket: QueuedTicket, now: int, level: float = 0.0) -> pb.Ticket:
+    """Encode a ticket held at monotonic time `now` of this router."""
+    return pb.Ticket(
+        id=ticket.id,
+        entry=ticket.entry,
+        workspace=ticket.workspace,
+        service=ticket.service,
+        version=ticket.version,
+        route=ticket.route,
+        estimate=ticket.estimate,
+        short=ticket.short,
+        prefix_key=ticket.prefix_key,
+        remaining_ms=max(0, ticket.deadline - now),
+        level=level,
+        avoid=sorted(ticket.avoid),
+        entry_ms=max(0, now + ticket.entry_offset),
+    )
+
+
+def decode_ticket(message: pb.Ticket, now: int) -> QueuedTicket:
+    """Decode a ticket that arrived at monotonic time `now` of this router."""
+    return QueuedTicket(
+        id=message.id,
+        entry=message.entry,
+        workspace=message.workspace,
+        service=message.service,
+        version=message.version,
+        route=message.route,
+        estimate=message.estimate,
+        deadline=now + message.remaining_ms,
+        short=message.short,
+        prefix_key=message.prefix_key,
+        avoid=frozenset(message.avoid),
+        entry_offset=message.entry_ms - now,
+    )
+
+
+def encode_usage(grant: GrantedTarget, usage: Usage) -> pb.ServiceUsed:
+    """Encode a usage report of `grant`."""
+    return pb.ServiceUsed(
+        shard=grant.shard,
+        slot=grant.slot,
+        target_id=grant.target_id,
+        used=usage.used,
+        ended=usage.ended,
+        code=int(usage.code),
+        first_token_ms=usage.first_token_ms,
+        token_ms_sum=usage.token_ms_sum,
+        tokens=usage.tokens,
+        unreachable=usage.unreachable,
+        workspace=grant.workspace,
+    )
+
+
+def decode_usage(message: pb.ServiceUsed) -> Usage:
+    """Decode a usage report; an unknown code counts as an internal failure."""
+    try:
+        code = ResultCode(message.code)
+    except ValueError:
+        code = ResultCode.INTERNAL
+    return Usage(
+        used=message.used,
+        ended=message.ended,
+        code=code,
+        first_token_ms=message.first_token_ms,
+        token_ms_sum=message.token_ms_sum,
+        tokens=message.tokens,
+        unreachable=message.unreachable,
+    )
