--- /dev/null
+++ b/tests/scheduling/test_dispatch.py
@@ -0,0 +1,96 @@
+"""Guards against wrong outcomes of acquiring, refusing and freeing over local and remote shards."""
+
+import gevent
+import pytest
+
+from jacinthcove.codes import ResultCode
+from jacinthcove.config.model import Limits
+from jacinthcove.errors import RequestRefused
+from jacinthcove.mesh.peers import MemberState
+from jacinthcove.scheduling.ticket import TicketRequest, Usage
+from scheduling.fakes import Fleet, fleet_config
+
+
+def request(fleet: Fleet, name: str, workspace: str = "w", wait_ms: int = 60_000, **more):
+    deadline = fleet.clock.now() + wait_ms
+    return TicketRequest(name, workspace, "draft", "write", "v1", 10.0, deadline, **more)
+
+
+@pytest.fixture
+def make_fleet():
+    fleets: list[Fleet] = []
+
+    def make(routers: int, targets: int, limits: Limits | None = None) -> Fleet:
+        fleets.append(Fleet(routers, targets, fleet_config({"w": 1.0, "x": 1.0}, limits)))
+        return fleets[-1]
+
+    yield make
+    for fleet in fleets:
+        fleet.close()
+
+
+def in_flight(fleet: Fleet) -> int:
+    return sum(s.in_flight for d in fleet.dispatches.values() for s in d.stats())
+
+
+@pytest.mark.parametrize("routers", [1, 4])
+def test_a_slot_is_granted_and_freed(make_fleet, routers):
+    fleet = make_fleet(routers, 4)
+    for name, dispatch in fleet.dispatches.items():
+        grant = dispatch.acquire(request(fleet, f"q-{name}"))
+        assert grant.target_id in fleet.tables[name].targets
+        assert in_flight(fleet) == 1
+        dispatch.report(grant, Usage(5.0, ended=True))
+        fleet.settle()
+        assert in_flight(fleet) == 0
+        assert not dispatch.entry.held
+
+
+def test_a_request_without_targets_is_refused_at_once(make_fleet):
+    fleet = make_fleet(1, 0)
+    with pytest.raises(RequestRefused) as refusal:
+        fleet.dispatches["r0"].acquire(request(fleet, "q"))
+    assert refusal.value.code is ResultCode.NO_TARGET
+
+
+def test_the_deadline_ends_a_waiting_request_as_not_run(make_fleet):
+    fleet = make_fleet(2, 1, Limits(cold=1, max=1))
+    fleet.dispatches["r0"].acquire(request(fleet, "first"))
+    waiting = gevent.spawn(fleet.dispatches["r1"].acquire, request(fleet, "second", wait_ms=500))
+    fleet.settle()
+    fleet.step(600)
+    with pytest.raises(RequestRefused) as refusal:
+        waiting.get(timeout=1)
+    assert refusal.value.code is ResultCode.DEADLINE_BEFORE_START
+    assert in_flight(fleet) == 1
+
+
+def test_a_full_queue_refuses_with_a_retry_time(make_fleet):
+    fleet = make_fleet(1, 1, Limits(cold=1, max=1))
+    dispatch = fleet.dispatches["r0"]
+    jobs = [gevent.spawn(dispatch.acquire, request(fleet, f"q{i}")) for i in range(202)]
+    fleet.settle()
+    refused = [job for job in jobs if job.ready() and not job.successful()]
+    assert [job.exception.code for job in refused] == [ResultCode.QUEUE_FULL]
+    assert refused[0].exception.retry_after_ms > 0
+    gevent.killall(jobs)
+
+
+def test_waiting_tickets_move_when_their_owner_dies_or_drains(make_fleet):
+    fleet = make_fleet(4, 2, Limits(cold=1, max=1))
+    jobs = [gevent.spawn(fleet.dispatches["r0"].acquire, request(fleet, f"h{i}")) for i in (0, 1)]
+    fleet.settle()
+    fleet.pull()
+    held = [job.get(timeout=1) for job in jobs]
+    waiting = gevent.spawn(fleet.dispatches["r1"].acquire, request(fleet, "q"))
+    fleet.settle()
+    owner = fleet.dispatches["r1"].entry.waiting["q"].owner
+    for members in fleet.members.values():
+        members.set_state(owner, MemberState.LEAVING)
+    fleet.dispatches[owner].drain()
+    fleet.step(100)
+    assert fleet.dispatches["r1"].entry.waiting["q"].owner not in ("", owner)
+    for grant in held:
+        fleet.dispatches["r0"].report(grant, Usage(1.0, ended=True))
+    fleet.step(100)
+    assert waiting.get(timeout=1).owner != owner
