Merge account reports exactly on a steady holder and fuzz accounts and limits

A holder with an entry for a reporter added its highest total and the difference, which could count the part between them twice. The difference alone is exact there; the total seen by the reporter is used only by a holder without that state. State machines cover loss, repetition, late reports, restarts, partitions and cold targets, and each keeps mutants that it must catch.

--- a/src/jacinthcove/scheduling/holder.py
+++ b/src/jacinthcove/scheduling/holder.py
@@ -33,6 +33,7 @@
     total: float = 0.0
     lift: float = 0.0
     entries: OrderedDict[str, Entry] = field(default_factory=OrderedDict)
+    since: int = 0
     reported_at: int = 0
 
 
@@ -52,7 +53,10 @@
         """Merge `report` and return the totals of its workspaces."""
         reply = pb.AccountReply()
         for item in report.workspaces:
-            account = self.accounts.setdefault((item.service, item.workspace), HeldAccount())
+            key = (item.service, item.workspace)
+            account = self.accounts.get(key)
+            if account is None:
+                account = self.accounts[key] = HeldAccount(since=self.clock.now())
             self._merge(account, report.reporter, report.incarnation, item)
             idle_ms = self._idle_ms(account, report.reporter)
             reply.workspaces.append(
@@ -79,13 +83,15 @@
         entry = account.entries.get(reporter)
         if entry is not None and incarnation < entry.incarnation:
             return
-        if entry is not None and incarnation == entry.incarnation:
-            known = entry.served
-        else:
-            known = item.included
+        repeated = entry is not None and incarnation == entry.incarnation
+        known = entry.served if entry is not None and repeated else item.included
         account.lift = max(account.lift, item.lift)
-        account.total = max(account.total, item.highest_total, item.lift)
-        account.total += max(0.0, item.served - known)
+        account.total = max(account.total + max(0.0, item.served - known), item.lift)
+        # With an entry from a steady account the difference is exact. Otherwise the total that the
+        # reporter has seen may contain service that is unknown here.
+        if not repeated or account.reported_at - account.since < self._recent_ms():
+            seen = item.highest_total + max(0.0, item.served - item.included)
+            account.total = max(account.total, seen)
         fresh = Entry(incarnation, max(known, item.served))
         self._note_backlog(fresh, entry, item)
         account.entries[reporter] = fresh
--- /dev/null
+++ b/tests/scheduling/test_accounts_fuzz.py
@@ -0,0 +1,172 @@
+"""Guards against service counted twice, lost or taken back when account reports misbehave."""
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from jacinthcove.mesh.peers import Member, MemberState
+from jacinthcove.scheduling.accounts import Accounts
+from jacinthcove.scheduling.holder import AccountHolder
+from scheduling.fakes import FakeMembers, FakePeers, Network, SleepingClock, fleet_config
+
+ROUTERS = ("r0", "r1", "r2", "r3")
+KEY = ("draft", "w")
+routers = st.sampled_from(ROUTERS)
+fates = st.sampled_from(("deliver", "lose", "lose_reply", "twice", "late"))
+
+
+class AccountsMachine(RuleBasedStateMachine):
+    """The oracle is the plain sum of all service; `slack` is what restarts may lose or repeat."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = SleepingClock()
+        self.network = Network()
+        self.config = fleet_config({"w": 1.0, "x": 1.0})
+        listed = [Member(name, name, name, "a") for name in ROUTERS]
+        self.members = {name: FakeMembers(listed, name) for name in ROUTERS}
+        self.accounts = {name: self.build(name) for name in ROUTERS}
+        self.served = 0.0
+        self.slack = 0.0
+        self.highest: dict[tuple[str, int], float] = {}
+
+    def build(self, name: str) -> Accounts:
+        return Accounts(
+            self.clock, self.members[name], FakePeers(self.network, name), lambda: self.config
+        )
+
+    def unreported(self) -> float:
+        known = (a.accounts[KEY] for a in self.accounts.values() if KEY in a.accounts)
+        return sum(account.served - account.included for account in known)
+
+    @rule(name=routers, units=st.integers(1, 100))
+    def serve(self, name, units):
+        self.accounts[name].use(*KEY, units)
+        self.served += units
+
+    @rule(name=routers, fate=fates)
+    def exchange(self, name, fate):
+        self.network.fate = lambda *_: fate
+        self.accounts[name].exchange()
+        self.network.fate = lambda *_: "deliver"
+        self.clock.advance(1_000)
+
+    @rule()
+    def deliver_late(self):
+        self.network.deliver_late()
+
+    @rule(name=routers)
+    def restart_holder(self, name):
+        if KEY not in self.accounts[name].holder.accounts:
+            return
+        self.slack += self.unreported()
+        self.accounts[name].holder = AccountHolder(self.clock, lambda: 1_000)
+
+    @rule(name=routers)
+    def restart_reporter(self, name):
+        self.slack += self.unreported()
+        self.clock.advance(10)
+        self.accounts[name] = self.build(name)
+
+    @rule(name=routers, alive=st.booleans())
+    def change_membership(self, name, alive):
+        if sum(m.state is MemberState.ALIVE for m in self.members["r0"].members.values()) < 3:
+            alive = True
+        if alive == (self.members["r0"].members[name].state is MemberState.ALIVE):
+            return
+        self.slack += self.unreported()
+        for members in self.members.values():
+            members.set_state(name, MemberState.ALIVE if alive else MemberState.DEAD)
+
+    @invariant()
+    def totals_do_not_fall(self):
+        for name, accounts in self.accounts.items():
+            key = (name, accounts.incarnation)
+            level = accounts.level(*KEY)
+            assert level >= self.highest.get(key, 0.0) - 1e-6
+            self.highest[key] = level
+
+    @invariant()
+    def service_is_not_counted_twice(self):
+        for accounts in self.accounts.values():
+            assert accounts.level(*KEY) <= self.served + self.slack + 1e-6
+
+    def teardown(self):
+        self.network.delayed.clear()
+        for _ in range(4):
+            for accounts in self.accounts.values():
+                accounts.exchange()
+            self.clock.advance(1_000)
+        for accounts in self.accounts.values():
+            if KEY in accounts.accounts:
+                assert accounts.level(*KEY) >= self.served - self.slack - 1e-6
+
+
+class SumsEveryReport(AccountsMachine):
+    def build(self, name):
+        accounts = super().build(name)
+        merge = accounts.holder._merge
+
+        def mutant(account, reporter, incarnation, item):
+            account.entries.pop(reporter, None)
+            merge(account, reporter, incarnation, item)
+
+        accounts.holder._merge = mutant
+        return accounts
+
+
+class ForgetsTheHighestTotal(AccountsMachine):
+    def build(self, name):
+        accounts = super().build(name)
+        apply = accounts.apply
+
+        def mutant(report, reply):
+            apply(report, reply)
+            for item in reply.workspaces:
+                accounts.accounts[(item.service, item.workspace)].highest = item.total * 0.5
+
+        accounts.apply = mutant
+        return accounts
+
+
+class NeverReports(AccountsMachine):
+    def build(self, name):
+        accounts = super().build(name)
+        accounts.exchange = lambda: None
+        return accounts
+
+
+def test_accounts_fuzz():
+    run_state_machine_as_test(AccountsMachine, settings=settings(stateful_step_count=40))
+
+
+@pytest.mark.parametrize("mutant", [SumsEveryReport, ForgetsTheHighestTotal, NeverReports])
+def test_accounts_fuzz_catches_mutants(mutant):
+    found = settings(stateful_step_count=40, max_examples=100, phases=[Phase.generate])
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(mutant, settings=found)
+
+
+def test_an_idle_workspace_is_lifted_and_a_busy_one_is_not():
+    # Guards against credit for idle time, and against a lift of a workspace that waits elsewhere.
+    machine = AccountsMachine()
+    one, other = machine.accounts["r0"], machine.accounts["r1"]
+    for accounts in (one, other):
+        accounts.backlogged("draft", "x")
+    one.use("draft", "x", 500)
+    for _ in range(4):
+        one.exchange()
+        other.exchange()
+        machine.clock.advance(1_000)
+    one.backlogged(*KEY)
+    one.exchange()
+    assert one.level(*KEY) == pytest.approx(500)
+    one.use("draft", "x", 1_000)
+    for _ in range(4):
+        one.exchange()
+        other.exchange()
+        machine.clock.advance(1_000)
+    other.backlogged(*KEY)
+    other.exchange()
+    assert other.level(*KEY) == pytest.approx(500)
--- /dev/null
+++ b/tests/targets/test_limit_fuzz.py
@@ -0,0 +1,193 @@
+"""Guards against limits that add up to more than the whole, and against load on cold targets."""
+
+import math
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.codes import ResultCode
+from jacinthcove.config.model import Limits
+from jacinthcove.scheduling.ticket import Usage
+from jacinthcove.targets.limit import WINDOW_MS, AdaptiveLimit
+from jacinthcove.targets.state import LoadReport, TargetState
+from jacinthcove.targets.table import Pool, Target
+
+
+def build(clock: ManualClock, limits: Limits) -> TargetState:
+    state = TargetState(Target("t", Pool("draft", "v1", "a"), "127.0.0.1:1"), limits, clock)
+    state.on_report(LoadReport("boot", 0, 0, "v1"))
+    return state
+
+
+class PartitionMachine(RuleBasedStateMachine):
+    """Two owners on the two sides of a partition of `routers`, blind to each other's load."""
+
+    @initialize(
+        routers=st.integers(1, 12), cut=st.integers(0, 12), top=st.integers(1, 12), data=st.data()
+    )
+    def start(self, routers, cut, top, data):
+        self.clock = ManualClock()
+        self.limits = Limits(cold=data.draw(st.integers(1, top)), max=top)
+        cut = min(cut, routers)
+        self.fractions = (cut / routers, (routers - cut) / routers)
+        self.states = [build(self.clock, self.limits) for _ in range(2)]
+        self.change_limit()
+
+    def change_limit(self):
+        pass
+
+    @rule(side=st.integers(0, 1), windows=st.integers(1, 20))
+    def good_load(self, side, windows):
+        for _ in range(windows):
+            self.clock.advance(WINDOW_MS)
+            limit = self.states[side].limit
+            limit.on_in_flight(20, 1)
+            limit.on_progress(10, 310)
+
+    @rule(side=st.integers(0, 1))
+    def error(self, side):
+        self.states[side].limit.on_error()
+
+    @rule(side=st.integers(0, 1))
+    def restart(self, side):
+        self.states[side].on_cold()
+
+    @invariant()
+    def the_sides_stay_within_the_whole(self):
+        if not hasattr(self, "states"):
+            return
+        pairs = zip(self.states, self.fractions, strict=True)
+        assert sum(state.limit.allowed(part) for state, part in pairs) <= self.limits.max
+
+
+class RoundsUp(PartitionMachine):
+    def change_limit(self):
+        for state in self.states:
+            limit = state.limit
+            limit.allowed = lambda part, limit=limit: math.ceil(int(limit.value) * part)
+
+
+class AlwaysAllowsOne(PartitionMachine):
+    def change_limit(self):
+        for state in self.states:
+            allowed = state.limit.allowed
+            state.limit.allowed = lambda part, allowed=allowed: max(1, allowed(part))
+
+
+class ColdMachine(RuleBasedStateMachine):
+    """A target that restarts at times; the oracle allows one step per window since then."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.limits = Limits(cold=2, max=12)
+        self.boot = 0
+        self.state = build(self.clock, self.limits)
+        self.cold_at = self.clock.now()
+        self.foreign = 0
+        self.foreign_value = 0.0
+        self.mutate()
+
+    def mutate(self):
+        pass
+
+    @rule(duration_ms=st.integers(100, 3_000))
+    def good_load(self, duration_ms):
+        self.clock.advance(duration_ms)
+        self.state.limit.on_in_flight(12, 1)
+        self.state.on_usage(Usage(0.0), Usage(10.0, tokens=10, token_ms_sum=310))
+
+    @rule(how=st.sampled_from(("boot", "refused", "first token")))
+    def restart(self, how):
+        if how == "boot":
+            self.boot += 1
+            self.state.on_report(LoadReport(f"boot{self.boot}", 0, 0, "v1"))
+        elif how == "refused":
+            code = ResultCode.NOT_ADMITTED
+            self.state.on_usage(Usage(0.0), Usage(0.0, True, code, unreachable=True))
+            assert not self.state.usable
+            self.state.on_report(LoadReport(f"boot{self.boot}", 0, 0, "v1"))
+        else:
+            for first_token_ms in [100] * 8 + [3_000] * 2:
+                self.state.on_usage(Usage(0.0), Usage(1.0, first_token_ms=first_token_ms, tokens=1))
+        self.cold_at = self.clock.now()
+        self.foreign = 0
+
+    @rule(foreign=st.integers(0, 3))
+    def report(self, foreign):
+        if foreign and not self.foreign:
+            self.foreign_value = self.state.limit.value
+        self.foreign = foreign
+        self.state.limit._own.clear()
+        self.state.limit.on_load(foreign, 0, 0, False)
+
+    @invariant()
+    def a_cold_target_is_not_flooded(self):
+        steps = (self.clock.now() - self.cold_at) // WINDOW_MS
+        assert self.state.limit.allowed(1.0) <= self.limits.cold + steps
+
+    @invariant()
+    def other_senders_stop_the_rise(self):
+        if self.foreign:
+            assert self.state.limit.value <= self.foreign_value
+
+
+class IgnoresRestarts(ColdMachine):
+    def mutate(self):
+        self.state.limit.cold = lambda: None
+
+
+class RisesBesideOthers(ColdMachine):
+    def mutate(self):
+        on_load = self.state.limit.on_load
+
+        def mutant(running, waiting, in_flight, cold):
+            on_load(0, 0, in_flight, cold)
+
+        self.state.limit.on_load = mutant
+        assert on_load
+
+
+@pytest.mark.parametrize("machine", [PartitionMachine, ColdMachine])
+def test_limit_fuzz(machine):
+    run_state_machine_as_test(machine, settings=settings(stateful_step_count=30))
+
+
+@pytest.mark.parametrize("mutant", [RoundsUp, AlwaysAllowsOne, IgnoresRestarts, RisesBesideOthers])
+def test_limit_fuzz_catches_mutants(mutant):
+    found = settings(stateful_step_count=30, max_examples=200, phases=[Phase.generate])
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(mutant, settings=found)
+
+
+def test_a_good_target_reaches_its_maximum_and_stays_there():
+    # Guards against a slow rise and against oscillation while latency grows with the batch.
+    clock = ManualClock()
+    limit: AdaptiveLimit = build(clock, Limits(cold=1, max=12)).limit
+    values = []
+    for _ in range(160):
+        clock.advance(250)
+        limit.on_in_flight(int(limit.value), int(limit.value))
+        limit.on_progress(8, 8 * (31 + int(limit.value)))
+        values.append(limit.value)
+    assert values[31] == 12
+    assert values == sorted(values)
+
+
+def test_an_overloaded_target_gets_less():
+    clock = ManualClock()
+    limit = build(clock, Limits(cold=1, max=12)).limit
+    for _ in range(160):
+        clock.advance(250)
+        limit.on_in_flight(int(limit.value), int(limit.value))
+        limit.on_progress(8, 8 * (31 if limit.value <= 6 else 100))
+    assert 3 <= limit.value <= 7
