--- a/src/jacinthcove/router/attempt.py
+++ b/src/jacinthcove/router/attempt.py
@@ -183,7 +183,7 @@
         remaining_ms = max(1, self.request.deadline - self.started)
         path = f"/v1/operations/{self.request.route.name}"
         try:
-            answer = fetch(TargetRequest(self.grant.address, "POST", path, body, remaining_ms))
+            whole = fetch(TargetRequest(self.grant.address, "POST", path, body, remaining_ms))
         except TargetUnreachable as error:
             answer = Answer(ResultCode.NOT_ADMITTED, message=str(error))
             return AttemptResult(answer, unreachable=True)
@@ -193,7 +193,7 @@
             late = self.clock.now() >= self.request.deadline
             code = ResultCode.DEADLINE_DURING_RUN if late else ResultCode.TARGET_FAILED
             return self._result(Answer(code, message=str(error)))
-        return self._result(self._answer(answer))
+        return self._result(self._answer(whole))
 
     def _answer(self, whole: WholeAnswer) -> Answer:
         try:
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -23,7 +23,13 @@
 from jacinthcove.mesh.spread import SpreadDocuments
 from jacinthcove.mesh.status import StatusService
 from jacinthcove.mesh.transport import open_listener
-from jacinthcove.mesh.watching import CONFIG_KEY, Watching, config_document, follow_vm_list, vms_document
+from jacinthcove.mesh.watching import (
+    CONFIG_KEY,
+    Watching,
+    config_document,
+    follow_vm_list,
+    vms_document,
+)
 from jacinthcove.observe.metrics import Metrics
 from jacinthcove.platform.client import HttpStore
 from jacinthcove.router.answer import Answer, EventStream
@@ -71,9 +77,7 @@
         self.probing = Probing(self.members, self.links, settings.seeds, self.documents)
         self.watch = Watching(self.members, self.documents, self.store, self.store.fetch_vms)
         self.table = TargetTable()
-        self.dispatch = MeshDispatch(
-            self.clock, self.members, self.links, self.config, self.table
-        )
+        self.dispatch = MeshDispatch(self.clock, self.members, self.links, self.config, self.table)
         self.versions = VersionControl(self.clock, self.config, self.links, self.dispatch)
         self.status_service = StatusService(self.members, self.links, self.member_status)
         self.claims = Claims(self.store, self.clock, settings.id)
--- a/src/jacinthcove/router/request.py
+++ b/src/jacinthcove/router/request.py
@@ -106,9 +106,7 @@
 
 
 def _is_number(value: Any) -> bool:
-    return (
-        isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
-    )
+    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
 
 
 def _deadline_ms(data: dict[str, Any]) -> int:
--- a/src/jacinthcove/router/runner.py
+++ b/src/jacinthcove/router/runner.py
@@ -60,6 +60,7 @@
         self.retries.budget.request(request.workspace.name)
         estimate = self._estimate(request)
         avoid: frozenset[str] = frozenset()
+        started = self.clock.now()
         attempt = 0
         while True:
             attempt += 1
@@ -69,8 +70,9 @@
                 return Answer(
                     refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms
                 )
+            granted_at = self.clock.now()
             result = self._attempt(request, grant, stream)
-            self._learn(request, grant, estimate, result)
+            self._learn(request, grant, estimate, result, granted_at - started)
             if not self._may_retry(request, result, attempt):
                 return self._final(result.answer)
             avoid |= {grant.target_id}
@@ -160,6 +162,7 @@
         grant: GrantedTarget,
         estimate: Estimate,
         result: AttemptResult,
+        waited_ms: int,
     ) -> None:
         if result.code is ResultCode.OK:
             self.estimator.observe(
@@ -188,6 +191,7 @@
             reason=result.answer.message or "answered",
             used=round(result.used, 1),
             first_token_ms=result.first_token_ms,
+            waited_ms=waited_ms,
         )
 
     def _may_retry(self, request: CallerRequest, result: AttemptResult, attempt: int) -> bool:
