--- a/src/jacinthcove/control/lease.py
+++ b/src/jacinthcove/control/lease.py
@@ -1,6 +1,6 @@
 """The controller's lease, an object in the store that is renewed by conditional writes."""
 
-from collections.abc import Callable
+import secrets
 from dataclasses import dataclass
 
 import gevent
@@ -61,16 +61,15 @@
         self.holder_id = holder_id
         self.ttl_ms = ttl_ms
         self.address = address
-        self.term = term or f"{holder_id}/{clock.wall()}"
+        self.term = term or secrets.token_hex(8)
         self.record: LeaseRecord | None = None
         self.version = 0
         self.changed_at = clock.now()
-        self.other_ttl_ms = 0
         self.expires_at = 0
+        self.acquired_at = 0
         self.fencing = 0
         self.renewal = 0
         self.uncertain: dict[bytes, int] = {}
-        self.previous_end = 0
         self.task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -92,27 +91,23 @@
         """Return the time for which this process surely holds the lease."""
         return max(0, self.expires_at - self.clock.now())
 
-    def old_lease_ms(self) -> int:
-        """Return how long an earlier holder may still believe that it holds the lease."""
-        return max(0, self.previous_end - self.clock.now())
-
     def active_address(self) -> str:
         """Return the address of the controller last seen as holder, or an empty string."""
-        return self.record.address if self.record is not None else ""
+        return self.record.address if self.record is not None and self.record.holder else ""
 
     def step(self) -> bool:
-        """Renew, observe or take over the lease once; return whether it is held."""
+        """Renew, observe or take over the lease once; return whether it is held.
+
+        Nobody takes over before the time that this holder counts has passed, so neither a lost
+        answer nor a conflict shortens it; reading back tells what happened.
+        """
         try:
-            if self.held() and not self.uncertain:
-                self._write(self.fencing)
-            else:
+            if not self.held() or self.uncertain:
                 self._observe()
                 self._settle()
-                self._try_to_take()
-        except StoreUnavailable:
+            self._try_to_write()
+        except (Conflict, StoreUnavailable):
             return self.held()
-        except Conflict:
-            self._lose()
         return self.held()
 
     def release(self) -> None:
@@ -141,22 +136,20 @@
     def _settle(self) -> None:
         """Learn from the object read back whether a write without an answer took effect."""
         record = self.record
-        if not self.uncertain or record is None:
+        if record is None or record.term != self.term or not record.holder:
+            self._lose()
             return
         sent_at = self.uncertain.get(encode_record(record))
         if sent_at is not None:
             self._take_effect(record, sent_at)
-        elif record.term != self.term:
-            self._lose()
 
-    def _try_to_take(self) -> None:
-        """Write the lease when it is ours, free, or unchanged for one ttl."""
+    def _try_to_write(self) -> None:
+        """Renew a held lease; take one that is free, or ours from an earlier time."""
         record = self.record
-        if record is not None and record.holder and record.term == self.term:
-            self._write(self.fencing if self.held() else record.fencing + 1)
-        elif self._is_free():
-            self.previous_end = self.clock.now() + self._rest_of_old_lease()
-            self._write((record.fencing if record else 0) + 1)
+        if self.held():
+            self._write(self.fencing)
+        elif self._is_free() or (record is not None and record.term == self.term):
+            self._write(max(self.fencing, record.fencing if record else 0) + 1)
 
     def _is_free(self) -> bool:
         record = self.record
@@ -164,13 +157,6 @@
             return True
         return self.clock.now() - self.changed_at >= max(record.ttl_ms, 1)
 
-    def _rest_of_old_lease(self) -> int:
-        """A holder that counts from before sending has no rest after one unchanged ttl."""
-        record = self.record
-        if record is None or not record.holder:
-            return 0
-        return max(0, record.ttl_ms - (self.clock.now() - self.changed_at))
-
     def _write(self, fencing: int) -> None:
         record = LeaseRecord(
             self.holder_id, self.address, fencing, self.ttl_ms, self.term, self._next_renewal()
@@ -186,6 +172,8 @@
 
     def _take_effect(self, record: LeaseRecord, sent_at: int) -> None:
         self.uncertain.clear()
+        if record.fencing != self.fencing or not self.acquired_at:
+            self.acquired_at = self.clock.now()
         self.fencing = record.fencing
         self.expires_at = max(self.expires_at, sent_at + self.ttl_ms)
 
@@ -199,8 +187,6 @@
 
     def _run(self) -> None:
         while True:
-            self.step()
-            self.clock.sleep(self.ttl_ms / RENEWALS_PER_TTL)
-
-
-LeaseObserver = Callable[[], str]
+            # A candidate reads less often, because every VM of a large fleet runs one.
+            period = self.ttl_ms / RENEWALS_PER_TTL if self.step() else self.ttl_ms
+            self.clock.sleep(period)
--- /dev/null
+++ b/tests/control/test_lease_fuzz.py
@@ -0,0 +1,246 @@
+"""Guards against two holders at once, reused fencing numbers and overtaken orders.
+
+Three controllers share a store with faults and slow answers; they pause at any point, and orders
+arrive late within their time limit at targets that check or ignore fencing numbers.
+"""
+
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.control.lease import Lease
+from jacinthcove.control.orders import (
+    Order,
+    OrderKind,
+    OrderOutcome,
+    Orders,
+    SentOrder,
+    TargetState,
+)
+from jacinthcove.errors import TargetFailed
+from tests.fakes.store import Crash, FakeStore, Fault
+
+TTL_MS = 3_000
+LONGEST_MS = 1_000
+SETTINGS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=settings.default.max_examples * 4,
+    stateful_step_count=40,
+    report_multiple_bugs=False,
+)
+FAULTS = st.lists(st.sampled_from([*Fault, Fault.NONE, Fault.LATE, Fault.LOST]), max_size=3)
+
+
+class SlowStore(FakeStore):
+    """A store whose answers to writes take `answer_ms`, while other controllers go on."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+        self.answer_ms = 0
+        self.meanwhile = lambda: None
+
+    def put(self, key, value, if_version):
+        version = super().put(key, value, if_version)
+        answer_ms, self.answer_ms = self.answer_ms, 0
+        if answer_ms:
+            self.meanwhile()
+        self.clock.advance(answer_ms)
+        return version
+
+
+@dataclass
+class Target:
+    checks: bool
+    version: str = ""
+    fencing: int = 0
+    settled: int = 0  # fencing number of the last holder that saw its order in force
+
+
+class Network:
+    """Delivers orders to targets at once, or later but within their time limit."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.targets = {"check": Target(True), "ignore": Target(False)}
+        self.in_flight: list[tuple[int, str, SentOrder]] = []
+        self.delayed = False
+
+    def send(self, address: str, order: SentOrder) -> int:
+        if self.delayed:
+            self.in_flight.append((self.clock.now() + order.time_limit_ms, address, order))
+            raise TargetFailed("no answer")
+        return self.arrive(address, order)
+
+    def state(self, address: str) -> TargetState:
+        return TargetState(self.targets[address].version)
+
+    def arrive(self, address, order):
+        target = self.targets[address]
+        if target.checks and order.fencing < target.fencing:
+            return 409
+        assert order.fencing >= target.settled, "an order of an earlier holder came into force"
+        target.fencing = max(target.fencing, order.fencing)
+        target.version = order.version
+        return 200
+
+    def deliver(self):
+        in_flight, self.in_flight = self.in_flight, []
+        for expiry, address, order in in_flight:
+            if self.clock.now() <= expiry:
+                self.arrive(address, order)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.store = SlowStore(self.clock)
+        self.network = Network(self.clock)
+        self.terms: dict[int, str] = {}
+        self.leases = [self.make(n) for n in range(3)]
+
+    def make(self, number):
+        return Lease(self.store, self.clock, f"c{number}", TTL_MS, f"10.0.0.{number}:1")
+
+    @rule(
+        number=st.integers(0, 2),
+        faults=FAULTS,
+        answer_ms=st.sampled_from([0, 0, 900, 2_500]),
+        race=st.integers(0, 2),
+    )
+    def step(self, number, faults, answer_ms, race):
+        def other():
+            if race != number:
+                self.store.faults.clear()
+                self.leases[race].step()
+            else:
+                self.clock.advance(TTL_MS)
+
+        self.store.race = self.store.meanwhile = other
+        self.store.answer_ms = answer_ms
+        self.store.faults.extend(faults)
+        try:
+            self.leases[number].step()
+        except Crash:
+            self.leases[number] = self.make(number)
+        self.store.faults.clear()
+
+    @rule(number=st.integers(0, 2))
+    def all_step(self, number):
+        self.store.answer_ms = 0
+        for lease in self.leases[number:] + self.leases[:number]:
+            lease.step()
+
+    @rule(number=st.integers(0, 2), crash=st.booleans())
+    def stop(self, number, crash):
+        if not crash:
+            self.leases[number].release()
+        self.leases[number] = self.make(number)
+
+    @rule(duration=st.sampled_from([100, 450, 1_000, TTL_MS]))
+    def advance(self, duration):
+        self.clock.advance(duration)
+
+    @rule(down=st.booleans())
+    def outage(self, down):
+        self.store.down = down
+
+    @rule()
+    def deliver(self):
+        self.store.deliver()
+        self.network.deliver()
+
+    @rule(
+        number=st.integers(0, 2), address=st.sampled_from(["check", "ignore"]), late=st.booleans()
+    )
+    def order(self, number, address, late):
+        lease = self.leases[number]
+        orders = Orders(lease, self.clock, self.network, LONGEST_MS, margin_ms=100)
+        target = self.network.targets[address]
+        version = f"v{lease.fencing}"
+        order = Order(address, address, OrderKind.LOAD_VERSION, version, 60_000, target.checks)
+        self.network.delayed = late
+        held = lease.held()
+        sent = len(self.network.in_flight)
+        result = orders.reconcile(order)
+        for expiry, _, _ in self.network.in_flight[sent:]:
+            assert expiry < lease.expires_at, "an order outlives the lease"
+        assert held or result.outcome in (OrderOutcome.NOT_HELD, OrderOutcome.MATCHES)
+        if held and result.outcome is OrderOutcome.MATCHES:
+            target.settled = max(target.settled, lease.fencing)
+
+    @invariant()
+    def one_holder_with_its_own_fencing_number(self):
+        holders = [lease for lease in self.leases if lease.held()]
+        assert len(holders) <= 1
+        for lease in holders:
+            assert self.terms.setdefault(lease.fencing, lease.term) == lease.term
+            assert lease.fencing == max(self.terms)
+
+    def teardown(self):
+        """A healthy store lets somebody hold the lease again, and orders reach the targets."""
+        self.store.down = False
+        self.store.answer_ms = 0
+        self.deliver()
+        for _ in range(10):
+            self.all_step(0)
+            self.clock.advance(TTL_MS // 3)
+        self.all_step(0)
+        holders = [number for number, lease in enumerate(self.leases) if lease.held()]
+        assert len(holders) == 1
+        assert {lease.active_address() for lease in self.leases} == {f"10.0.0.{holders[0]}:1"}
+        self.clock.advance(LONGEST_MS - 1)
+        self.all_step(0)
+        for address in ("check", "ignore"):
+            self.order(holders[0], address, False)
+            self.clock.advance(1)
+            self.order(holders[0], address, False)
+            assert self.network.targets[address].version == f"v{self.leases[holders[0]].fencing}"
+
+
+def test_lease_and_orders_hold_under_faults():
+    run_state_machine_as_test(LeaseMachine, settings=SETTINGS)
+
+
+def count_from_the_answer(self, record, sent_at, original=Lease._take_effect):
+    original(self, record, self.clock.now())
+
+
+def keep_the_fencing_number(self, fencing, original=Lease._write):
+    original(self, max(1, fencing - 1) if self.record else fencing)
+
+
+def trust_writes_in_doubt(self):
+    if self.uncertain:
+        self.expires_at = max(self.uncertain.values()) + TTL_MS
+
+
+@pytest.mark.parametrize(
+    "owner, name, mutant",
+    [
+        (Lease, "_is_free", lambda self: True),
+        (Lease, "_take_effect", count_from_the_answer),
+        (Lease, "_write", keep_the_fencing_number),
+        (Lease, "_settle", trust_writes_in_doubt),
+        (Lease, "remaining_ms", lambda self: TTL_MS if self.expires_at else 0),
+        (Orders, "wait_ms", lambda self, order: 0),
+    ],
+)
+def test_fuzz_catches_mutant(monkeypatch, owner, name, mutant):
+    """Guards against a state machine that no longer sees a broken rule."""
+    monkeypatch.setattr(owner, name, mutant)
+    thorough = settings(SETTINGS, phases=[Phase.generate], max_examples=4_000)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(LeaseMachine, settings=thorough)
--- /dev/null
+++ b/tests/moves/test_guard.py
@@ -0,0 +1,160 @@
+"""Guards against bad versions that stay in use and good versions that are cut by noise."""
+
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.codes import ResultCode
+from jacinthcove.config.model import (
+    FleetConfig,
+    Move,
+    MoveState,
+    MoveStep,
+    Route,
+    Service,
+    ServiceKind,
+)
+from jacinthcove.mesh.mesh_pb2 import MoveCut
+from jacinthcove.moves.evidence import (
+    Counters,
+    Evidence,
+    EvidenceKey,
+    FleetEvidence,
+    Reporter,
+    RequestResult,
+    to_message,
+)
+from jacinthcove.moves.guard import Guard
+from jacinthcove.moves.split import VersionSplit
+
+WALL = ManualClock().wall()
+SERVICE = Service("s", ServiceKind.ENGINE, "v1", (Route("a"), Route("b")))
+
+
+@dataclass(frozen=True)
+class Profile:
+    errors: float = 0.01
+    first_ms: float = 200.0
+    token_ms: float = 30.0
+    spread: float = 0.4
+
+
+GOOD = Profile()
+
+
+class Router:
+    def __init__(self, seed, share=0.05, step=0):
+        steps = (MoveStep(0.05, 50), MoveStep(0.5, 50))
+        move = Move(
+            "m", "s", "v1", "v2", WALL, WALL + 10**9, steps, step, share, MoveState.SHIFTING
+        )
+        self.config = FleetConfig(services={"s": SERVICE}, moves={"m": move})
+        self.random = random.Random(seed)
+        self.cuts = []
+        clock = ManualClock()
+        self.guard = Guard(lambda: self.config, clock, "r1", Evidence(), self.cuts.append)
+        self.split = VersionSplit(
+            lambda: self.config, clock, self.guard.is_cut, lambda service, version: True
+        )
+        self.counts = {"v1": 0, "v2": 0}
+
+    def request(self, route, old, new):
+        version = self.split.choose("s", route)
+        self.counts[version] += 1
+        profile = new if version == "v2" else old
+        noise = self.random.lognormvariate(0, profile.spread)
+        token_noise = self.random.lognormvariate(0, profile.spread / 2)
+        failed = self.random.random() < profile.errors
+        result = RequestResult(
+            ResultCode.STREAM_BROKEN if failed else ResultCode.OK,
+            int(profile.first_ms * noise),
+            int(profile.token_ms * 50 * token_noise),
+            50,
+        )
+        self.guard.record("s", route, version, result)
+
+    def run(self, requests, route, old, new):
+        """Send requests until the cut or the end; return the new version's requests."""
+        before = self.counts["v2"]
+        for _ in range(requests):
+            self.request(route, old, new)
+            if self.guard.is_cut("m", route):
+                break
+        return self.counts["v2"] - before
+
+
+FAULTS = {
+    "fails": Profile(errors=1.0),
+    "fails often": Profile(errors=0.3),
+    "slow first token": Profile(first_ms=600),
+    "slow tokens": Profile(token_ms=60),
+    "answers fast but fails": Profile(errors=0.6, first_ms=20),
+}
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("fault", FAULTS)
+def test_fault_from_the_start_is_cut_within_a_small_share(fault, seed):
+    """The first step's share limits the damage to 5% of the service's requests."""
+    router = Router(seed)
+    bad_requests = router.run(8_000, "a", GOOD, FAULTS[fault])
+    assert [cut.route for cut in router.cuts] == ["a"]
+    assert bad_requests <= 0.05 * sum(router.counts.values())
+    if fault == "fails":
+        assert bad_requests <= 10
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("fault", FAULTS)
+def test_fault_that_appears_later_or_under_load_is_cut(fault, seed):
+    """A good history at a larger share must not hide the fault, here on one route only."""
+    router = Router(seed, share=0.5, step=1)
+    router.run(3_000, "a", GOOD, GOOD)
+    router.run(1_000, "b", GOOD, GOOD)
+    assert not router.cuts
+    assert router.run(1_000, "a", GOOD, FAULTS[fault]) <= 250
+    assert router.guard.is_cut("m", "a") and not router.guard.is_cut("m", "b")
+    assert {router.split.choose("s", "a") for _ in range(20)} == {"v1"}
+
+
+@pytest.mark.parametrize(
+    "profile", [GOOD, Profile(errors=0.2, spread=0.8), Profile(errors=0.0, first_ms=2, spread=0.3)]
+)
+def test_equal_versions_are_rarely_cut(profile):
+    """Four checks of at most 1% each per 100,000 results: at most 1 of 25 shorter moves."""
+    cut = 0
+    for seed in range(25):
+        router = Router(seed, share=0.5, step=1)
+        router.run(6_000, "a", profile, profile)
+        cut += bool(router.cuts)
+    assert cut <= 1
+
+
+def test_remote_cut_stops_the_route_once():
+    """Guards against cuts that echo between routers."""
+    router = Router(1)
+    cut = MoveCut(move_id="m", route="a", reason="x", origin="r2")
+    assert router.guard.apply_remote(cut)
+    assert not router.guard.apply_remote(cut)
+    assert router.guard.cuts() == [cut] and not router.cuts
+    assert router.run(100, "a", GOOD, GOOD) == 0
+
+
+def test_fleet_evidence_survives_duplicates_reordering_and_restarts():
+    """Guards against counting reports twice, and against losing those of an earlier life."""
+    key = EvidenceKey("s", "a", "v2")
+
+    def report(requests):
+        return [to_message(key, Counters(requests, 1, 10 * requests, 3, 4))]
+
+    fleet = FleetEvidence()
+    first, second = Reporter("r1", 1), Reporter("r1", 2)
+    for reporter, requests in [(first, 2), (first, 9), (first, 5), (first, 9)]:
+        fleet.merge(reporter, report(requests))
+    assert fleet.total(key).requests == 7
+    fleet.merge(second, [])
+    fleet.merge(second, report(4))
+    fleet.merge(first, report(8))
+    assert fleet.total(key) == Counters(11, 1, 110, 3, 4)
