--- a/tests/control/test_lease_fuzz.py
+++ b/tests/control/test_lease_fuzz.py
@@ -137,6 +137,13 @@
             self.leases[number] = self.make(number)
         self.store.faults.clear()
 
+    @rule(number=st.integers(0, 2), other=st.integers(0, 2), later=st.sampled_from([400, 1_000]))
+    def pause_during_write(self, number, other, later):
+        """The answer to a write comes late in the lease, while another controller watches."""
+        self.step(number, [], TTL_MS - 500, other)
+        self.advance(later)
+        self.step(other, [], 0, number)
+
     @rule(number=st.integers(0, 2))
     def all_step(self, number):
         self.store.answer_ms = 0
@@ -162,6 +169,16 @@
         self.store.deliver()
         self.network.deliver()
 
+    @rule(number=st.integers(0, 2), late=st.booleans())
+    def hand_over(self, number, late):
+        """The holder stops right after an order and another controller takes over."""
+        for lease in [lease for lease in self.leases if lease.held()]:
+            self.order(self.leases.index(lease), "ignore", late)
+            lease.release()
+        self.leases[number].step()
+        for _ in range(2):
+            self.order(number, "ignore", False)
+
     @rule(
         number=st.integers(0, 2), address=st.sampled_from(["check", "ignore"]), late=st.booleans()
     )
