--- /dev/null
+++ b/src/jacinthcove/control/daemon.py
@@ -0,0 +1,93 @@
+"""The controller: wires lease, administration API and move driver together."""
+
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from jacinthcove.clock import SystemClock
+from jacinthcove.config.settings import ControllerSettings
+from jacinthcove.control.acceptance import Acceptance
+from jacinthcove.control.api import AdminApi
+from jacinthcove.control.fleetview import FleetView
+from jacinthcove.control.lease import Lease
+from jacinthcove.control.orders import HttpOrderSender, Orders
+from jacinthcove.errors import Conflict, StoreUnavailable
+from jacinthcove.moves.driver import MoveDriver
+from jacinthcove.observe.logs import get_logger
+from jacinthcove.platform.client import HttpStore
+
+log = get_logger(component="controller")
+
+
+class Controller:
+    """One controller; it acts only while it holds the lease."""
+
+    def __init__(self, settings: ControllerSettings):
+        self.settings = settings
+        self.clock = SystemClock()
+        self.store = HttpStore(settings.store, settings.store_timeout_ms)
+        self.lease = Lease(
+            self.store, self.clock, settings.id, settings.lease_ttl_ms, settings.admin_listen
+        )
+        self.acceptance = Acceptance(self.store, self.clock)
+        self.view = FleetView(self.clock, settings.router, self.store.fetch_vms)
+        orders = Orders(
+            self.lease, self.clock, HttpOrderSender(), longest_order_ms=settings.order_timeout_ms
+        )
+        self.driver = MoveDriver(
+            self.acceptance, orders, self.view.reports, self.view.vms, self.lease.held, self.clock
+        )
+        self.api = AdminApi(
+            self.acceptance,
+            self.active_elsewhere,
+            self.view.revisions,
+            self.status,
+            settings.bootstrap_key_hash,
+        )
+        host, _, port = settings.admin_listen.rpartition(":")
+        self.server = WSGIServer((host, int(port)), self.api, log=None, error_log=None)
+        self.task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Serve operators and compete for the lease."""
+        self.lease.start()
+        self.server.start()
+        self.task = gevent.spawn(self._drive)
+        log.info("controller_started")
+
+    def close(self) -> None:
+        """Stop and give the lease back."""
+        self.server.stop(timeout=1)
+        if self.task is not None:
+            self.task.kill()
+        self.lease.close()
+        self.store.close()
+        log.info("controller_stopped")
+
+    def active_elsewhere(self) -> str | None:
+        """Return None if this controller is active, else the active one's address or ''."""
+        return None if self.lease.held() else self.lease.active_address()
+
+    def status(self) -> dict[str, Any]:
+        """Return the controller's part of the status page."""
+        return {
+            "controller": self.settings.id,
+            "fencing": self.lease.fencing,
+            "store_calls": dict(self.store.calls),
+        }
+
+    def _drive(self) -> None:
+        held = False
+        while True:
+            if held != self.lease.held():
+                held = self.lease.held()
+                event = "lease_acquired" if held else "lease_lost"
+                log.info(event, fencing=self.lease.fencing)
+            try:
+                self.driver.tick()
+            except (Conflict, StoreUnavailable) as error:
+                log.warning("moves_not_driven", reason=str(error))
+            except Exception:
+                log.exception("move_driver_failed")
+            self.clock.sleep(self.settings.move_interval_ms)
--- /dev/null
+++ b/src/jacinthcove/control/fleetview.py
@@ -0,0 +1,78 @@
+"""What the controller sees of the fleet: router statuses and the VM list."""
+
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+from google.protobuf.json_format import ParseDict, ParseError
+
+from jacinthcove.clock import Clock
+from jacinthcove.errors import StoreUnavailable
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.moves.driver import MemberReport
+from jacinthcove.observe.logs import get_logger
+from jacinthcove.platform.connections import Connections, NoReply
+from jacinthcove.platform.vms import VmList
+
+FLEET_TIMEOUT_MS = 10_000
+VMS_MAX_AGE_MS = 1_000
+MAX_ROUTERS_ASKED = 3
+
+log = get_logger(component="controller")
+
+
+class FleetView:
+    """Asks a router for the status of all; the one on the same VM first, then listed ones."""
+
+    def __init__(self, clock: Clock, router: str, fetch_vms: Callable[[], VmList]):
+        self.clock = clock
+        self.router = router
+        self.fetch_vms = fetch_vms
+        self.vm_list = VmList()
+        self.vms_read_at: int | None = None
+
+    def vms(self) -> VmList:
+        """Return the VM list, at most a second old, or the last one while the store is down."""
+        now = self.clock.now()
+        if self.vms_read_at is None or now - self.vms_read_at >= VMS_MAX_AGE_MS:
+            self.vms_read_at = now
+            try:
+                self.vm_list = self.fetch_vms()
+            except StoreUnavailable as error:
+                log.warning("vm_list_unavailable", reason=str(error))
+        return self.vm_list
+
+    def reports(self) -> list[MemberReport]:
+        """Return the status of each live router; empty if no router answers."""
+        return self.gather()[0]
+
+    def revisions(self) -> tuple[list[tuple[str, int]], list[str]]:
+        """Return the revision that each live router applied, and the routers without an answer."""
+        reports, missing = self.gather()
+        return [(r.member_id, int(r.status.config_revision)) for r in reports], missing
+
+    def gather(self) -> tuple[list[MemberReport], list[str]]:
+        """Return the reports of live routers and the ids of those that did not answer."""
+        listed = [vm.address for vm in self.vms().routers() if vm.address != self.router]
+        for address in [self.router, *listed][:MAX_ROUTERS_ASKED]:
+            try:
+                return _decode(self._ask(address))
+            except (NoReply, ValueError, KeyError, ParseError) as error:
+                log.warning("router_did_not_answer", router=address, reason=str(error))
+        return [], []
+
+    def _ask(self, address: str) -> Any:
+        connections = Connections(address, FLEET_TIMEOUT_MS)
+        try:
+            reply = connections.request("GET", "/v1/fleet")
+        finally:
+            connections.close()
+        if reply.status != 200:
+            raise NoReply(f"{address} answered {reply.status}")
+        return orjson.loads(reply.body)
+
+
+def _decode(data: Any) -> tuple[list[MemberReport], list[str]]:
+    statuses = [ParseDict(item, pb.MemberStatus()) for item in data["members"]]
+    reports = [MemberReport(s.member_id, int(s.incarnation), s) for s in statuses]
+    return reports, list(data["missing"])
--- a/src/jacinthcove/moves/driver.py
+++ b/src/jacinthcove/moves/driver.py
@@ -36,7 +36,7 @@
     def current(self) -> FleetConfig:
         """Return the newest known configuration."""
 
-    def update(self, change: Callable[[FleetConfig], FleetConfig]) -> object:
+    def update(self, change: Callable[[FleetConfig], FleetConfig], /) -> object:
         """Apply `change` to the newest configuration by a conditional write, again on conflict.
 
         May raise `Conflict` or `StoreUnavailable`.
--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -61,6 +61,9 @@
     def status(self) -> dict[str, Any]:
         """Return the router's status for operators."""
 
+    def fleet(self) -> dict[str, Any]:
+        """Return the status of every live router, for the controller."""
+
 
 class CallerHandler(WSGIHandler):
     """A connection of a caller with the socket options that streaming needs."""
@@ -129,6 +132,8 @@
             return _json_answer(start_response, self.handling.keyed_status(workspace.name, key))
         if method == "GET" and path == "/v1/status":
             return _json(start_response, 200, orjson.dumps(self.handling.status()))
+        if method == "GET" and path == "/v1/fleet":
+            return _json(start_response, 200, orjson.dumps(self.handling.fleet()))
         if method == "GET" and path == "/metrics":
             return _json(start_response, 200, self.metrics.render().encode(), "text/plain")
         if method == "GET" and path == "/healthz":
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -7,6 +7,7 @@
 import gevent
 import structlog
 from gevent.event import Event
+from google.protobuf.json_format import MessageToDict
 
 from jacinthcove.clock import SystemClock
 from jacinthcove.codes import ResultCode
@@ -15,6 +16,7 @@
 from jacinthcove.delivery.claims import Claims
 from jacinthcove.delivery.retry import Retries
 from jacinthcove.errors import RequestRefused
+from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.documents import CONFIG, VMS, Document
 from jacinthcove.mesh.links import PeerLinks
 from jacinthcove.mesh.members import Membership
@@ -78,7 +80,9 @@
         self.watch = Watching(self.members, self.documents, self.store, self.store.fetch_vms)
         self.table = TargetTable()
         self.dispatch = MeshDispatch(self.clock, self.members, self.links, self.config, self.table)
-        self.versions = VersionControl(self.clock, self.config, self.links, self.dispatch)
+        self.versions = VersionControl(
+            self.clock, self.config, self.members, self.links, self.has_targets
+        )
         self.status_service = StatusService(self.members, self.links, self.member_status)
         self.claims = Claims(self.store, self.clock, settings.id)
         self.keyed = KeyedRequests(self.claims)
@@ -189,9 +193,24 @@
         shards = self.dispatch.placement.shards_of(workspace, service, version)
         return list(dict.fromkeys(shard.owner for shard in shards))
 
-    def member_status(self) -> Any:
+    def has_targets(self, service: str, version: str) -> bool:
+        """Return whether any target of a version takes work."""
+        return bool(self.dispatch.placement.open_shards(service, version))
+
+    def member_status(self) -> pb.MemberStatus:
         """Return this router's part of the fleet status."""
-        return self.versions.member_status(self.members.me.id, self.state.config.revision)
+        return self.versions.member_status(self.state.config.revision)
+
+    def fleet(self) -> dict[str, Any]:
+        """Return the status of every live router, for the controller."""
+        gathered = self.status_service.gather()
+        return {
+            "members": [
+                MessageToDict(status, preserving_proto_field_name=True)
+                for status in gathered.statuses
+            ],
+            "missing": list(gathered.missing),
+        }
 
     def status(self) -> dict[str, Any]:
         """Return the status page for operators."""
