--- a/src/jacinthcove/commands/operator.py
+++ b/src/jacinthcove/commands/operator.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import sys
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime
@@ -381,3 +382,7 @@
 def main() -> int:
     """Run the command line and return its exit code."""
     return application().run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
