--- a/src/jacinthcove/scheduling/accounts.py
+++ b/src/jacinthcove/scheduling/accounts.py
@@ -74,6 +74,8 @@
         self.accounts: dict[Key, Account] = {}
         self.virtual: dict[str, float] = {}
         self.holder = AccountHolder(clock, lambda: self.config().exchange_period_ms)
+        self._candidates: tuple[str, ...] = ()
+        self._holders: dict[Key, str] = {}
         self._greenlet: gevent.Greenlet | None = None
         peers.register(kinds.ACCOUNT_REPORT, self._on_report)
 
@@ -150,7 +152,10 @@
             self.exchange()
 
     def _reports(self) -> dict[str, pb.AccountReport]:
-        alive = [member.id for member in self.members.alive()]
+        alive = tuple(member.id for member in self.members.alive())
+        if alive != self._candidates:
+            self._candidates = alive
+            self._holders.clear()
         now = self.clock.now()
         quiet_ms = QUIET_PERIODS * self.config().exchange_period_ms
         reports: dict[str, pb.AccountReport] = {}
@@ -158,9 +163,9 @@
             if account.waiting_shards:
                 account.active_at = now
             quiet = now - account.active_at > quiet_ms and account.included >= account.served
-            who = rendezvous.owner(f"account/{service}/{workspace}", alive)
-            if quiet or who is None:
+            if quiet or not alive:
                 continue
+            who = self._holder_of((service, workspace))
             if who not in reports:
                 reports[who] = self._empty_report()
             reports[who].workspaces.append(
@@ -176,6 +181,14 @@
             )
         return reports
 
+    def _holder_of(self, key: Key) -> str:
+        # Hashing thousands of members for every account each second is too slow.
+        who = self._holders.get(key)
+        if who is None:
+            name = "/".join(("account", *key))
+            who = self._holders[key] = rendezvous.owner(name, self._candidates) or ""
+        return who
+
     def _empty_report(self) -> pb.AccountReport:
         levels = [pb.ServiceLevel(service=s, level=v) for s, v in self.virtual.items()]
         return pb.AccountReport(
--- a/src/jacinthcove/scheduling/placement.py
+++ b/src/jacinthcove/scheduling/placement.py
@@ -44,7 +44,10 @@
 
 
 class Placement:
-    """Computes shards and owners again only when targets, members or configuration change."""
+    """Computes shards and owners again only when targets, members or configuration change.
+
+    Call `refresh` after a change of members; a change of the table is noticed by itself.
+    """
 
     def __init__(self, table: TargetTable, members: Members, config: Callable[[], FleetConfig]):
         self.table = table
@@ -91,7 +94,7 @@
 
     def shards_of(self, workspace: str, service: str, version: str) -> tuple[Shard, ...]:
         """Return the shards on which `workspace` queues, best first."""
-        self.refresh()
+        self._follow_table()
         names = self._open.get((service, version), ())
         if not names:
             return ()
@@ -106,7 +109,7 @@
 
     def open_shards(self, service: str, version: str) -> tuple[str, ...]:
         """Return the names of all shards with a target that takes work."""
-        self.refresh()
+        self._follow_table()
         return self._open.get((service, version), ())
 
     def visible_fraction(self) -> float:
@@ -118,6 +121,11 @@
         seen = sum(vm.id in known or vm.mesh_address in known for vm in self.table.routers)
         return seen / len(self.table.routers)
 
+    def _follow_table(self) -> None:
+        # Comparing thousands of members for each request is too slow; their changes come by event.
+        if self._seen is None or self._seen[0] != self.table.revision:
+            self.refresh()
+
     def _routers_per_domain(self, alive: Iterable[Member]) -> dict[str, int]:
         # Counting listed routers keeps the shards the same while routers die and return.
         domains = [vm.failure_domain for vm in self.table.routers]
--- a/src/jacinthcove/scheduling/shard.py
+++ b/src/jacinthcove/scheduling/shard.py
@@ -145,7 +145,8 @@
     def cancel(self, ticket_id: str) -> bool:
         """Remove a queued ticket; return whether it was queued."""
         found = self.queue.remove(ticket_id) is not None
-        self._note_waiting()
+        if found:
+            self._note_waiting()
         return found
 
     def take(self, count: int, max_level: float) -> list[QueuedTicket]:
