Limit urgent probes and survive lost transports

Urgent probes for every update overloaded a fleet of 64 members that started together: the probes made others late, which caused more updates. Only a router's own findings are urgent now, once a second. grpclib deletes the transport of a lost connection, which ended the task that checks streams; the check now tolerates it.

--- a/src/jacinthcove/mesh/probing.py
+++ b/src/jacinthcove/mesh/probing.py
@@ -31,7 +31,10 @@
 MIN_EXCHANGE_PERIOD_S = 10.0
 RECORD_BYTES = 90
 URGENT_PROBES = 3
+# Only what a router finds itself is urgent, and at this rate; urgent probes for every update
+# overloaded a fleet of 64 members that started together.
 URGENT_PERIOD_S = 0.2
+URGENT_PAUSE_MS = 1_000
 LEAVE_PROBES = 8
 LEAVE_TIMEOUT_MS = 500
 
@@ -80,6 +83,7 @@
         self.rng = rng or random.Random()
         self.round: list[str] = []
         self.urgent = False
+        self.next_urgent_ms = 0
         self.greenlets: list[gevent.Greenlet] = []
         self.log = structlog.get_logger()
         peers.register(PROBE, self.answer_probe)
@@ -150,6 +154,7 @@
         if self._exchange(member, PROBE_TIMEOUT_MS) or self._probe_indirectly(member):
             return True
         self.members.suspect(member.id, member.incarnation)
+        self.urgent = True
         return False
 
     def probe_lost(self, member_id: str) -> None:
@@ -271,13 +276,15 @@
         return [seed for seed in self.seeds if seed not in known]
 
     def _on_change(self, member: Member) -> None:
-        self.urgent = True
+        self.urgent = self.urgent or member.id == self.members.me.id
 
     def _flush_urgent(self) -> None:
         # A change reaches a few members at once, so that their suspicion times run together.
-        if not self.urgent:
+        now = self.members.clock.now()
+        if not self.urgent or now < self.next_urgent_ms:
             return
         self.urgent = False
+        self.next_urgent_ms = now + URGENT_PAUSE_MS
         others = self.members.others(MemberState.ALIVE)
         for member in self.rng.sample(others, min(URGENT_PROBES, len(others))):
             gevent.spawn(self._exchange, member, PROBE_TIMEOUT_MS)
--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -36,6 +36,10 @@
 # HTTP/2 frame header and gRPC message header.
 FRAME_OVERHEAD_BYTES = 14
 FRAMING = "framing"
+# HTTP/2 preface, settings and headers of a new stream, measured with TCP_INFO on loopback.
+OPEN = "open"
+OPEN_DIALLED_BYTES = 320
+OPEN_ACCEPTED_BYTES = 210
 
 
 @dataclass
@@ -101,8 +105,10 @@
         """Drop the connection at once, without flushing to a peer that may not read."""
         self.usable = False
         # grpclib has no public way to drop a connection; a graceful close would wait for the peer.
-        connection = self.raw._stream.connection
-        connection._transport.abort()
+        # It deletes the transport of a lost connection before the reader of the stream has ended.
+        transport = getattr(self.raw._stream.connection, "_transport", None)
+        if transport is not None:
+            transport.abort()
 
 
 @dataclass
@@ -174,9 +180,10 @@
         for stream in self._streams():
             stream.abort()
         self.server.close()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        while self.tasks:
+            for task in list(self.tasks):
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
         try:
             await asyncio.wait_for(self.server.wait_closed(), 1)
         except TimeoutError:
@@ -323,6 +330,9 @@
         return [stream for peer in self.peers.values() for stream in peer.streams]
 
     def _add_stream(self, peer: Peer, stream: Stream) -> None:
+        sizes = (OPEN_DIALLED_BYTES, OPEN_ACCEPTED_BYTES)
+        self.sent[OPEN] += sizes[0 if stream.opened_here else 1]
+        self.received[OPEN] += sizes[1 if stream.opened_here else 0]
         peer.streams.append(stream)
         streams = [s for s in self._streams() if s.usable]
         if len(streams) > MAX_CONNECTIONS:
@@ -345,12 +355,18 @@
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            now = self.loop.time()
-            for peer in list(self.peers.values()):
-                for stream in list(peer.streams):
-                    self._check(peer, stream, now)
-                if not (peer.streams or peer.queue or peer.busy or peer.wake.is_set()):
-                    self._remove_peer(peer)
+            try:
+                self._tick()
+            except Exception as error:  # without ticks no silent stream would be replaced
+                self.emit(StreamNote("stream check failed", {"reason": repr(error)}))
+
+    def _tick(self) -> None:
+        now = self.loop.time()
+        for peer in list(self.peers.values()):
+            for stream in list(peer.streams):
+                self._check(peer, stream, now)
+            if not (peer.streams or peer.queue or peer.busy or peer.wake.is_set()):
+                self._remove_peer(peer)
 
     def _remove_peer(self, peer: Peer) -> None:
         del self.peers[peer.address]
@@ -358,13 +374,16 @@
             peer.task.cancel()
 
     def _check(self, peer: Peer, stream: Stream, now: float) -> None:
-        if now - stream.last_received > SILENCE_S:
+        silent = now - stream.last_received > SILENCE_S
+        if not stream.usable:
+            if silent:
+                stream.abort()
+            return
+        if silent:
             self.emit(StreamNote("silent stream replaced", {"peer": stream.member_id}))
             stream.abort()
             stream.last_used = now
             self._replace(peer, stream)
-        elif not stream.usable:
-            return
         elif now - stream.last_used > (IDLE_S if stream.opened_here else ACCEPTED_IDLE_S):
             self._retire(stream)
         elif now - stream.last_sent > HEARTBEAT_S and not stream.lock.locked():
