Probe members whose heartbeat is late

In a trial with 8 members one of which was frozen, the last of the others declared it dead after 4.93 s, because its turn to be probed came late. A heartbeat late by more than 1.5 s now triggers a probe; the same trial takes 4.21 to 4.35 s.

--- a/src/jacinthcove/mesh/links.py
+++ b/src/jacinthcove/mesh/links.py
@@ -13,16 +13,10 @@
 
 from jacinthcove.errors import PeerUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.events import CallsFailed, Outgoing, PeerLost, Received, StreamNote
 from jacinthcove.mesh.kinds import KINDS
 from jacinthcove.mesh.peers import Handler, Members
-from jacinthcove.mesh.streams import (
-    CallsFailed,
-    Outgoing,
-    PeerLost,
-    Received,
-    StreamNote,
-    StreamTable,
-)
+from jacinthcove.mesh.streams import StreamTable
 from jacinthcove.mesh.transport import FleetKey, HubQueue, LoopThread, TlsOptions
 
 CLOSE_TIMEOUT_S = 5.0
@@ -112,7 +106,7 @@
         self._post(Outgoing(address, member_id, self._envelope(0, kind, message)))
 
     def on_lost(self, callback: Callable[[str], None]) -> None:
-        """Call `callback` in its own greenlet with each member to which a used stream broke."""
+        """Call `callback` in its own greenlet with each member whose stream broke or is late."""
         self.lost_callbacks.append(callback)
 
     def traffic(self) -> Traffic:
--- a/src/jacinthcove/mesh/probing.py
+++ b/src/jacinthcove/mesh/probing.py
@@ -35,6 +35,8 @@
 # overloaded a fleet of 64 members that started together.
 URGENT_PERIOD_S = 0.2
 URGENT_PAUSE_MS = 1_000
+# All streams look lost to a router that was paused itself.
+MAX_LOST_PROBES = 3
 LEAVE_PROBES = 8
 LEAVE_TIMEOUT_MS = 500
 
@@ -52,7 +54,7 @@
         """Register a handler."""
 
     def on_lost(self, callback: Callable[[str], None]) -> None:
-        """Call `callback` with each member to which a used stream broke."""
+        """Call `callback` with each member whose stream broke or is late."""
 
 
 class Revisions(Protocol):
@@ -84,6 +86,7 @@
         self.round: list[str] = []
         self.urgent = False
         self.next_urgent_ms = 0
+        self.lost_probes = 0
         self.greenlets: list[gevent.Greenlet] = []
         self.log = structlog.get_logger()
         peers.register(PROBE, self.answer_probe)
@@ -158,10 +161,17 @@
         return False
 
     def probe_lost(self, member_id: str) -> None:
-        """Probe a member at once whose stream broke."""
+        """Probe a member at once whose stream broke or whose heartbeat is late."""
         member = self.members.get(member_id)
-        if self.greenlets and member is not None and member.state is MemberState.ALIVE:
+        if member is None or member.state is not MemberState.ALIVE:
+            return
+        if not self.greenlets or self.lost_probes >= MAX_LOST_PROBES:
+            return
+        self.lost_probes += 1
+        try:
             self.probe(member)
+        finally:
+            self.lost_probes -= 1
 
     def contact_unreachable(self) -> None:
         """Try one dead member, seed or listed address, so that partitions heal by themselves."""
--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -13,6 +13,7 @@
 from grpclib.server import Server
 
 from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.events import CallsFailed, Outgoing, PeerLost, Received, StreamNote
 from jacinthcove.mesh.kinds import HEARTBEAT
 from jacinthcove.mesh.mesh_grpc import MeshBase, MeshStub
 from jacinthcove.mesh.transport import FleetKey, TlsOptions, split_address
@@ -20,6 +21,8 @@
 HEARTBEAT_S = 0.9
 # With the tick below a silent stream is replaced within the 3 s that the design allows.
 SILENCE_S = 2.6
+# More than one heartbeat late; the member is probed without waiting for its turn.
+LATE_S = 1.5
 TICK_S = 0.2
 IDLE_S = 60.0
 # The side that opened a stream closes it, so that nothing is lost; the other side only cleans up.
@@ -42,47 +45,6 @@
 OPEN_ACCEPTED_BYTES = 210
 
 
-@dataclass
-class Outgoing:
-    """An envelope on its way; an empty `member_id` accepts any member at the address."""
-
-    address: str
-    member_id: str
-    envelope: pb.Envelope
-
-
-@dataclass
-class Received:
-    """Envelopes of one frame from an authenticated member."""
-
-    address: str
-    member_id: str
-    envelopes: list[pb.Envelope]
-
-
-@dataclass
-class CallsFailed:
-    """Calls that can get no reply any more."""
-
-    call_ids: list[int]
-    reason: str
-
-
-@dataclass
-class PeerLost:
-    """A stream in recent use broke, which may mean that the member died."""
-
-    member_id: str
-
-
-@dataclass
-class StreamNote:
-    """Something about a stream that deserves a log line."""
-
-    event: str
-    fields: dict[str, Any]
-
-
 class Stream:
     """One open bidirectional stream."""
 
@@ -94,6 +56,7 @@
         self.last_received = self.last_sent = self.last_used = now
         self.calls: deque[int] = deque(maxlen=MAX_REMEMBERED_CALLS)
         self.usable = True
+        self.late = False
 
     async def send(self, frame: pb.Frame) -> None:
         """Send one frame; raises when the stream is lost."""
@@ -304,6 +267,7 @@
         try:
             async for frame in stream.raw:
                 stream.last_received = self.loop.time()
+                stream.late = False
                 self._count(self.received, frame)
                 if frame.envelopes:
                     stream.last_used = stream.last_received
@@ -384,6 +348,9 @@
             stream.abort()
             stream.last_used = now
             self._replace(peer, stream)
+        elif now - stream.last_received > LATE_S and not stream.late:
+            stream.late = True
+            self.emit(PeerLost(stream.member_id))
         elif now - stream.last_used > (IDLE_S if stream.opened_here else ACCEPTED_IDLE_S):
             self._retire(stream)
         elif now - stream.last_sent > HEARTBEAT_S and not stream.lock.locked():
