--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -13,6 +13,7 @@
 from grpclib.server import Server
 
 from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.events import CallsFailed, Outgoing, PeerLost, Received, StreamNote
 from jacinthcove.mesh.kinds import HEARTBEAT
 from jacinthcove.mesh.mesh_grpc import MeshBase, MeshStub
 from jacinthcove.mesh.transport import FleetKey, TlsOptions, split_address
@@ -20,6 +21,8 @@
 HEARTBEAT_S = 0.9
 # With the tick below a silent stream is replaced within the 3 s that the design allows.
 SILENCE_S = 2.6
+# More than one heartbeat late; the member is probed without waiting for its turn.
+LATE_S = 1.5
 TICK_S = 0.2
 IDLE_S = 60.0
 # The side that opened a stream closes it, so that nothing is lost; the other side only cleans up.
@@ -36,47 +39,10 @@
 # HTTP/2 frame header and gRPC message header.
 FRAME_OVERHEAD_BYTES = 14
 FRAMING = "framing"
-
-
-@dataclass
-class Outgoing:
-    """An envelope on its way; an empty `member_id` accepts any member at the address."""
-
-    address: str
-    member_id: str
-    envelope: pb.Envelope
-
-
-@dataclass
-class Received:
-    """Envelopes of one frame from an authenticated member."""
-
-    address: str
-    member_id: str
-    envelopes: list[pb.Envelope]
-
-
-@dataclass
-class CallsFailed:
-    """Calls that can get no reply any more."""
-
-    call_ids: list[int]
-    reason: str
-
-
-@dataclass
-class PeerLost:
-    """A stream in recent use broke, which may mean that the member died."""
-
-    member_id: str
-
-
-@dataclass
-class StreamNote:
-    """Something about a stream that deserves a log line."""
-
-    event: str
-    fields: dict[str, Any]
+# HTTP/2 preface, settings and headers of a new stream, measured with TCP_INFO on loopback.
+OPEN = "open"
+OPEN_DIALLED_BYTES = 320
+OPEN_ACCEPTED_BYTES = 210
 
 
 class Stream:
@@ -90,6 +56,7 @@
         self.last_received = self.last_sent = self.last_used = now
         self.calls: deque[int] = deque(maxlen=MAX_REMEMBERED_CALLS)
         self.usable = True
+        self.late = False
 
     async def send(self, frame: pb.Frame) -> None:
         """Send one frame; raises when the stream is lost."""
@@ -101,8 +68,10 @@
         """Drop the connection at once, without flushing to a peer that may not read."""
         self.usable = False
         # grpclib has no public way to drop a connection; a graceful close would wait for the peer.
-        connection = self.raw._stream.connection
-        connection._transport.abort()
+        # It deletes the transport of a lost connection before the reader of the stream has ended.
+        transport = getattr(self.raw._stream.connection, "_transport", None)
+        if transport is not None:
+            transport.abort()
 
 
 @dataclass
@@ -174,9 +143,10 @@
         for stream in self._streams():
             stream.abort()
         self.server.close()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        while self.tasks:
+            for task in list(self.tasks):
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
         try:
             await asyncio.wait_for(self.server.wait_closed(), 1)
         except TimeoutError:
@@ -297,6 +267,7 @@
         try:
             async for frame in stream.raw:
                 stream.last_received = self.loop.time()
+                stream.late = False
                 self._count(self.received, frame)
                 if frame.envelopes:
                     stream.last_used = stream.last_received
@@ -323,6 +294,9 @@
         return [stream for peer in self.peers.values() for stream in peer.streams]
 
     def _add_stream(self, peer: Peer, stream: Stream) -> None:
+        sizes = (OPEN_DIALLED_BYTES, OPEN_ACCEPTED_BYTES)
+        self.sent[OPEN] += sizes[0 if stream.opened_here else 1]
+        self.received[OPEN] += sizes[1 if stream.opened_here else 0]
         peer.streams.append(stream)
         streams = [s for s in self._streams() if s.usable]
         if len(streams) > MAX_CONNECTIONS:
@@ -345,12 +319,18 @@
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            now = self.loop.time()
-            for peer in list(self.peers.values()):
-                for stream in list(peer.streams):
-                    self._check(peer, stream, now)
-                if not (peer.streams or peer.queue or peer.busy or peer.wake.is_set()):
-                    self._remove_peer(peer)
+            try:
+                self._tick()
+            except Exception as error:  # without ticks no silent stream would be replaced
+                self.emit(StreamNote("stream check failed", {"reason": repr(error)}))
+
+    def _tick(self) -> None:
+        now = self.loop.time()
+        for peer in list(self.peers.values()):
+            for stream in list(peer.streams):
+                self._check(peer, stream, now)
+            if not (peer.streams or peer.queue or peer.busy or peer.wake.is_set()):
+                self._remove_peer(peer)
 
     def _remove_peer(self, peer: Peer) -> None:
         del self.peers[peer.address]
@@ -358,13 +338,19 @@
             peer.task.cancel()
 
     def _check(self, peer: Peer, stream: Stream, now: float) -> None:
-        if now - stream.last_received > SILENCE_S:
+        silent = now - stream.last_received > SILENCE_S
+        if not stream.usable:
+            if silent:
+                stream.abort()
+            return
+        if silent:
             self.emit(StreamNote("silent stream replaced", {"peer": stream.member_id}))
             stream.abort()
             stream.last_used = now
             self._replace(peer, stream)
-        elif not stream.usable:
-            return
+        elif now - stream.last_received > LATE_S and not stream.late:
+            stream.late = True
+            self.emit(PeerLost(stream.member_id))
         elif now - stream.last_used > (IDLE_S if stream.opened_here else ACCEPTED_IDLE_S):
             self._retire(stream)
         elif now - stream.last_sent > HEARTBEAT_S and not stream.lock.locked():
