Bound the memory of cached claim segments, and drop evidence of earlier moves

Closed segments beyond 16 MB are read again when needed. A router reports only the active move's counters, since old ones would pass for evidence.

--- a/src/jacinthcove/delivery/claimchain.py
+++ b/src/jacinthcove/delivery/claimchain.py
@@ -148,6 +148,14 @@
                 return Found(segment.number, entry)
         return None
 
+    def closed_bytes(self) -> int:
+        """Return the encoded size of the cached closed segments."""
+        return sum(segment.size for segment in self.copies.values() if segment.closed)
+
+    def drop_closed(self) -> None:
+        """Forget the cached closed segments; they are read again when needed."""
+        self.copies = {key: item for key, item in self.copies.items() if not item.closed}
+
     def prune(self, newest: int) -> None:
         """Delete segments far outside the checked window; segment 0 stays for ever."""
         numbers = sorted(number for number in self.copies if number)
--- a/src/jacinthcove/delivery/claims.py
+++ b/src/jacinthcove/delivery/claims.py
@@ -38,6 +38,8 @@
 # After its deadline a request may still need this long to store its outcome.
 FINISH_GRACE_MS = 30_000
 DRAIN_PERIOD_MS = 1_000
+# Encoded size of the closed segments kept in memory; decoded they take about four times as much.
+CACHE_BYTES = 16_000_000
 
 
 class Leading(Enum):
@@ -157,6 +159,14 @@
             1 for queue in self.queues.values() for op in queue.waiting if isinstance(op, EditOp)
         )
 
+    def trim(self) -> None:
+        """Drop the closed segments of the key shards that were not used for the longest time."""
+        left = CACHE_BYTES
+        for queue in reversed(list(self.queues.values())):
+            left -= queue.chain.closed_bytes()
+            if left < 0 and not queue.leading:
+                queue.chain.drop_closed()
+
     def _edit(self, claim: Claim, op: EditOp) -> bool:
         queue = self._queue(claimlog.key_shard(claim.digest))
         queue.add_edit(op)
@@ -190,9 +200,9 @@
             queue.wake()
 
     def _queue(self, shard: int) -> ShardQueue:
-        queue = self.queues.get(shard)
-        if queue is None:
-            queue = self.queues[shard] = ShardQueue(self.store, shard, self._paced_put)
+        # Inserted again at the end, so that the order is that of the last use.
+        queue = self.queues.pop(shard, None) or ShardQueue(self.store, shard, self._paced_put)
+        self.queues[shard] = queue
         return queue
 
     def _paced_put(self, key: str, value: bytes, if_version: int) -> int:
@@ -211,3 +221,4 @@
         while True:
             self.clock.sleep(DRAIN_PERIOD_MS)
             self.drain(self.clock.now() + DRAIN_PERIOD_MS)
+            self.trim()
--- a/src/jacinthcove/moves/evidence.py
+++ b/src/jacinthcove/moves/evidence.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from jacinthcove.codes import ResultCode
+from jacinthcove.config.model import FleetConfig
 from jacinthcove.mesh.mesh_pb2 import RouteEvidence
 
 # Old results give way to recent ones, so the comparison follows the load of the hour.
@@ -135,9 +136,21 @@
         """Return the record of `key`, an empty one if nothing was counted."""
         return self.by_key.get(key) or Record()
 
-    def messages(self) -> list[RouteEvidence]:
-        """Return all counters as messages for the controller."""
-        return [to_message(key, record.counters) for key, record in self.by_key.items()]
+    def messages(self, config: FleetConfig) -> list[RouteEvidence]:
+        """Return the counters of the active moves of `config` as messages for the controller.
+
+        Counters of an earlier move of the same service are dropped first, because their sum with
+        this move's would pass for evidence.
+        """
+        moves = {name: config.active_move(name) for name in config.services}
+        active = {name: move.id for name, move in moves.items() if move is not None}
+        for service, move_id in active.items():
+            self.begin(service, move_id)
+        return [
+            to_message(key, record.counters)
+            for key, record in self.by_key.items()
+            if key.service in active
+        ]
 
 
 def to_message(key: EvidenceKey, counters: Counters) -> RouteEvidence:
--- a/tests/delivery/test_claims.py
+++ b/tests/delivery/test_claims.py
@@ -6,6 +6,7 @@
 from jacinthcove.clock import ManualClock, SystemClock
 from jacinthcove.codes import ResultCode
 from jacinthcove.delivery import claimlog
+from jacinthcove.delivery.claimbatch import ClaimOp, ShardQueue
 from jacinthcove.delivery.claims import ClaimKind, Claims, ClaimUsage
 from jacinthcove.errors import RequestRefused
 from tests.fakes.store import FakeStore, Fault
@@ -119,3 +120,34 @@
     for number in range(10):
         take(claims, f"k{number}", wait_ms=10_000)
     assert clock.now() - started >= 50 * (store.puts - 1)
+
+
+@pytest.mark.parametrize("broken", [False, True])
+def test_claim_is_decided_again_on_the_copy_that_is_written(store, clock, monkeypatch, broken):
+    """Guards against overwriting a claim that appeared between the decision and the write."""
+    if broken:
+        monkeypatch.setattr(ShardQueue, "_fitting", lambda self, segment, entries, adds: adds)
+    monkeypatch.setattr(claimlog, "key_shard", lambda digest: 0)
+    first, second = Claims(store, clock, "r1"), Claims(store, clock, "r2")
+    take(second, "k2")
+    take(first, "k2")
+    take(second, "k1")
+    entry = claimlog.Entry("id", "r1", "req", "c", clock.wall() + 1_000)
+    digest = claimlog.key_digest("w", "k1")
+    waiting = ClaimOp("id", digest, clock.now() + 1_000, entry, "w", "k1")
+    first.queues[0].waiting.append(waiting)
+    # Finding k2 running reads the segment again, now with the other router's claim of k1.
+    assert take(first, "k2").kind is ClaimKind.IN_PROGRESS
+    granted = waiting.result is not None and waiting.result.kind is ClaimKind.GRANTED
+    assert granted == broken
+
+
+def test_trimmed_segments_are_read_again(claims, clock, monkeypatch):
+    """Guards against a cache that grows without bound, and against forgetting claims with it."""
+    take(claims)
+    clock.advance(claimlog.HOUR_MS)
+    take(claims, "k")
+    monkeypatch.setattr("jacinthcove.delivery.claims.CACHE_BYTES", 0)
+    claims.trim()
+    assert all(queue.chain.closed_bytes() == 0 for queue in claims.queues.values())
+    assert take(claims).kind is ClaimKind.UNKNOWN
--- a/tests/moves/test_guard.py
+++ b/tests/moves/test_guard.py
@@ -1,7 +1,7 @@
 """Guards against bad versions that stay in use and good versions that are cut by noise."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -158,3 +158,13 @@
     fleet.merge(second, report(4))
     fleet.merge(first, report(8))
     assert fleet.total(key) == Counters(11, 1, 110, 3, 4)
+
+
+def test_report_leaves_out_the_evidence_of_an_earlier_move():
+    """Guards against a new move that advances on the requests of the previous one."""
+    router = Router(1)
+    router.run(50, "a", GOOD, GOOD)
+    assert router.guard.evidence.messages(router.config)
+    moves = {"n": replace(router.config.moves["m"], id="n")}
+    router.config = replace(router.config, moves=moves)
+    assert router.guard.evidence.messages(router.config) == []
