Remove settled claims from the queue after a failed write

A claim that got its answer in a round whose write failed stayed queued, was granted again once the key was free, and blocked the key. A longer run of the state machine found it; a test with the same sequence guards it.

--- a/src/jacinthcove/delivery/claimbatch.py
+++ b/src/jacinthcove/delivery/claimbatch.py
@@ -162,6 +162,13 @@
 
     def round(self, hour: int, wall_ms: int, now: int) -> None:
         """Decide the waiting claims and do one write per segment; may raise `StoreUnavailable`."""
+        try:
+            self._write_all(hour, wall_ms, now)
+        finally:
+            # Also after a failed write: a settled claim that stays would be granted once more.
+            self.waiting = [op for op in self.waiting if not op.settled]
+
+    def _write_all(self, hour: int, wall_ms: int, now: int) -> None:
         claims = [op for op in self.waiting if isinstance(op, ClaimOp) and op.deadline > now]
         edits = [op for op in self.waiting if isinstance(op, EditOp)]
         if claims:
@@ -169,8 +176,8 @@
             head, adds = self._decide(head, claims, wall_ms)
             self._write(head.number, adds, [op for op in edits if op.segment == head.number])
         for number in sorted({op.segment for op in edits if not op.settled}):
-            self._write(number, [], [op for op in edits if op.segment == number])
-        self._remove_settled()
+            left = [op for op in edits if op.segment == number and not op.settled]
+            self._write(number, [], left)
 
     def _decide(
         self, head: Segment, claims: list[ClaimOp], wall_ms: int
@@ -262,8 +269,5 @@
         op.settle()
         self.unsent.discard(op.claim_id)
 
-    def _remove_settled(self) -> None:
-        self.waiting = [op for op in self.waiting if not op.settled]
-
     def _is_unsent(self, entry: Entry) -> bool:
         return entry.claim_id in self.unsent
--- a/tests/delivery/test_claims.py
+++ b/tests/delivery/test_claims.py
@@ -6,7 +6,13 @@
 from jacinthcove.clock import ManualClock, SystemClock
 from jacinthcove.codes import ResultCode
 from jacinthcove.delivery import claimlog
-from jacinthcove.delivery.claimbatch import ClaimOp, ShardQueue
+from jacinthcove.delivery.claimbatch import (
+    ClaimOp,
+    Doubt,
+    EditKind,
+    EditOp,
+    ShardQueue,
+)
 from jacinthcove.delivery.claims import ClaimKind, Claims, ClaimUsage
 from jacinthcove.errors import RequestRefused
 from tests.fakes.store import FakeStore, Fault
@@ -151,3 +157,16 @@
     claims.trim()
     assert all(queue.chain.closed_bytes() == 0 for queue in claims.queues.values())
     assert take(claims).kind is ClaimKind.UNKNOWN
+
+
+def test_settled_claim_is_not_granted_again_after_a_failed_write(claims, store, clock):
+    """Guards against a key blocked by a request that got its answer in a failing round."""
+    held = take(claims).claim
+    store.faults.extend([Fault.LATE] * 10)
+    claims.queues[claimlog.key_shard(held.digest)].add_edit(
+        EditOp("gone", held.digest, EditKind.RELEASE, held.segment, doubt=Doubt(held.segment, 99))
+    )
+    assert take(claims).kind is ClaimKind.IN_PROGRESS
+    store.faults.clear()
+    assert claims.release(held)
+    assert take(Claims(store, clock, "r2")).kind is ClaimKind.GRANTED
