--- a/src/jacinthcove/router/versions.py
+++ b/src/jacinthcove/router/versions.py
@@ -79,7 +79,7 @@
         return pb.MemberStatus(
             member_id=self.members.me.id,
             config_revision=revision,
-            evidence=self.evidence.messages(),
+            evidence=self.evidence.messages(self.config()),
             cuts=self.guard.cuts(),
             incarnation=self.incarnation,
         )
