--- a/src/jacinthcove/platform/vms.py
+++ b/src/jacinthcove/platform/vms.py
@@ -77,4 +77,6 @@
         }
         for vm in vm_list.vms
     ]
-    return orjson.dumps({"revision": vm_list.revision, "vms": vms})
+    # Sorted keys let a change spread as a patch on the older body.
+    body = {"revision": vm_list.revision, "vms": vms}
+    return orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
