Date backlogs for the whole fleet and judge plain requests by geometric means

A workspace whose queue came and went at single routers looked newly backlogged to its account holder and was lifted, which forgave service it was owed. Ten arithmetic means lowered the limit of a healthy plain target whose costs varied.

--- a/src/jacinthcove/scheduling/holder.py
+++ b/src/jacinthcove/scheduling/holder.py
@@ -23,7 +23,6 @@
     incarnation: int
     served: float
     backlogged_at: int | None = None
-    backlog_since: int = 0
 
 
 @dataclass
@@ -34,6 +33,8 @@
     lift: float = 0.0
     entries: OrderedDict[str, Entry] = field(default_factory=OrderedDict)
     since: int = 0
+    backlogged_at: int | None = None
+    backlog_since: int = 0
     reported_at: int = 0
 
 
@@ -93,36 +94,37 @@
             seen = item.highest_total + max(0.0, item.served - item.included)
             account.total = max(account.total, seen)
         fresh = Entry(incarnation, max(known, item.served))
-        self._note_backlog(fresh, entry, item)
+        fresh.backlogged_at = entry.backlogged_at if entry is not None else None
+        if item.backlogged:
+            self._note_backlog(account, item)
+            fresh.backlogged_at = account.reported_at
         account.entries[reporter] = fresh
         account.entries.move_to_end(reporter)
         if len(account.entries) > MAX_REPORTERS:
             account.entries.popitem(last=False)
 
-    def _note_backlog(self, entry: Entry, old: Entry | None, item: pb.WorkspaceService) -> None:
-        now = self.clock.now()
-        if old is not None:
-            entry.backlogged_at, entry.backlog_since = old.backlogged_at, old.backlog_since
-        if not item.backlogged:
-            return
-        started = entry.backlogged_at is None or now - entry.backlogged_at > self._recent_ms()
-        if started:
+    def _note_backlog(self, account: HeldAccount, item: pb.WorkspaceService) -> None:
+        now = account.reported_at
+        last = account.backlogged_at
+        if last is None or now - last > self._recent_ms():
             # A holder without state cannot date the backlog of an account with service; an old
             # backlog leaves levels unchanged.
-            unknown = old is None and item.highest_total > 0
-            entry.backlog_since = now - self._recent_ms() if unknown else now
-        entry.backlogged_at = now
+            unknown = last is None and item.highest_total > 0
+            account.backlog_since = now - self._recent_ms() if unknown else now
+        account.backlogged_at = now
 
     def _idle_ms(self, account: HeldAccount, reporter: str) -> int:
-        now = self.clock.now()
-        idle = NEVER_IDLE_MS
-        for name, entry in account.entries.items():
-            if name == reporter or entry.backlogged_at is None:
-                continue
-            # Routers that join a backlog at the same time all learn of the idleness before it.
-            if now - entry.backlog_since >= self._recent_ms():
-                idle = min(idle, now - entry.backlogged_at)
-        return idle
+        now = account.reported_at
+        # Routers that join a young backlog all learn of the idleness before it. The backlog is that
+        # of the fleet: at one router it may come and go while the workspace waits at another.
+        if now - account.backlog_since < self._recent_ms():
+            return NEVER_IDLE_MS
+        waits = (
+            now - entry.backlogged_at
+            for name, entry in account.entries.items()
+            if name != reporter and entry.backlogged_at is not None
+        )
+        return min(waits, default=NEVER_IDLE_MS)
 
     def _recent_ms(self) -> int:
         return 2 * self.period_ms()
--- a/src/jacinthcove/targets/limit.py
+++ b/src/jacinthcove/targets/limit.py
@@ -16,10 +16,11 @@
 BASELINE_GROWTH = 1.002
 LATENCY_DECREASE = 0.7
 ERROR_DECREASE = 0.5
-# Requests on plain services vary, so their latency is judged over this many, relative to the mean
-# of their route.
-PLAIN_SAMPLES = 10
-PLAIN_RATIO = 2.5
+# The durations of plain requests vary widely even on a healthy target. Their geometric mean over
+# this many, relative to that of their route, rarely strays by this factor; an arithmetic mean over
+# ten did with costs of 1 to 38 units.
+PLAIN_SAMPLES = 20
+PLAIN_RATIO = 3.0
 MAX_ROUTES = 1_000
 # Errors of one burst count as one.
 DECREASE_PAUSE_MS = 1_000
@@ -107,14 +108,16 @@
 
     def on_plain(self, route: str, elapsed_ms: float) -> None:
         """Take the duration of a request without tokens that ended well."""
-        mean, count = self._routes.get(route, (elapsed_ms, 0))
-        self._ratio_sum += elapsed_ms / max(1.0, mean)
-        self._ratios += 1
+        duration = math.log(max(1.0, elapsed_ms))
+        mean, count = self._routes.get(route, (duration, 0))
+        if count >= PLAIN_SAMPLES:
+            self._ratio_sum += duration - mean
+            self._ratios += 1
         if len(self._routes) < MAX_ROUTES or route in self._routes:
             weight = max(0.02, 1 / (count + 1))
-            self._routes[route] = (mean + weight * (elapsed_ms - mean), count + 1)
+            self._routes[route] = (mean + weight * (duration - mean), count + 1)
         if self._ratios >= PLAIN_SAMPLES:
-            slow = self._ratio_sum / self._ratios > PLAIN_RATIO
+            slow = self._ratio_sum / self._ratios > math.log(PLAIN_RATIO)
             self._ratio_sum, self._ratios = 0.0, 0
             if slow:
                 self._decrease(LATENCY_DECREASE)
