--- a/src/jacinthcove/targets/limit.py
+++ b/src/jacinthcove/targets/limit.py
@@ -21,6 +21,8 @@
 # ten did with costs of 1 to 38 units.
 PLAIN_SAMPLES = 20
 PLAIN_RATIO = 3.0
+# An overload must not become the usual duration before it is noticed several times.
+BASELINE_WEIGHT = 0.002
 MAX_ROUTES = 1_000
 # Errors of one burst count as one.
 DECREASE_PAUSE_MS = 1_000
@@ -114,7 +116,7 @@
             self._ratio_sum += duration - mean
             self._ratios += 1
         if len(self._routes) < MAX_ROUTES or route in self._routes:
-            weight = max(0.02, 1 / (count + 1))
+            weight = max(BASELINE_WEIGHT, 1 / (count + 1))
             self._routes[route] = (mean + weight * (duration - mean), count + 1)
         if self._ratios >= PLAIN_SAMPLES:
             slow = self._ratio_sum / self._ratios > math.log(PLAIN_RATIO)
