Give the searches for mutants enough examples

Hypothesis draws constants from the modules that are loaded, so the same seed gives other examples in a full run than in a run of one file. A search ends at the first failure, so a higher limit costs time only where a mutant is hard to find.

--- a/tests/control/test_acceptance_fuzz.py
+++ b/tests/control/test_acceptance_fuzz.py
@@ -156,9 +156,9 @@
     store_type = UnconditionalStore
 
 
-FUZZ = settings(derandomize=True, stateful_step_count=30, deadline=None)
+FUZZ = settings(derandomize=True, max_examples=100, stateful_step_count=30, deadline=None)
 # The mutant only has to fail; shrinking its failure takes minutes.
-MUTANT = settings(FUZZ, phases=[Phase.generate])
+MUTANT = settings(FUZZ, max_examples=3_000, phases=[Phase.generate])
 
 
 def test_racing_operators_never_lose_or_misreport_a_change():
--- a/tests/scheduling/test_accounts_fuzz.py
+++ b/tests/scheduling/test_accounts_fuzz.py
@@ -166,7 +166,7 @@
 
 @pytest.mark.parametrize("mutant", [SumsEveryReport, ForgetsTheHighestTotal, NeverReports])
 def test_accounts_fuzz_catches_mutants(mutant):
-    found = settings(stateful_step_count=40, max_examples=100, phases=[Phase.generate])
+    found = settings(stateful_step_count=40, max_examples=3_000, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         run_state_machine_as_test(mutant, settings=found)
 
--- a/tests/scheduling/test_dispatch_fuzz.py
+++ b/tests/scheduling/test_dispatch_fuzz.py
@@ -265,6 +265,6 @@
     "mutant", [AcceptsVoidGrants, GrantsTwice, FreesUnansweredGrants, ForgetsEnds]
 )
 def test_dispatch_fuzz_catches_mutants(mutant):
-    found = settings(stateful_step_count=40, max_examples=400, phases=[Phase.generate])
+    found = settings(stateful_step_count=40, max_examples=3_000, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         run_state_machine_as_test(mutant, settings=found)
--- a/tests/scheduling/test_fairness_fuzz.py
+++ b/tests/scheduling/test_fairness_fuzz.py
@@ -192,6 +192,6 @@
     "mutant", [ServesTheHighestLevel, IgnoresLevels, NeverPulls, NeverExchanges, NeverPullsByLevel]
 )
 def test_fairness_fuzz_catches_mutants(mutant):
-    found = settings(stateful_step_count=20, max_examples=10, phases=[Phase.generate])
+    found = settings(stateful_step_count=20, max_examples=100, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(mutant, settings=found)
--- a/tests/targets/test_limit_fuzz.py
+++ b/tests/targets/test_limit_fuzz.py
@@ -151,7 +151,7 @@
 
 @pytest.mark.parametrize("mutant", [RoundsUp, AlwaysAllowsOne, IgnoresRestarts, RisesBesideOthers])
 def test_limit_fuzz_catches_mutants(mutant):
-    found = settings(stateful_step_count=30, max_examples=200, phases=[Phase.generate])
+    found = settings(stateful_step_count=30, max_examples=3_000, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(mutant, settings=found)
 
