Wire the request limits and drop settings that nothing read

The router declared eight limits and periods that no code used. The three request limits now reach the caller API; the periods of the mesh and of the load reports are constants, because the routers of a fleet have to agree on them. The stop timeout is now as long as the longest deadline, so that a planned stop does not cut off a long draft.

--- a/src/jacinthcove/commands/controller.py
+++ b/src/jacinthcove/commands/controller.py
@@ -3,7 +3,7 @@
 import sys
 from collections.abc import Sequence
 
-from jacinthcove.commands.service import run_program
+from jacinthcove.commands.program import run_program
 from jacinthcove.config.settings import ControllerSettings
 from jacinthcove.control.daemon import Controller
 
--- a/src/jacinthcove/config/settings.py
+++ b/src/jacinthcove/config/settings.py
@@ -56,7 +56,7 @@
         Duration(10, 60_000), "1s", "time limit of one call to the object API"
     )
     stop_timeout_ms: int = setting(
-        Duration(0, 3_600_000), "30s", "time that requests in flight get to finish after SIGTERM"
+        Duration(0, 3_600_000), "15m", "time that requests in flight get to finish after SIGTERM"
     )
     log_level: LogLevel = setting(Choice(LogLevel), "info", "least severe level that is logged")
 
@@ -81,21 +81,6 @@
     fleet_key: str = setting(
         String(), "", "key of resume tokens; empty takes fleet_key of the configuration", True
     )
-    vms_poll_ms: int = setting(
-        Duration(100, 60_000), "1s", "period between readings of the VM list by its pollers"
-    )
-    watch_timeout_ms: int = setting(
-        Duration(100, 300_000), "25s", "longest wait of one watch on the configuration"
-    )
-    probe_interval_ms: int = setting(
-        Duration(50, 10_000), "1s", "period between probes of other routers"
-    )
-    suspect_timeout_ms: int = setting(
-        Duration(100, 60_000), "3s", "time from suspect to dead without an answer"
-    )
-    load_poll_ms: int = setting(
-        Duration(50, 10_000), "500ms", "period between load reports of an owned target"
-    )
     max_deadline_ms: int = setting(
         Duration(100, 24 * 3_600_000), "15m", "longest deadline that a caller may ask for"
     )
--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -19,7 +19,12 @@
 from jacinthcove.router.answer import Answer, EventStream
 from jacinthcove.router.current import AppliedState
 from jacinthcove.router.lookup import Lookup
-from jacinthcove.router.request import MAX_BODY_BYTES, CallerRequest, decode_body, parse_request
+from jacinthcove.router.request import (
+    CallerRequest,
+    RequestLimits,
+    decode_body,
+    parse_request,
+)
 
 log = structlog.get_logger()
 
@@ -32,7 +37,6 @@
     429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
-MAX_OPEN_REQUESTS = 4_000
 OVERLOADED_RETRY_AFTER_MS = 1_000
 MAX_AUTHORIZATION_LENGTH = 512
 # A caller's connection is dropped when sent data stays unacknowledged for this long, so that a
@@ -87,12 +91,16 @@
         handling: RequestHandling,
         metrics: Metrics,
         listen: str,
+        limits: RequestLimits,
+        max_requests: int,
     ):
         self.clock = clock
         self.state = state
         self.lookup = lookup
         self.handling = handling
         self.metrics = metrics
+        self.limits = limits
+        self.max_requests = max_requests
         host, _, port = listen.rpartition(":")
         self.server = WSGIServer(
             (host, int(port)), self, handler_class=CallerHandler, log=None, error_log=None
@@ -166,10 +174,11 @@
         request = parse_request(
             self.state.config,
             workspace,
-            decode_body(_read_body(environ)),
+            decode_body(self._read_body(environ)),
             uuid.uuid4().hex,
             environ.get("HTTP_IDEMPOTENCY_KEY", ""),
             self.clock.now(),
+            self.limits,
         )
         stream = None
         if request.stream and request.service.kind is ServiceKind.ENGINE:
@@ -188,10 +197,19 @@
         refusal = self.handling.refusal()
         if refusal is not None:
             raise refusal
-        if self.open_requests >= MAX_OPEN_REQUESTS:
+        if self.open_requests >= self.max_requests:
             message = "the router has too many open requests"
             raise RequestRefused(ResultCode.OVERLOADED, message, OVERLOADED_RETRY_AFTER_MS)
 
+    def _read_body(self, environ: Environ) -> bytes:
+        largest = self.limits.max_body_bytes
+        length = environ.get("CONTENT_LENGTH") or ""
+        if not length.isdigit() or int(length) <= largest:
+            body = environ["wsgi.input"].read(largest + 1)
+            if len(body) <= largest:
+                return body
+        raise RequestRefused(ResultCode.BODY_TOO_LARGE, f"the body is larger than {largest} bytes")
+
     def _stream(
         self, environ: Environ, start_response: StartResponse, token: str
     ) -> Iterable[bytes]:
@@ -239,15 +257,6 @@
     return [body]
 
 
-def _read_body(environ: Environ) -> bytes:
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length.isdigit() and int(length) > MAX_BODY_BYTES:
-        raise RequestRefused(
-            ResultCode.BODY_TOO_LARGE, f"the body is larger than {MAX_BODY_BYTES} bytes"
-        )
-    return environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-
-
 def _query(environ: Environ, name: str) -> str:
     values = parse_qs(environ.get("QUERY_STRING", "")).get(name, [""])
     return values[0]
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -39,7 +39,7 @@
 from jacinthcove.router.current import AppliedState
 from jacinthcove.router.keyed import KeyedRequests
 from jacinthcove.router.lookup import Lookup
-from jacinthcove.router.request import CallerRequest
+from jacinthcove.router.request import CallerRequest, RequestLimits
 from jacinthcove.router.resume import StreamResumer
 from jacinthcove.router.runner import RequestRunner
 from jacinthcove.router.versions import VersionControl
@@ -98,7 +98,14 @@
         self.resumer = StreamResumer(self.clock, self.fleet_key, self.config)
         lookup = Lookup(self.members, self.config, self.owners_of, random.Random())
         self.api = CallerApi(
-            self.clock, self.state, lookup, self, self.metrics, settings.caller_listen
+            self.clock,
+            self.state,
+            lookup,
+            self,
+            self.metrics,
+            settings.caller_listen,
+            RequestLimits(settings.max_deadline_ms, settings.max_body_bytes),
+            settings.max_requests,
         )
 
     def config(self) -> FleetConfig:
--- a/src/jacinthcove/router/request.py
+++ b/src/jacinthcove/router/request.py
@@ -10,14 +10,19 @@
 from jacinthcove.config.model import FleetConfig, Route, Service, Workspace
 from jacinthcove.errors import RequestRefused
 
-MAX_BODY_BYTES = 1_000_000
-MAX_HEADER_BYTES = 4_096
-MAX_DEADLINE_MS = 3_600_000
 MAX_HINT_TOKENS = 1_000_000
 MAX_KEY_LENGTH = 200
 DEFAULT_DEADLINE_MS = 60_000
 
 
+@dataclass(frozen=True)
+class RequestLimits:
+    """The largest request that a router takes."""
+
+    max_deadline_ms: int = 900_000
+    max_body_bytes: int = 1_048_576
+
+
 @dataclass(frozen=True)
 class CallerRequest:
     """A validated request; `deadline` is in monotonic milliseconds of this router's clock."""
@@ -37,10 +42,6 @@
 
 def decode_body(body: bytes) -> dict[str, Any]:
     """Decode a JSON object; raises `RequestRefused`."""
-    if len(body) > MAX_BODY_BYTES:
-        raise RequestRefused(
-            ResultCode.BODY_TOO_LARGE, f"the body is larger than {MAX_BODY_BYTES} bytes"
-        )
     try:
         data = orjson.loads(body)
     except orjson.JSONDecodeError as error:
@@ -57,6 +58,7 @@
     request_id: str,
     idempotency_key: str,
     now: int,
+    limits: RequestLimits,
 ) -> CallerRequest:
     """Validate the decoded body of `POST /v1/requests`; raises `RequestRefused`."""
     service = _service(config, data)
@@ -83,7 +85,7 @@
         payload=data.get("payload", {}),
         input_tokens=_hint(hints, "input_tokens"),
         output_tokens=_hint(hints, "output_tokens"),
-        deadline=now + _deadline_ms(data),
+        deadline=now + _deadline_ms(data, limits.max_deadline_ms),
         stream=stream,
         prefix_key=_string(data, "prefix_key", ""),
         idempotency_key=idempotency_key,
@@ -109,12 +111,10 @@
     return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
 
 
-def _deadline_ms(data: dict[str, Any]) -> int:
-    value = data.get("deadline_ms", DEFAULT_DEADLINE_MS)
-    if not _is_number(value) or not 0 < value <= MAX_DEADLINE_MS:
-        raise RequestRefused(
-            ResultCode.BAD_DEADLINE, f"deadline_ms must be between 1 and {MAX_DEADLINE_MS}"
-        )
+def _deadline_ms(data: dict[str, Any], max_ms: int) -> int:
+    value = data.get("deadline_ms", min(DEFAULT_DEADLINE_MS, max_ms))
+    if not _is_number(value) or not 1 <= value <= max_ms:
+        raise RequestRefused(ResultCode.BAD_DEADLINE, f"deadline_ms must be between 1 and {max_ms}")
     return int(value)
 
 
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -15,9 +15,9 @@
 
 
 def test_a_flag_beats_the_environment_and_the_environment_beats_the_default():
-    environment = {"JACINTHCOVE_VMS_POLL": "2s", "JACINTHCOVE_LOG_LEVEL": "debug"}
-    settings = load_settings(RouterSettings, [*REQUIRED, "--vms-poll=3s"], environment)
-    assert (settings.vms_poll_ms, settings.log_level) == (3_000, LogLevel.DEBUG)
+    environment = {"JACINTHCOVE_MAX_DEADLINE": "2s", "JACINTHCOVE_LOG_LEVEL": "debug"}
+    settings = load_settings(RouterSettings, [*REQUIRED, "--max-deadline=3s"], environment)
+    assert (settings.max_deadline_ms, settings.log_level) == (3_000, LogLevel.DEBUG)
     assert settings.load_poll_ms == 500
 
 
