--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -18,7 +18,7 @@
     environment = {"JACINTHCOVE_MAX_DEADLINE": "2s", "JACINTHCOVE_LOG_LEVEL": "debug"}
     settings = load_settings(RouterSettings, [*REQUIRED, "--max-deadline=3s"], environment)
     assert (settings.max_deadline_ms, settings.log_level) == (3_000, LogLevel.DEBUG)
-    assert settings.load_poll_ms == 500
+    assert settings.max_requests == 5_000
 
 
 def test_all_problems_are_reported_at_once():
