Follow the prefix-cache events of engines

The affinity learned only from a router's own dispatches, so evictions and prefixes stored through another owner stayed unknown. The affinity stays a tie-breaker between targets with free slots.

--- a/src/jacinthcove/targets/reports.py
+++ b/src/jacinthcove/targets/reports.py
@@ -1,4 +1,4 @@
-"""Polling of the load reports of owned targets."""
+"""Polling of the load reports and cache events of owned targets."""
 
 from collections.abc import Callable
 from contextlib import suppress
@@ -7,11 +7,16 @@
 import orjson
 from geventhttpclient import HTTPClient
 
+from jacinthcove.targets.cacheevents import CacheEventFollower
 from jacinthcove.targets.state import LoadReport, TargetState
 
 POLL_MS = 500
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 1.0
+# Cache events are only hints, so they are read less often than load reports.
+POLLS_PER_CACHE_POLL = 4
+# A target that answers without usable events this often in a row has none, such as a plain service.
+MAX_UNUSABLE_CACHE_POLLS = 3
 
 
 def decode_report(body: bytes) -> LoadReport:
@@ -40,6 +45,9 @@
         self.state = state
         self.changed = changed
         self.poll_ms = poll_ms
+        self.cache_events = CacheEventFollower(state.affinity)
+        self.unusable_cache_polls = 0
+        self.polls = 0
         self._client: HTTPClient | None = None
         self._greenlet: gevent.Greenlet | None = None
 
@@ -56,7 +64,7 @@
     def poll(self) -> None:
         """Poll once."""
         try:
-            self.state.on_report(decode_report(self._get()))
+            self.state.on_report(decode_report(self._get("/load")))
         except ConnectionRefusedError:
             self._drop()
             self.state.on_unreachable()
@@ -65,13 +73,28 @@
             self._drop()
             return
         self.changed()
+        self.polls += 1
+        if self.polls % POLLS_PER_CACHE_POLL == 0:
+            self.poll_cache_events()
+
+    def poll_cache_events(self) -> None:
+        """Read cache events once, unless the target turned out to have none."""
+        if self.unusable_cache_polls >= MAX_UNUSABLE_CACHE_POLLS:
+            return
+        try:
+            self.cache_events.take(self._get(self.cache_events.path()))
+            self.unusable_cache_polls = 0
+        except OSError:
+            self._drop()
+        except ValueError:
+            self.unusable_cache_polls += 1
 
     def _run(self) -> None:
         while True:
             self.poll()
             gevent.sleep(self.poll_ms / 1000)
 
-    def _get(self) -> bytes:
+    def _get(self, path: str) -> bytes:
         if self._client is None:
             host, _, port = self.state.target.address.rpartition(":")
             self._client = HTTPClient(
@@ -81,13 +104,13 @@
                 connection_timeout=CONNECT_TIMEOUT_S,
                 network_timeout=READ_TIMEOUT_S,
             )
-        response = self._client.get("/load")
+        response = self._client.get(path)
         try:
             body = bytes(response.read())
         finally:
             response.release()
         if response.status_code != 200:
-            raise ValueError(f"load report has status {response.status_code}")
+            raise ValueError(f"{path} has status {response.status_code}")
         return body
 
     def _drop(self) -> None:
