--- a/src/jacinthcove/targets/cacheevents.py
+++ b/src/jacinthcove/targets/cacheevents.py
@@ -37,7 +37,7 @@
             for item in data["events"]
         )
         return CacheEvents(str(data["boot_id"]), events)
-    except (KeyError, TypeError, AttributeError, orjson.JSONDecodeError) as error:
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise ValueError(f"malformed cache events: {error!r}") from error
 
 
