Turn off Nagle's algorithm on accepted mesh streams

asyncio sets TCP_NODELAY only on sockets whose protocol number is TCP, and accepted sockets inherit the number of their listener, which was made without one. Small replies of the accepting side then waited for a delayed acknowledgement.

--- a/src/jacinthcove/mesh/transport.py
+++ b/src/jacinthcove/mesh/transport.py
@@ -151,7 +151,9 @@
 def open_listener(address: str) -> socket.socket:
     """Bind and listen at `ip:port`; port 0 takes a free one."""
     host, port = split_address(address)
-    listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # asyncio sets TCP_NODELAY only on sockets whose protocol is given; accepted ones inherit it.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     listener.listen(LISTEN_BACKLOG)
--- /dev/null
+++ b/tests/mesh/test_transport.py
@@ -0,0 +1,26 @@
+"""Guards against small messages that the kernel holds back for an acknowledgement."""
+
+import asyncio
+import socket
+
+from jacinthcove.mesh.transport import listener_address, open_listener, split_address
+
+
+def test_accepted_connections_send_small_messages_at_once():
+    async def accepted_option() -> int:
+        accepted: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+        def on_connect(reader, writer):
+            sock = writer.get_extra_info("socket")
+            accepted.set_result(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+            writer.close()
+
+        listener = open_listener("127.0.0.1:0")
+        server = await asyncio.start_server(on_connect, sock=listener)
+        async with server:
+            _, writer = await asyncio.open_connection(*split_address(listener_address(listener)))
+            option = await accepted
+            writer.close()
+            return option
+
+    assert asyncio.run(accepted_option()) != 0
