Accept local grants when the clock ticks while they are made

A grant to the owner's own entry side was valid until the very millisecond of its making. When the clock ticked before the entry side read it, the grant was refused as void: the slot was freed, the ticket was in no queue any more, and the request waited 15 s until its entry router offered it again.

The test fails on the former code.

--- a/src/jacinthcove/scheduling/owner.py
+++ b/src/jacinthcove/scheduling/owner.py
@@ -252,7 +252,9 @@
         if slot.ticket.entry != self.members.me.id:
             gevent.spawn(self._send_grant, scheduler, slot)
             return
-        slot.valid_until = self.clock.now()
+        # The reply comes at once, but the clock may tick before the entry side reads it, and a void
+        # grant would leave the ticket in no queue until its entry router offers it again.
+        slot.valid_until = self.clock.now() + GRANT_VALID_MS
         reply = self.entry.on_grant(self.members.me.id, self._grant(scheduler, slot))
         if reply.accepted:
             slot.accepted = True
--- a/tests/scheduling/test_dispatch.py
+++ b/tests/scheduling/test_dispatch.py
@@ -94,3 +94,17 @@
         fleet.dispatches["r0"].report(grant, Usage(1.0, ended=True))
     fleet.step(100)
     assert waiting.get(timeout=1).owner != owner
+
+
+def test_a_local_grant_holds_when_the_clock_ticks_while_it_is_made(make_fleet):
+    fleet = make_fleet(1, 1)
+    dispatch = fleet.dispatches["r0"]
+    ticket = request(fleet, "q")
+
+    def ticking() -> int:
+        fleet.clock.now_ms += 1
+        return fleet.clock.now_ms
+
+    fleet.clock.now = ticking
+    job = gevent.spawn(dispatch.acquire, ticket)
+    assert job.get(timeout=1).target_id == "t0"
