--- a/src/jacinthcove/commands/router.py
+++ b/src/jacinthcove/commands/router.py
@@ -11,18 +11,19 @@
 from jacinthcove.config.settings import RouterSettings, load_settings, settings_table
 from jacinthcove.errors import ConfigurationError
 from jacinthcove.observe import logs
-from jacinthcove.router.daemon import Router
+from jacinthcove.router.daemon import DispatchFactory, Router
+from jacinthcove.scheduling.dispatch import MeshDispatch
 
 EXIT_BAD_SETTINGS = 2
 
 
-def run(settings: RouterSettings) -> int:
+def run(settings: RouterSettings, dispatch: DispatchFactory) -> int:
     """Run a router until SIGTERM or SIGINT, then stop it gracefully."""
     logs.configure("jacinthcove-router", settings.id, settings.log_level.value)
     stopped = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
-    router = Router(settings)
+    router = Router(settings, dispatch)
     starting = gevent.spawn(router.start)
     gevent.wait([starting, stopped], count=1)
     if starting.ready():
@@ -34,7 +35,7 @@
     return 0
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
+def main(arguments: Sequence[str] | None = None, dispatch: DispatchFactory = MeshDispatch) -> int:
     """Run the program and return its exit code."""
     given = sys.argv[1:] if arguments is None else list(arguments)
     if "--help" in given or "-h" in given:
@@ -46,7 +47,7 @@
     except ConfigurationError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    return run(settings)
+    return run(settings, dispatch)
 
 
 if __name__ == "__main__":
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -1,14 +1,15 @@
 """The router: wires its parts together, starts and stops them."""
 
 import random
+from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any
+from typing import Any, Protocol
 
 import gevent
 import structlog
 from gevent.event import Event
 
-from jacinthcove.clock import SystemClock
+from jacinthcove.clock import Clock, SystemClock
 from jacinthcove.codes import ResultCode
 from jacinthcove.config.model import FleetConfig
 from jacinthcove.config.settings import RouterSettings
@@ -18,7 +19,7 @@
 from jacinthcove.mesh.documents import CONFIG, VMS, Document
 from jacinthcove.mesh.links import PeerLinks
 from jacinthcove.mesh.members import Membership
-from jacinthcove.mesh.peers import Member, MemberState
+from jacinthcove.mesh.peers import Member, Members, MemberState, Peers
 from jacinthcove.mesh.probing import Probing
 from jacinthcove.mesh.spread import SpreadDocuments
 from jacinthcove.mesh.status import StatusService
@@ -43,6 +44,9 @@
 from jacinthcove.router.versions import VersionControl
 from jacinthcove.scheduling.dispatch import MeshDispatch
 from jacinthcove.scheduling.estimate import CostEstimator
+from jacinthcove.scheduling.placement import Placement
+from jacinthcove.scheduling.shard import ShardStats
+from jacinthcove.scheduling.ticket import Dispatch
 from jacinthcove.targets.table import TargetTable
 
 log = structlog.get_logger()
@@ -55,10 +59,34 @@
 RETRY_ELSEWHERE_MS = 0
 
 
+class RunningDispatch(Dispatch, Protocol):
+    """What the router needs of a dispatch besides `Dispatch`."""
+
+    placement: Placement
+
+    def start(self) -> None:
+        """Start the background work."""
+
+    def close(self) -> None:
+        """Stop the background work."""
+
+    def drain(self) -> None:
+        """Grant nothing more; requests in flight go on."""
+
+    def stats(self) -> tuple[ShardStats, ...]:
+        """Return the state of the owned shards."""
+
+
+# Called with the clock, the members, the peers, the configuration in force and the target table.
+DispatchFactory = Callable[
+    [Clock, Members, Peers, Callable[[], FleetConfig], TargetTable], RunningDispatch
+]
+
+
 class Router:
-    """One router daemon."""
+    """One router daemon; `dispatch` makes the dispatch that finds targets for its requests."""
 
-    def __init__(self, settings: RouterSettings):
+    def __init__(self, settings: RouterSettings, dispatch: DispatchFactory = MeshDispatch):
         self.settings = settings
         self.clock = SystemClock()
         self.metrics = Metrics()
@@ -77,8 +105,8 @@
         self.probing = Probing(self.members, self.links, settings.seeds, self.documents)
         self.watch = Watching(self.members, self.documents, self.store, self.store.fetch_vms)
         self.table = TargetTable()
-        self.dispatch = MeshDispatch(self.clock, self.members, self.links, self.config, self.table)
-        self.versions = VersionControl(self.clock, self.config, self.links, self.dispatch)
+        self.dispatch = dispatch(self.clock, self.members, self.links, self.config, self.table)
+        self.versions = VersionControl(self.clock, self.config, self.links, self.dispatch.placement)
         self.status_service = StatusService(self.members, self.links, self.member_status)
         self.claims = Claims(self.store, self.clock, settings.id)
         self.keyed = KeyedRequests(self.claims)
--- a/src/jacinthcove/router/versions.py
+++ b/src/jacinthcove/router/versions.py
@@ -8,7 +8,7 @@
 from jacinthcove.mesh.peers import Peers
 from jacinthcove.moves.split import VersionSplit
 from jacinthcove.router.results import VersionResult
-from jacinthcove.scheduling.dispatch import MeshDispatch
+from jacinthcove.scheduling.placement import Placement
 
 
 class VersionControl:
@@ -19,10 +19,10 @@
         clock: Clock,
         config: Callable[[], FleetConfig],
         peers: Peers,
-        dispatch: MeshDispatch,
+        placement: Placement,
     ):
         self.config = config
-        self.dispatch = dispatch
+        self.placement = placement
         self.split = VersionSplit(config, clock, lambda move, route: False, self._usable)
 
     def start(self) -> None:
@@ -43,4 +43,4 @@
         return pb.MemberStatus(member_id=member_id, config_revision=revision)
 
     def _usable(self, service: str, version: str) -> bool:
-        return bool(self.dispatch.placement.open_shards(service, version))
+        return bool(self.placement.open_shards(service, version))
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -36,6 +36,7 @@
     router_flags: tuple[str, ...] = ()
     router_environment: dict[str, str] = field(default_factory=dict)
     config: dict[str, Any] = field(default_factory=dict)
+    router_module: str = "jacinthcove.commands.router"
 
 
 @dataclass(frozen=True)
@@ -168,7 +169,7 @@
             *self.options.router_flags,
         ]  # fmt: skip
         program = Program(
-            "jacinthcove.commands.router",
+            self.options.router_module,
             arguments,
             self.directory / f"{router_id}.log",
             self.options.router_environment,
