--- a/src/jacinthcove/load/callers.py
+++ b/src/jacinthcove/load/callers.py
@@ -25,6 +25,8 @@
 # Pause before another attempt when the router names no time or cannot be reached.
 RETRY_PAUSE_MS = 100
 CONNECT_TIMEOUT_S = 2.0
+# Routers send a comment line every second on a stream without tokens.
+STREAM_SILENCE_MS = 10_000
 TOKEN = re.compile(r"\d+:[0-9a-f]{8} ")
 _NETWORK_ERRORS = (OSError, HTTPParseError)
 
@@ -66,15 +68,19 @@
     a large pool would storm a router that closes connections.
     """
 
-    def __init__(self, silence_ms: int = 10_000):
+    def __init__(self, silence_ms: int = STREAM_SILENCE_MS, whole_silence_ms: int = 0):
         self.silence_ms = silence_ms
-        self.idle: dict[str, list[HTTPClient]] = {}
+        self.whole_silence_ms = whole_silence_ms or silence_ms
+        self.idle: dict[tuple[str, bool], list[HTTPClient]] = {}
 
     @contextmanager
-    def use(self, address: str) -> Iterator[HTTPClient]:
-        """Lend a client of `address`; its reads fail after `silence_ms` without a byte."""
-        idle = self.idle.setdefault(address, [])
-        client = idle.pop() if idle else self._open(address)
+    def use(self, address: str, whole: bool = False) -> Iterator[HTTPClient]:
+        """Lend a client of `address`; its reads fail after the silence time without a byte.
+
+        A `whole` answer is silent until it is there, so it has a time of its own.
+        """
+        idle = self.idle.setdefault((address, whole), [])
+        client = idle.pop() if idle else self._open(address, whole)
         try:
             yield client
         except BaseException:
@@ -89,9 +95,9 @@
             while clients:
                 clients.pop().close()
 
-    def _open(self, address: str) -> HTTPClient:
+    def _open(self, address: str, whole: bool) -> HTTPClient:
         host, _, port = address.rpartition(":")
-        timeout = self.silence_ms / 1000
+        timeout = (self.whole_silence_ms if whole else self.silence_ms) / 1000
         return HTTPClient(
             host, int(port), connection_timeout=CONNECT_TIMEOUT_S, network_timeout=timeout
         )
@@ -107,7 +113,8 @@
 
     `pinned` callers use their seed addresses only and do no lookup. `delay_ms` is the simulated
     one-way delay to the routers. `gaps` receives the times between tokens in microseconds,
-    `on_tokens` each number of new tokens with the input tokens that they make due.
+    `on_tokens` each number of new tokens with the input tokens that they make due. With
+    `repeat_lost` a request whose connection broke is sent again if that is safe.
     """
 
     def __init__(
@@ -123,6 +130,7 @@
         delay_ms: float = 0.0,
         seed: int = 0,
         on_tokens: Callable[[int, int], None] | None = None,
+        repeat_lost: bool = False,
     ):
         self.workspace = workspace
         self.key = key
@@ -136,6 +144,7 @@
         self.seeds = tuple(self._shuffled(seeds))
         self.known: dict[str, Addresses] = {}
         self.on_tokens = on_tokens
+        self.repeat_lost = repeat_lost
         self.received_tokens = 0
 
     def addresses(self, service: str) -> tuple[str, ...]:
@@ -162,7 +171,7 @@
         """Send one request until it has a result or its deadline is over."""
         started_at = self.clock.now()
         ends_at = started_at + spec.deadline_ms
-        retries = 0
+        retries = repeated = 0
         avoid = ""
         while True:
             address = self._address(spec.service, avoid)
@@ -171,10 +180,12 @@
             pause = outcome.retry_after_ms
             pause = RETRY_PAUSE_MS if pause is None else pause
             again = outcome.result_class is ResultClass.NOT_RUN and _worth_retry(outcome.code)
-            if not again or self.clock.now() + pause >= ends_at:
+            lost = outcome.lost and self.repeat_lost and spec.repeatable
+            if not (again or lost) or self.clock.now() + pause >= ends_at:
                 total_ms = self.clock.now() - started_at
-                return replace(outcome, retries=retries, total_ms=total_ms)
-            retries += 1
+                return replace(outcome, retries=retries, repeated=repeated, total_ms=total_ms)
+            retries += again
+            repeated += lost
             avoid = address
             self.clock.sleep(pause)
 
@@ -198,7 +209,7 @@
             headers["Idempotency-Key"] = spec.key
         self.clock.sleep(self.delay_ms)
         body = spec.body(deadline_ms)
-        with self.connections.use(address) as client:
+        with self.connections.use(address, not spec.streamed) as client:
             try:
                 response = client.request("POST", "/v1/requests", body, headers)
             except ConnectionRefusedError:
--- a/src/jacinthcove/load/driver.py
+++ b/src/jacinthcove/load/driver.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 import gevent
 
@@ -16,6 +17,8 @@
 SAMPLE_PERIOD_MS = 1_000
 # A caller without an answer from any router waits this long before its next request.
 PAUSE_AFTER_FAILURE_MS = 200
+# A whole answer has no keep-alive, so silence is a failure only after the longest deadline.
+WHOLE_SILENCE_MS = 130_000
 
 
 @dataclass
@@ -28,6 +31,10 @@
     units: float = 0.0
     not_run: int = 0
     incomplete: int = 0
+    repeated: int = 0
+    resumed: int = 0
+    # When answers ended and the time from their first attempt to their first token, in ms.
+    first_tokens: list[tuple[int, int]] = field(default_factory=list)
 
     @property
     def completed(self) -> int:
@@ -54,21 +61,51 @@
     totals: object = field(default_factory=gap_histogram)
     problems: list[str] = field(default_factory=list)
     completed_ids: list[str] = field(default_factory=list)
+    # Results of non-repeatable orders, named `route/order` as the plain services count them.
+    orders: dict[str, ResultClass] = field(default_factory=dict)
 
-    def fairness_gap(self, from_ms: int, to_ms: int) -> float:
-        """Return the largest gap of service/share between two workspaces in the period."""
+    def gap_series(self, from_ms: int, to_ms: int) -> list[tuple[int, float]]:
+        """Return the gap of service/share since `from_ms` at each sample of the period."""
         inside = [s for s in self.samples if from_ms <= s.at <= to_ms]
         if len(inside) < 2:
-            return 0.0
+            return []
         first = inside[0].units
-        largest = 0.0
+        series = []
         for sample in inside[1:]:
             levels = [
                 (sample.units[name] - first[name]) / tally.share
                 for name, tally in self.tallies.items()
             ]
-            largest = max(largest, max(levels) - min(levels))
-        return largest
+            series.append((sample.at, max(levels) - min(levels)))
+        return series
+
+    def fairness_gap(self, from_ms: int, to_ms: int) -> float:
+        """Return the largest gap of service/share between two workspaces in the period."""
+        return max((gap for _, gap in self.gap_series(from_ms, to_ms)), default=0.0)
+
+    def rate(self, from_ms: int, to_ms: int, names: Sequence[str] = ()) -> float:
+        """Return the service units per second that the named or all workspaces received."""
+        inside = [s for s in self.samples if from_ms <= s.at <= to_ms]
+        if len(inside) < 2:
+            return 0.0
+        chosen = names or list(self.tallies)
+        units = sum(inside[-1].units[name] - inside[0].units[name] for name in chosen)
+        return units * 1000 / (inside[-1].at - inside[0].at)
+
+    def fastest_rate(self, from_ms: int, to_ms: int) -> float:
+        """Return the largest service/share per second that one workspace received."""
+        inside = [s for s in self.samples if from_ms <= s.at <= to_ms]
+        return max(
+            (
+                (after.units[name] - before.units[name])
+                / tally.share
+                * 1000
+                / max(1, after.at - before.at)
+                for before, after in pairwise(inside)
+                for name, tally in self.tallies.items()
+            ),
+            default=0.0,
+        )
 
 
 class LoadDriver:
@@ -81,13 +118,14 @@
         *,
         clock: Clock | None = None,
         prefer_few_routers: bool = False,
-        silence_ms: int = 10_000,
+        repeat_lost: bool = False,
     ):
         self.profile = profile
         self.addresses = list(addresses)
         self.clock = clock or SystemClock()
         self.prefer_few_routers = prefer_few_routers
-        self.connections = Connections(silence_ms)
+        self.repeat_lost = repeat_lost
+        self.connections = Connections(whole_silence_ms=WHOLE_SILENCE_MS)
         self.result = LoadResult(
             {w.name: WorkspaceTally(w.name, w.share) for w in profile.workspaces}
         )
@@ -145,6 +183,7 @@
             delay_ms=self.profile.client_delay_ms,
             seed=number,
             on_tokens=count,
+            repeat_lost=self.repeat_lost,
         )
 
     def _take(
@@ -152,13 +191,19 @@
     ) -> None:
         name = outcome.code.name.lower() if outcome.code is not None else "unreachable"
         tally.outcomes[name] += 1
+        tally.repeated += outcome.repeated
+        tally.resumed += outcome.resumed
         self.result.totals.record_value(max(1, outcome.total_ms * 1000))  # type: ignore[attr-defined]
         if outcome.first_token_ms is not None:
             self.result.first_tokens.record_value(  # type: ignore[attr-defined]
                 max(1, outcome.first_token_ms * 1000)
             )
+            at = self.clock.now() - self.started_at
+            tally.first_tokens.append((at, outcome.first_token_ms))
         if outcome.request_id:
             self.result.completed_ids.append(outcome.request_id)
+        if spec.order_id:
+            self.result.orders[f"{spec.route}/{spec.order_id}"] = outcome.result_class
         if outcome.result_class is ResultClass.NOT_RUN:
             tally.not_run += 1
         if outcome.lost or outcome.truncated or outcome.corrupt:
--- a/src/jacinthcove/load/profiles.py
+++ b/src/jacinthcove/load/profiles.py
@@ -1,5 +1,6 @@
 """The two sites that use the fleet, and their traffic, as seeded generators."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from hashlib import sha256
@@ -19,6 +20,7 @@
 POWER_CUT_WINDOW_MS = 1_000
 # Share of requests whose hint is far from the cost, since the cost is known only at the end.
 WRONG_HINT_SHARE = 0.1
+MIN_CALLERS = 4
 
 
 @dataclass(frozen=True)
@@ -253,6 +255,24 @@
     ]
 
 
+def proportional(
+    profile: Profile, seed: int, depth: float, services: tuple[str, ...] = ()
+) -> list[Session]:
+    """Return sessions that keep every workspace backlogged, also the large ones.
+
+    A workspace has `depth` callers for each target slot that its share is worth, and
+    `MIN_CALLERS` more, because the slots of a small one are fewer than its requests in service.
+    """
+    chosen = [s for s in profile.services if not services or s.name in services]
+    slots = sum(s.targets * s.limits.max for s in chosen)
+    total = sum(w.share for w in profile.workspaces)
+    return [
+        Session(w, 0, requests(profile, w, f"proportional-{seed}-{n}", services))
+        for w in profile.workspaces
+        for n in range(math.ceil(depth * slots * w.share / total) + MIN_CALLERS)
+    ]
+
+
 def power_cut(profile: Profile, seed: int, callers: int) -> list[Session]:
     """Return `callers` sessions that all start within one second, spread by share."""
     random = Random(f"{profile.name}/power-cut/{seed}")
--- a/src/jacinthcove/load/requests.py
+++ b/src/jacinthcove/load/requests.py
@@ -30,6 +30,16 @@
     stream: bool = True
     deadline_ms: int = 60_000
 
+    @property
+    def streamed(self) -> bool:
+        """Return whether the answer is a stream of events."""
+        return self.stream and self.engine
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the caller may send the request again after a broken connection."""
+        return bool(self.key) or not self.order_id
+
     def body(self, deadline_ms: int) -> bytes:
         """Return the JSON body of `POST /v1/requests`."""
         payload: dict[str, Any]
@@ -50,7 +60,7 @@
             "payload": payload,
             "hints": hints,
             "deadline_ms": deadline_ms,
-            "stream": self.stream and self.engine,
+            "stream": self.streamed,
         }
         if self.prefix_key:
             body["prefix_key"] = self.prefix_key
@@ -64,7 +74,8 @@
     `code` is None when no router could be reached, and when no final result arrived; in the second
     case `lost` is True. `truncated` marks an answer that
     was reported as done but is shorter than asked for, `corrupt` one with text that is not the
-    caller's own. `total_ms` and `first_token_ms` count from the first attempt.
+    caller's own. `retries` counts attempts after not-run results, `repeated` those after a broken
+    connection. `total_ms` and `first_token_ms` count from the first attempt.
     """
 
     code: ResultCode | None = None
@@ -77,6 +88,7 @@
     tokens: int = 0
     resumed: int = 0
     retries: int = 0
+    repeated: int = 0
     lost: bool = False
     truncated: bool = False
     corrupt: bool = False
