Accept local grants whatever the clock reads meanwhile

A router's grant to itself was valid until the millisecond in which it was made. When the millisecond changed before the entry side read the clock, or when the ticket came back by a pull with its transit time taken off its clock offset, the grant was void; the slot was freed and the ticket forgotten until its offer was repeated 15 s later, often after its deadline.

--- a/src/jacinthcove/scheduling/owner.py
+++ b/src/jacinthcove/scheduling/owner.py
@@ -252,7 +252,10 @@
         if slot.ticket.entry != self.members.me.id:
             gevent.spawn(self._send_grant, scheduler, slot)
             return
-        slot.valid_until = self.clock.now()
+        # A local grant has no transit time, so neither a tick of the clock between its making and
+        # its reading nor the offset of a ticket that came back by a pull may void it.
+        slot.ticket = replace(slot.ticket, entry_offset=0)
+        slot.valid_until = self.clock.now() + GRANT_VALID_MS
         reply = self.entry.on_grant(self.members.me.id, self._grant(scheduler, slot))
         if reply.accepted:
             slot.accepted = True
--- a/tests/scheduling/test_dispatch.py
+++ b/tests/scheduling/test_dispatch.py
@@ -1,5 +1,8 @@
 """Guards against wrong outcomes of acquiring, refusing and freeing over local and remote shards."""
 
+from dataclasses import replace
+from itertools import count
+
 import gevent
 import pytest
 
@@ -7,7 +10,9 @@
 from jacinthcove.config.model import Limits
 from jacinthcove.errors import RequestRefused
 from jacinthcove.mesh.peers import MemberState
+from jacinthcove.scheduling.entry import Waiting
 from jacinthcove.scheduling.ticket import TicketRequest, Usage
+from jacinthcove.scheduling.wire import queued_ticket
 from scheduling.fakes import Fleet, fleet_config
 
 
@@ -94,3 +99,21 @@
         fleet.dispatches["r0"].report(grant, Usage(1.0, ended=True))
     fleet.step(100)
     assert waiting.get(timeout=1).owner != owner
+
+
+@pytest.mark.parametrize("transit_ms", [0, 5])
+def test_a_local_grant_is_not_void_because_of_its_own_duration(make_fleet, transit_ms):
+    fleet = make_fleet(1, 1)
+    dispatch = fleet.dispatches["r0"]
+    now = fleet.clock.now
+    # Every reading is later than the one before, as when the millisecond changes in between.
+    ticks = count()
+    fleet.clock.now = lambda: now() + next(ticks)
+    if transit_ms:
+        # A ticket that returned by a pull has lost its transit time from the offset.
+        queued = replace(queued_ticket(request(fleet, "q"), "r0"), entry_offset=-transit_ms)
+        dispatch.entry.waiting["q"] = waiting = Waiting(request(fleet, "q"))
+        next(iter(dispatch.owners.schedulers.values())).offer(queued)
+        assert waiting.grant is not None
+    else:
+        assert gevent.spawn(dispatch.acquire, request(fleet, "q")).get(timeout=1)
