Add jacinthcove-load, report from the demo, and fix the port race of local fleets

jacinthcove-load drives callers against given routers and exits with 1 for a lost, truncated or corrupt answer, or an order that ran twice. The demo uses the same report code, warm engines and callers in proportion to the shares.

A fleet did not start when an outgoing connection of another process took one of its ports before the router listened (router-4, address in use, then a wait of 60 s). Ports now come from below the ephemeral range, and a router that ends at once stops the wait.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,59 +7,47 @@
 
 sys.path[:0] = [str(Path(__file__).resolve().parent.parent)]
 
-from jacinthcove.load.driver import LoadDriver, LoadResult  # noqa: E402
-from jacinthcove.load.profiles import PROFILES, Profile, backlogged  # noqa: E402
-from testbed.fleet import LocalFleet  # noqa: E402
-from testbed.measure import FleetSampler, RouterUse  # noqa: E402
+from jacinthcove.load import report  # noqa: E402
+from jacinthcove.load.experiments import DEPTH, WARM_ENGINES  # noqa: E402
+from jacinthcove.load.profiles import PROFILES, Profile, proportional  # noqa: E402
+from jacinthcove.load.trial import drive  # noqa: E402
+from testbed.fleet import FleetOptions, LocalFleet  # noqa: E402
+from testbed.measure import FleetSampler  # noqa: E402
+from testbed.site import Site  # noqa: E402
 
-OUTSTANDING = 10
-WARM_UP_S = 6
+# The adaptive limits reach their maximum in this time; the figures count from then on.
+WARM_UP_S = 10
 
 
 def run(profile: Profile, seconds: int, directory: Path, seed: int) -> int:
-    """Run the demo and return the exit code: 1 if a request was lost or truncated."""
-    fleet = LocalFleet(profile, directory)
+    """Run the demo and return the exit code: 1 if a request was lost, truncated or corrupt."""
+    options = FleetOptions(controllers=0, engine_flags=WARM_ENGINES)
+    fleet = LocalFleet(profile, directory, options)
     try:
-        print(f"starting {profile.name}: 8 routers, stand-ins and a controller", flush=True)
+        print(f"starting {profile.name}: {len(fleet.routers)} routers and stand-ins", flush=True)
         fleet.start()
         sampler = FleetSampler(fleet)
         sampler.start()
-        driver = LoadDriver(profile, fleet.callers())
-        sessions = backlogged(profile, seed, OUTSTANDING)
-        print(f"{len(sessions)} callers of {len(profile.workspaces)} workspaces, {seconds} s")
-        result = driver.run(sessions, seconds * 1000)
+        sessions = proportional(profile, seed, DEPTH)
+        use = Site(fleet).engine_use
+        load = drive(profile, fleet.callers(), "demo", sessions, seconds, use=use)
         uses = sampler.router_use()
         sampler.close()
     finally:
         fleet.close()
-    print_report(result, sampler, uses, seconds)
-    for problem in result.problems[:20]:
-        print(f"problem: {problem}")
-    return 1 if result.problems else 0
-
-
-def print_report(
-    result: LoadResult, sampler: FleetSampler, uses: list[RouterUse], seconds: int
-) -> None:
-    """Print the tables of one run."""
-    print(f"\n{'workspace':16}{'share':>7}{'answers':>9}{'not run':>9}{'units/share':>13}")
-    for tally in result.tallies.values():
-        print(
-            f"{tally.name:16}{tally.share:7.1f}{tally.completed:9d}{tally.not_run:9d}"
-            f"{tally.units / tally.share:13.1f}"
-        )
+    result = load.result
+    print(f"\n{report.workspace_table(result)}\n\n{report.latency_table(result)}\n")
     gap = result.fairness_gap(WARM_UP_S * 1000, seconds * 1000)
-    utilisation = sampler.utilisation(WARM_UP_S, seconds)
-    print(f"\nfairness gap after {WARM_UP_S} s: {gap:.1f} units/share")
-    print(f"utilisation of engine slots after {WARM_UP_S} s: {utilisation:.1%}")
-    for name, histogram in (("first token", result.first_tokens), ("token gap", result.token_gaps)):
-        values = [histogram.get_value_at_percentile(p) / 1000 for p in (50, 95, 99)]
-        print(f"{name} ms: p50 {values[0]:.0f}, p95 {values[1]:.0f}, p99 {values[2]:.0f}")
-    for use in uses:
+    print(f"fairness gap after {WARM_UP_S} s: {gap:.1f} units/share")
+    print(f"engine slots in use after {WARM_UP_S} s: {load.utilisation(WARM_UP_S, seconds):.1%}")
+    for router in uses:
         print(
-            f"{use.id}: control {use.control_bytes:.0f} B/s, {use.cpu:.1%} of a core, "
-            f"{use.resident_mb:.0f} MB"
+            f"{router.id}: control {router.control_bytes:.0f} B/s, {router.cpu:.1%} of a core, "
+            f"{router.resident_mb:.0f} MB"
         )
+    for problem in result.problems[:20]:
+        print(f"problem: {problem}")
+    return 1 if result.problems else 0
 
 
 def main() -> int:
--- /dev/null
+++ b/src/jacinthcove/commands/load.py
@@ -0,0 +1,163 @@
+"""The program `jacinthcove-load`: callers against a running fleet, and a report."""
+
+import math
+import sys
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+
+import orjson
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from jacinthcove.load import report as reports
+from jacinthcove.load.experiments import DEPTH
+from jacinthcove.load.profiles import PROFILES, Profile, Session, power_cut, proportional
+from jacinthcove.load.trial import Report, Run, drive, order_problems
+from jacinthcove.platform.connections import Connections, NoReply
+
+EXIT_WRONG_ANSWER = 1
+EXIT_BAD_OPTIONS = 2
+CALL_TIMEOUT_MS = 2_000
+TRAFFIC = ("backlogged", "power-cut")
+
+
+class BadOptionError(ValueError):
+    """An option has a value that cannot be used."""
+
+
+def sessions_of(traffic: str, profile: Profile, seed: int) -> list[Session]:
+    """Return the callers of a kind of traffic; raises `BadOptionError`."""
+    if traffic == "backlogged":
+        return proportional(profile, seed, DEPTH)
+    if traffic == "power-cut":
+        return power_cut(
+            profile,
+            seed,
+            math.ceil(DEPTH * sum(s.targets * s.limits.max for s in profile.services)),
+        )
+    raise BadOptionError(f"--traffic: {traffic} is none of {', '.join(TRAFFIC)}")
+
+
+def order_runs(addresses: Sequence[str]) -> Counter[str]:
+    """Return how often plain services ran each order; raises `NoReply` or `ValueError`."""
+    runs: Counter[str] = Counter()
+    for address in addresses:
+        connections = Connections(address, CALL_TIMEOUT_MS)
+        try:
+            reply = connections.request("GET", "/executions", b"", {})
+        finally:
+            connections.close()
+        if reply.status != 200:
+            raise ValueError(f"{address}/executions answered {reply.status}")
+        runs.update(orjson.loads(reply.body)["orders"])
+    return runs
+
+
+class RunCommand(Command):
+    """Drive callers against routers."""
+
+    name = "run"
+    description = "Drive callers against routers; exit with 1 if an answer was wrong."
+    options = [
+        option("routers", None, "caller addresses of routers, ip:port,...", False),
+        option("plain-services", None, "addresses whose /executions are compared", False),
+        option("profile", None, "site profile (see profiles)", False, default="lavallee"),
+        option("traffic", None, "backlogged or power-cut", False, default="backlogged"),
+        option("seconds", None, "duration", False, default="20"),
+        option("seed", None, "seed of the requests", False, default="1"),
+        option("out", None, "directory of the JSON and the plots", False, default="out/load"),
+    ]
+
+    def handle(self) -> int:
+        """Run and report; the exit code is 1 for a lost, truncated or corrupt answer."""
+        try:
+            return self._run()
+        except BadOptionError as error:
+            self.line_error(str(error), style="error")
+            return EXIT_BAD_OPTIONS
+
+    def _run(self) -> int:
+        routers = _addresses(self.option("routers"))
+        if not routers:
+            raise BadOptionError("--routers: give at least one address")
+        profile = PROFILES.get(self.option("profile"))
+        if profile is None:
+            raise BadOptionError(f"--profile: known profiles are {', '.join(sorted(PROFILES))}")
+        seconds, seed = self._number("seconds"), self._number("seed")
+        traffic = self.option("traffic")
+        sessions = sessions_of(traffic, profile, seed)
+        report = Report(traffic, profile.name, seed, seconds)
+        run = drive(profile, routers, traffic, sessions, seconds)
+        report.runs.append(run)
+        report.problems += run.result.problems
+        services = _addresses(self.option("plain-services"))
+        if services:
+            self._compare(report, run, services)
+        self._print(report, run)
+        for path in reports.write(report, Path(self.option("out")), 0):
+            self.line(f"wrote {path}")
+        return EXIT_WRONG_ANSWER if report.problems else 0
+
+    def _compare(self, report: Report, run: Run, services: Sequence[str]) -> None:
+        try:
+            runs = order_runs(services)
+        except (NoReply, ValueError) as error:
+            report.problems.append(f"orders were not compared: {error}")
+            return
+        # Orders of earlier runs against the same services are none of this run's.
+        own = {order: runs[order] for order in run.result.orders}
+        problems = order_problems(run.result.orders, own)
+        report.problems += problems
+        report.add("orders run twice, or against their result", len(problems), "", "0")
+
+    def _print(self, report: Report, run: Run) -> None:
+        self.line(reports.workspace_table(run.result))
+        self.line(reports.latency_table(run.result))
+        gap = run.result.fairness_gap(0, report.seconds * 1000)
+        self.line(f"fairness gap: {gap:.1f} units/share")
+        for problem in report.problems:
+            self.line_error(f"problem: {problem}")
+
+    def _number(self, name: str) -> int:
+        try:
+            return int(self.option(name))
+        except ValueError as error:
+            raise BadOptionError(f"--{name}: {error}") from error
+
+
+class ProfilesCommand(Command):
+    """List the site profiles."""
+
+    name = "profiles"
+    description = "List the site profiles."
+
+    def handle(self) -> int:
+        """Print one line per profile and one per service."""
+        for name, profile in sorted(PROFILES.items()):
+            shares = sum(w.share for w in profile.workspaces)
+            self.line(f"{name}: {len(profile.workspaces)} workspaces, shares {shares:g}")
+            for service in profile.services:
+                routes = [r.name for r in profile.routes if r.service == service.name]
+                self.line(
+                    f"  {service.name}: {service.targets} targets ({service.kind.value}), "
+                    f"routes {', '.join(routes)}"
+                )
+        return 0
+
+
+def _addresses(text: str | None) -> list[str]:
+    return [part.strip() for part in (text or "").split(",") if part.strip()]
+
+
+def main() -> int:
+    """Run the program."""
+    application = Application("jacinthcove-load")
+    application.add(RunCommand())
+    application.add(ProfilesCommand())
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/jacinthcove/load/trial.py
+++ b/src/jacinthcove/load/trial.py
@@ -130,22 +130,24 @@
     return problems
 
 
-def run_load(
-    fleet: Fleet,
+def drive(
+    profile: Profile,
+    addresses: Sequence[str],
     label: str,
     sessions: Sequence[Session],
     seconds: int,
     *,
+    use: Callable[[], float] | None = None,
     steps: Sequence[Step] = (),
     prefer_few_routers: bool = False,
     repeat_lost: bool = False,
 ) -> Run:
-    """Run the sessions, carry out the steps, and return what the callers received."""
+    """Run the sessions against routers and show progress; `use` returns the slots in use.
+
+    A failed step ends in its own exception after the run.
+    """
     driver = LoadDriver(
-        fleet.profile,
-        fleet.callers(),
-        prefer_few_routers=prefer_few_routers,
-        repeat_lost=repeat_lost,
+        profile, addresses, prefer_few_routers=prefer_few_routers, repeat_lost=repeat_lost
     )
     run = Run(label, driver.result)
     next_line = 0
@@ -153,11 +155,11 @@
     def elapsed() -> int:
         return driver.clock.now() - driver.started_at
 
-    def sample_use() -> None:
+    def sample_use(use: Callable[[], float]) -> None:
         while True:
             gevent.sleep(USE_PERIOD_S)
-            use = fleet.engine_use()
-            run.use.append((elapsed(), use))
+            share = use()
+            run.use.append((elapsed(), share))
 
     def carry_out() -> None:
         for step in steps:
@@ -172,21 +174,48 @@
             return
         next_line = at + PROGRESS_PERIOD_MS
         tallies = driver.result.tallies.values()
+        used = run.utilisation((at - PROGRESS_PERIOD_MS) / 1000, at / 1000)
         print(
             f"{label}: {at / 1000:.0f}/{seconds} s, {len(sessions)} callers, "
             f"{sum(t.completed for t in tallies)} answers, {sum(t.not_run for t in tallies)} not "
-            f"run, {len(driver.result.problems)} problems, "
-            f"slots in use {run.utilisation((at - PROGRESS_PERIOD_MS) / 1000, at / 1000):.1%}",
+            f"run, {len(driver.result.problems)} problems"
+            + (f", slots in use {used:.1%}" if use is not None else ""),
             flush=True,
         )
 
     driver.started_at = driver.clock.now()
-    helpers = [gevent.spawn(sample_use), gevent.spawn(carry_out)]
+    helpers = [gevent.spawn(carry_out)]
+    if use is not None:
+        helpers.append(gevent.spawn(sample_use, use))
     try:
         driver.run(sessions, seconds * 1000, progress)
     finally:
         gevent.killall(helpers)
     for helper in helpers:
-        if helper.exception is not None:
+        if not helper.successful():
             raise helper.exception
     return run
+
+
+def run_load(
+    fleet: Fleet,
+    label: str,
+    sessions: Sequence[Session],
+    seconds: int,
+    *,
+    steps: Sequence[Step] = (),
+    prefer_few_routers: bool = False,
+    repeat_lost: bool = False,
+) -> Run:
+    """Drive the sessions against a fleet and sample the use of its engines."""
+    return drive(
+        fleet.profile,
+        fleet.callers(),
+        label,
+        sessions,
+        seconds,
+        use=fleet.engine_use,
+        steps=steps,
+        prefer_few_routers=prefer_few_routers,
+        repeat_lost=repeat_lost,
+    )
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -196,6 +196,8 @@
         self._wait(what, time.monotonic() + timeout_s, condition)
 
     def _serves(self, router_id: str) -> bool:
+        if not self.router_programs[router_id].running:
+            raise RuntimeError(f"{router_id} ended at once; its log is in {self.directory}")
         try:
             status = self.status(router_id)
         except (NoReply, RuntimeError):
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -1,6 +1,7 @@
 """Child processes on loopback and their addresses."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -11,15 +12,27 @@
 from pathlib import Path
 
 STOP_TIMEOUT_S = 40.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 SOURCE = Path(__file__).resolve().parent.parent / "src"
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return `count` loopback addresses whose ports were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return `count` loopback addresses whose ports were free a moment ago.
+
+    The ports are below the range from which the kernel takes those of outgoing connections, which
+    would otherwise occupy one of them before its process listens.
+    """
+    sockets: list[socket.socket] = []
     try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
+        while len(sockets) < count:
+            sock = socket.socket()
+            try:
+                sock.bind(("127.0.0.1", random.randrange(FIRST_PORT, LAST_PORT)))
+            except OSError:
+                sock.close()
+                continue
+            sockets.append(sock)
         return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
     finally:
         for sock in sockets:
