--- /dev/null
+++ b/tests/load/test_load_command.py
@@ -0,0 +1,38 @@
+"""Guards against a load program that passes over wrong options or orders that it cannot count."""
+
+import orjson
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from jacinthcove.commands.load import EXIT_BAD_OPTIONS, RunCommand, order_runs
+from jacinthcove.platform.connections import Connections, NoReply
+from jacinthcove.standins.service import Service, ServiceSettings
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        "",
+        "--routers 127.0.0.1:1 --profile unknown",
+        "--routers 127.0.0.1:1 --traffic unknown",
+        "--routers 127.0.0.1:1 --seconds soon",
+    ],
+)
+def test_wrong_options_have_an_exit_code_of_their_own(arguments):
+    assert CommandTester(RunCommand()).execute(arguments) == EXIT_BAD_OPTIONS
+
+
+def test_orders_are_counted_over_all_services():
+    services = [Service("127.0.0.1:0", ServiceSettings(work_ms=1)) for _ in range(2)]
+    for service in services:
+        service.start()
+        body = orjson.dumps({"request_id": "r", "payload": {"order_id": "o", "work_ms": 1}})
+        connections = Connections(service.address, 2_000)
+        connections.request("POST", "/v1/operations/reprint", body, {})
+        connections.close()
+    addresses = [service.address for service in services]
+    assert order_runs(addresses) == {"reprint/o": 2}
+    for service in services:
+        service.close()
+    with pytest.raises(NoReply):
+        order_runs(addresses)
