--- a/src/jacinthcove/load/report.py
+++ b/src/jacinthcove/load/report.py
@@ -115,7 +115,8 @@
 def _plot_use(runs: Sequence[Run], path: Path) -> Path:
     figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
     for run in runs:
-        axes.plot([at / 1000 for at, _ in run.use], [100 * use for _, use in run.use])
+        inside = [(at / 1000, 100 * use) for at, use in run.use if at <= run.load_ms]
+        axes.plot([at for at, _ in inside], [use for _, use in inside])
     axes.set_ylabel("engine slots in use (%)")
     axes.set_ylim(0, 102)
     return _save(figure, axes, [run.label for run in runs], runs, path)
@@ -124,8 +125,7 @@
 def _plot_gaps(runs: Sequence[Run], path: Path, from_ms: int) -> Path:
     figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
     for run in runs:
-        ends = run.result.samples[-1].at if run.result.samples else 0
-        series = run.result.gap_series(from_ms, ends)
+        series = run.result.gap_series(from_ms, run.load_ms)
         axes.plot([at / 1000 for at, _ in series], [gap for _, gap in series])
     axes.set_ylabel("gap (units/share)")
     return _save(figure, axes, [run.label for run in runs], runs, path)
@@ -133,7 +133,7 @@
 
 def _plot_levels(run: Run, path: Path, from_ms: int) -> Path:
     figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
-    samples = [sample for sample in run.result.samples if sample.at >= from_ms]
+    samples = [sample for sample in run.result.samples if from_ms <= sample.at <= run.load_ms]
     for tally in run.result.tallies.values():
         first = samples[0].units[tally.name] if samples else 0.0
         axes.plot(
--- a/src/jacinthcove/load/trial.py
+++ b/src/jacinthcove/load/trial.py
@@ -87,10 +87,14 @@
 
 @dataclass
 class Run:
-    """The result of one run; `use` holds (ms since the start, share of engine slots in use)."""
+    """The result of one run; `use` holds (ms since the start, share of engine slots in use).
+
+    After `load_ms` no caller sends a new request.
+    """
 
     label: str
     result: LoadResult
+    load_ms: int
     use: list[tuple[int, float]] = field(default_factory=list)
     marks: list[tuple[int, str]] = field(default_factory=list)
 
@@ -150,7 +154,7 @@
     driver = LoadDriver(
         profile, addresses, prefer_few_routers=prefer_few_routers, repeat_lost=repeat_lost
     )
-    run = Run(label, driver.result)
+    run = Run(label, driver.result, seconds * 1000)
     next_line = 0
 
     def elapsed() -> int:
