--- a/src/jacinthcove/load/driver.py
+++ b/src/jacinthcove/load/driver.py
@@ -193,9 +193,11 @@
         if outcome.lost or outcome.truncated or outcome.corrupt:
             tally.incomplete += 1
             kind = "lost" if outcome.lost else "truncated" if outcome.truncated else "corrupt"
+            at_s = (self.clock.now() - self.started_at) / 1000
             self.result.problems.append(
-                f"{tally.name}: {spec.service}/{spec.route} {spec.nonce} {kind} after {tokens} "
-                f"tokens: {outcome.message or name}"
+                f"{at_s:.1f} s: {tally.name}: {spec.service}/{spec.route} {spec.nonce} {kind} after {tokens} "
+                f"tokens and {outcome.total_ms} ms, {outcome.repeated} times sent again, "
+                f"{outcome.retries} times retried: {outcome.message or name}"
             )
 
     def _sample(self, on_sample: Callable[[int], None] | None) -> None:
