--- a/src/jacinthcove/load/driver.py
+++ b/src/jacinthcove/load/driver.py
@@ -195,8 +195,8 @@
             kind = "lost" if outcome.lost else "truncated" if outcome.truncated else "corrupt"
             at_s = (self.clock.now() - self.started_at) / 1000
             self.result.problems.append(
-                f"{at_s:.1f} s: {tally.name}: {spec.service}/{spec.route} {spec.nonce} {kind} after {tokens} "
-                f"tokens and {outcome.total_ms} ms, {outcome.repeated} times sent again, "
+                f"{at_s:.1f} s: {tally.name}: {spec.service}/{spec.route} {spec.nonce} {kind} "
+                f"after {tokens} tokens and {outcome.total_ms} ms, {outcome.repeated} times sent again, "
                 f"{outcome.retries} times retried: {outcome.message or name}"
             )
 
