--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -171,10 +171,12 @@
     def _request(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         workspace = self._authenticate(environ)
         self._check_open()
+        # One byte more than allowed is enough to see that the body is too large.
+        body = environ["wsgi.input"].read(self.limits.max_body_bytes + 1)
         request = parse_request(
             self.state.config,
             workspace,
-            decode_body(self._read_body(environ)),
+            decode_body(body, self.limits),
             uuid.uuid4().hex,
             environ.get("HTTP_IDEMPOTENCY_KEY", ""),
             self.clock.now(),
@@ -201,15 +203,6 @@
             message = "the router has too many open requests"
             raise RequestRefused(ResultCode.OVERLOADED, message, OVERLOADED_RETRY_AFTER_MS)
 
-    def _read_body(self, environ: Environ) -> bytes:
-        largest = self.limits.max_body_bytes
-        length = environ.get("CONTENT_LENGTH") or ""
-        if not length.isdigit() or int(length) <= largest:
-            body = environ["wsgi.input"].read(largest + 1)
-            if len(body) <= largest:
-                return body
-        raise RequestRefused(ResultCode.BODY_TOO_LARGE, f"the body is larger than {largest} bytes")
-
     def _stream(
         self, environ: Environ, start_response: StartResponse, token: str
     ) -> Iterable[bytes]:
--- a/src/jacinthcove/router/request.py
+++ b/src/jacinthcove/router/request.py
@@ -40,8 +40,12 @@
     idempotency_key: str
 
 
-def decode_body(body: bytes) -> dict[str, Any]:
+def decode_body(body: bytes, limits: RequestLimits) -> dict[str, Any]:
     """Decode a JSON object; raises `RequestRefused`."""
+    if len(body) > limits.max_body_bytes:
+        raise RequestRefused(
+            ResultCode.BODY_TOO_LARGE, f"the body is larger than {limits.max_body_bytes} bytes"
+        )
     try:
         data = orjson.loads(body)
     except orjson.JSONDecodeError as error:
--- a/tests/router/test_caller_request.py
+++ b/tests/router/test_caller_request.py
@@ -5,8 +5,9 @@
 from jacinthcove.codes import ResultCode
 from jacinthcove.config.model import FleetConfig, Route, Service, ServiceKind, Workspace
 from jacinthcove.errors import RequestRefused
-from jacinthcove.router.request import MAX_BODY_BYTES, decode_body, parse_request
+from jacinthcove.router.request import RequestLimits, decode_body, parse_request
 
+LIMITS = RequestLimits()
 WORKSPACE = Workspace("w", 1.0, "hash")
 CONFIG = FleetConfig(
     services={"model": Service("model", ServiceKind.ENGINE, "v1", (Route("draft"),))}
@@ -15,7 +16,7 @@
 
 
 def parse(key="", **changes):
-    return parse_request(CONFIG, WORKSPACE, {**GOOD, **changes}, "r1", key, 1_000)
+    return parse_request(CONFIG, WORKSPACE, {**GOOD, **changes}, "r1", key, 1_000, LIMITS)
 
 
 def test_request_takes_hints_and_a_deadline_on_the_routers_clock():
@@ -37,6 +38,7 @@
         ({"hints": {"output_tokens": True}}, ResultCode.BAD_HINT),
         ({"deadline_ms": 0}, ResultCode.BAD_DEADLINE),
         ({"deadline_ms": "1"}, ResultCode.BAD_DEADLINE),
+        ({"deadline_ms": LIMITS.max_deadline_ms + 1}, ResultCode.BAD_DEADLINE),
         ({"deadline_ms": float("nan")}, ResultCode.BAD_DEADLINE),
         ({"key": "k" * 201}, ResultCode.BAD_REQUEST),
     ],
@@ -52,10 +54,10 @@
     [
         (b"{", ResultCode.BAD_REQUEST),
         (b"[]", ResultCode.BAD_REQUEST),
-        (b" " * (MAX_BODY_BYTES + 1), ResultCode.BODY_TOO_LARGE),
+        (b" " * (LIMITS.max_body_bytes + 1), ResultCode.BODY_TOO_LARGE),
     ],
 )
 def test_bad_body_is_refused_with_its_code(body, code):
     with pytest.raises(RequestRefused) as raised:
-        decode_body(body)
+        decode_body(body, LIMITS)
     assert raised.value.code is code
