Queue tickets at an own shard that is not much worse

Control traffic under full load was 20 KB/s a router, a third of it usage reports to other routers. A ticket at an own shard needs no message at all, but the choice by backlog alone sent most tickets elsewhere.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -3,6 +3,7 @@
 import argparse
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 sys.path[:0] = [str(Path(__file__).resolve().parent.parent)]
@@ -21,10 +22,13 @@
 
 def run(profile: Profile, seconds: int, directory: Path, seed: int) -> int:
     """Run the demo and return the exit code: 1 if a request was lost, truncated or corrupt."""
-    options = FleetOptions(controllers=0, engine_flags=WARM_ENGINES)
+    options = FleetOptions(controllers=1, engine_flags=WARM_ENGINES)
     fleet = LocalFleet(profile, directory, options)
     try:
-        print(f"starting {profile.name}: {len(fleet.routers)} routers and stand-ins", flush=True)
+        print(
+            f"starting {profile.name}: {len(fleet.routers)} routers, a controller and stand-ins",
+            flush=True,
+        )
         fleet.start()
         sampler = FleetSampler(fleet)
         sampler.start()
@@ -45,6 +49,11 @@
             f"{router.id}: control {router.control_bytes:.0f} B/s, {router.cpu:.1%} of a core, "
             f"{router.resident_mb:.0f} MB"
         )
+    kinds: Counter[str] = Counter()
+    for router in uses:
+        kinds.update(router.bytes_by_kind)
+    means = [f"{kind} {total / len(uses):.0f}" for kind, total in kinds.most_common(8)]
+    print(f"control B/s per router by kind: {', '.join(means)}")
     for problem in result.problems[:20]:
         print(f"problem: {problem}")
     return 1 if result.problems else 0
--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -188,13 +188,23 @@
         self.open_requests += 1
         started = self.clock.now()
         try:
-            answer = self.handling.handle(request, stream)
+            answer = self._final(lambda: self.handling.handle(request, stream))
         finally:
             self.open_requests -= 1
         self.metrics.counter("requests_total", code=answer.code.name.lower()).add()
         self.metrics.histogram("request_ms").observe(self.clock.now() - started)
         return _finish(start_response, stream, answer)
 
+    def _final(self, run: Callable[[], Answer]) -> Answer:
+        """Return the answer of `run`; a fault of the router becomes a numbered answer as well."""
+        try:
+            return run()
+        except RequestRefused:
+            raise
+        except Exception:
+            log.exception("request_failed")
+            return Answer(ResultCode.INTERNAL, message="the router failed; its log has the reason")
+
     def _check_open(self) -> None:
         refusal = self.handling.refusal()
         if refusal is not None:
@@ -215,7 +225,9 @@
         stream = _event_stream(start_response)
         self.open_requests += 1
         try:
-            answer = self.handling.resume(workspace.name, token, int(offset_text), stream)
+            answer = self._final(
+                lambda: self.handling.resume(workspace.name, token, int(offset_text), stream)
+            )
         finally:
             self.open_requests -= 1
         return _finish(start_response, stream, answer)
--- a/src/jacinthcove/scheduling/entry.py
+++ b/src/jacinthcove/scheduling/entry.py
@@ -30,6 +30,9 @@
 # An owner that did not answer is offered tickets last for this long.
 SILENT_OWNER_MS = 2_000
 HINT_LIFETIME_MS = 5_000
+# A ticket at an own shard needs no messages, so that shard may have this much more backlog.
+LOCAL_BACKLOG_RATIO = 1.25
+LOCAL_SLACK = 4
 NO_TARGET_RETRY_MS = 1_000
 # The end of a use is repeated until the owner has it; later it counts the slot as lost anyway.
 END_RETRY_MS = 500
@@ -222,7 +225,7 @@
             )
 
     def _order(self, waiting: Waiting) -> list[Shard]:
-        """Return the shards to offer to: the better of two random ones, then the others."""
+        """Return the shards to offer to: a good own one, the better of two random ones, others."""
         request = waiting.request
         shards = self._usable(
             self.placement.shards_of(request.workspace, request.service, request.version), request
@@ -233,12 +236,21 @@
         order = sorted(shards, key=lambda _: self.rng())
         if len(order) > 1 and self._backlog(order[1]) < self._backlog(order[0]):
             order[0], order[1] = order[1], order[0]
+        if order:
+            best = order[0]
+            order.sort(key=lambda shard: not self._prefers_local(shard, best))
         now = self.clock.now()
         order.sort(key=lambda shard: self._silent.get(shard.owner, 0) > now)
         # The shard that has the ticket goes first, so that a repeated offer changes nothing.
         order.sort(key=lambda shard: shard.name != waiting.shard)
         return order
 
+    def _prefers_local(self, shard: Shard, best: Shard) -> bool:
+        """Return whether a shard of this router is about as good as the better of two others."""
+        if shard.owner != self.members.me.id:
+            return False
+        return self._backlog(shard) <= LOCAL_BACKLOG_RATIO * self._backlog(best) + LOCAL_SLACK
+
     def _usable(self, shards: Iterable[Shard], request: TicketRequest) -> list[Shard]:
         me = self.members.me.id
         targets = self.placement.table.targets
--- a/testbed/measure.py
+++ b/testbed/measure.py
@@ -1,6 +1,7 @@
 """Samples of a running local fleet: busy slots, control traffic, processor time and memory."""
 
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 import gevent
@@ -18,16 +19,21 @@
     """What one router used per second between two readings."""
 
     id: str
-    control_bytes: float
+    bytes_by_kind: Counter[str]
     cpu: float
     resident_mb: float
 
+    @property
+    def control_bytes(self) -> float:
+        """Return the control bytes per second, sent and received."""
+        return sum(self.bytes_by_kind.values())
+
 
 @dataclass(frozen=True)
 class RouterReading:
     """Cumulative values of one router."""
 
-    control_bytes: int
+    bytes_by_kind: Counter[str]
     cpu_s: float
     at: float
 
@@ -70,7 +76,12 @@
             uses.append(
                 RouterUse(
                     router_id,
-                    (now.control_bytes - before.control_bytes) / seconds,
+                    Counter(
+                        {
+                            kind: (count - before.bytes_by_kind[kind]) / seconds
+                            for kind, count in now.bytes_by_kind.items()
+                        }
+                    ),
                     (now.cpu_s - before.cpu_s) / seconds,
                     resident_mb(self.fleet.router_programs[router_id].pid),
                 )
@@ -79,10 +90,11 @@
 
     def _read(self, router_id: str) -> RouterReading:
         status = self.fleet.status(router_id)
-        sent = sum(status["control_bytes"]["sent"].values())
-        received = sum(status["control_bytes"]["received"].values())
+        traffic = status["control_bytes"]
+        by_kind = Counter(traffic["sent"])
+        by_kind.update(traffic["received"])
         pid = self.fleet.router_programs[router_id].pid
-        return RouterReading(sent + received, cpu_seconds(pid), time.monotonic())
+        return RouterReading(by_kind, cpu_seconds(pid), time.monotonic())
 
     def _run(self) -> None:
         engines = [
