Use one timer per target connection and wait before each read

A gevent socket with a timeout first reads, fails, and then makes a Timeout for each wait, although the next token is hardly ever there yet. The connection now waits first and restarts one timer, and reads once more when the timer wins, so that a pause of the process does not count as a stall of the target.

--- a/src/jacinthcove/targets/client.py
+++ b/src/jacinthcove/targets/client.py
@@ -9,14 +9,17 @@
 from dataclasses import dataclass
 from typing import Any
 
+import gevent
 import gevent.socket
 import orjson
+from gevent.hub import Waiter
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from jacinthcove.errors import NotAdmitted, TargetFailed
 
 CONNECT_TIMEOUT_MS = 1_000
 IDLE_INTERVAL_MS = 1_000
+READ_EVENT = 1
 RECEIVE_BYTES = 65_536
 # An event is one token; a target that sends more without a blank line does not speak the protocol.
 MAX_EVENT_BYTES = 1_000_000
@@ -56,29 +59,59 @@
 
 
 class StallingSocket:
-    """A socket whose `recv` reports idle intervals and gives up after the stall timeout."""
+    """A socket whose `recv` reports idle intervals and gives up after the stall timeout.
+
+    One timer serves all reads, and each read waits first, because the next token is hardly ever
+    there yet. A gevent socket with a timeout instead tries to read, fails and makes a `Timeout`
+    per token.
+    """
 
     def __init__(self, sock: Any, stall_ms: int, on_idle: Callable[[], None]):
         self.sock = sock
         self.stall_ms = stall_ms
         self.on_idle = on_idle
-        sock.settimeout(min(IDLE_INTERVAL_MS, stall_ms) / 1000)
+        sock.settimeout(0.0)
+        self.hub = gevent.get_hub()
+        self.interval_ms = min(IDLE_INTERVAL_MS, stall_ms)
+        self.readable = self.hub.loop.io(sock.fileno(), READ_EVENT)
+        self.timer = self.hub.loop.timer(self.interval_ms / 1000, self.interval_ms / 1000)
+        self.closed = False
 
     def recv(self, size: int) -> bytes:
         """Receive bytes; raises `TargetStalled` when none arrive for `stall_ms`."""
         waited_ms = 0
         while True:
+            ready = self._wait()
             try:
+                # After a pause of this process the timer can win although bytes are there.
                 return self.sock.recv(size)
-            except TimeoutError:
-                waited_ms += IDLE_INTERVAL_MS
-                if waited_ms >= self.stall_ms:
-                    raise TargetStalled(f"no data for {self.stall_ms} ms") from None
-                self.on_idle()
+            except BlockingIOError:
+                if ready:
+                    continue
+            waited_ms += self.interval_ms
+            if waited_ms >= self.stall_ms:
+                raise TargetStalled(f"no data for {self.stall_ms} ms")
+            self.on_idle()
+
+    def _wait(self) -> bool:
+        """Wait until bytes can be read (True) or the idle interval is over (False)."""
+        waiter = Waiter(self.hub)
+        self.readable.start(waiter.switch, True)
+        # `start` would continue with the time that was left at the last stop.
+        self.timer.again(waiter.switch, False, update=False)
+        try:
+            return waiter.get()
+        finally:
+            self.readable.stop()
+            self.timer.stop()
 
     def close(self) -> None:
         """Close the connection."""
-        self.sock.close()
+        if not self.closed:
+            self.closed = True
+            self.readable.close()
+            self.timer.close()
+            self.sock.close()
 
 
 @dataclass(frozen=True)
@@ -126,17 +159,18 @@
     `TargetFailed` when it may have.
     """
     sock = connect(request.address)
+    stalling = None
     try:
-        stalling = StallingSocket(sock, request.stall_ms, request.on_idle)
         try:
             sock.sendall(_head(request) + request.body)
+            stalling = StallingSocket(sock, request.stall_ms, request.on_idle)
             response = TargetResponse(stalling, block_size=RECEIVE_BYTES, method=request.method)
         except (OSError, HTTPParseError) as error:
             raise TargetFailed(f"{request.address} broke off: {error}") from error
         _check_status(request, response)
         yield response
     finally:
-        sock.close()
+        (stalling or sock).close()
 
 
 def _check_status(request: TargetRequest, response: HTTPSocketResponse) -> None:
