--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -68,4 +68,6 @@
     """Describe the machine and the library versions in one line."""
     libraries = ", ".join(f"{name} {version(name)}" for name in LIBRARIES)
     load = os.getloadavg()[0]
-    return f"{os.cpu_count()} cores, Python {platform.python_version()}, {libraries}; load {load:.1f}"
+    return (
+        f"{os.cpu_count()} cores, Python {platform.python_version()}, {libraries}; load {load:.1f}"
+    )
