Do not take a target that holds too many requests for a cold one

When a router is declared dead its slots are granted again while its requests still run, so new ones wait inside the engine and their first tokens are late. Two late first tokens (2,264 and 4,311 ms on drafting-9, whose owner had not changed) sent its limit from 12 to 1. A load report above the maximum within 1.5 s of the wait now excuses a late first token.

--- a/src/jacinthcove/load/driver.py
+++ b/src/jacinthcove/load/driver.py
@@ -196,8 +196,8 @@
             at_s = (self.clock.now() - self.started_at) / 1000
             self.result.problems.append(
                 f"{at_s:.1f} s: {tally.name}: {spec.service}/{spec.route} {spec.nonce} {kind} "
-                f"after {tokens} tokens and {outcome.total_ms} ms, {outcome.repeated} times sent again, "
-                f"{outcome.retries} times retried: {outcome.message or name}"
+                f"after {tokens} tokens and {outcome.total_ms} ms, {outcome.repeated} times sent "
+                f"again, {outcome.retries} times retried: {outcome.message or name}"
             )
 
     def _sample(self, on_sample: Callable[[int], None] | None) -> None:
--- a/src/jacinthcove/targets/limit.py
+++ b/src/jacinthcove/targets/limit.py
@@ -22,6 +22,9 @@
 FIRST_TOKEN_RATIO = 5.0
 FIRST_TOKEN_MIN_MS = 1_000
 FIRST_TOKEN_SAMPLES = 5
+# More requests than the limit show in a load report up to this late: the poll
+# period of 500 ms, the lag of the report and the usage period of 250 ms.
+OVERFULL_REPORT_MS = 1_500
 # Load reports lag, so own requests of this period still explain the load that a target reports.
 OWN_PEAK_MS = 1_500
 
@@ -44,6 +47,7 @@
         self._first_token_ms = 0.0
         self._first_tokens = 0
         self._late_first_tokens = 0
+        self._overfull_at: int | None = None
         self._own: list[tuple[int, int]] = []
 
     def allowed(self, visible_fraction: float) -> int:
@@ -85,6 +89,8 @@
         # The entry before the period gives the count with which the period began.
         peak = max([in_flight, *own, *[count for _, count in self._own[:1]]])
         self.foreign = max(0, running + waiting - peak)
+        if running + waiting > self.limits.max:
+            self._overfull_at = now
         if cold:
             self.value = min(self.value, float(self.limits.cold))
 
@@ -105,6 +111,11 @@
         usual = self._first_token_ms
         late = first_token_ms > max(FIRST_TOKEN_MIN_MS, FIRST_TOKEN_RATIO * usual)
         if self._first_tokens >= FIRST_TOKEN_SAMPLES and late:
+            # Requests of a lost router still run when its slots are granted again. What waits
+            # behind them is late because the target is full, not because it is cold.
+            since = self.clock.now() - first_token_ms - OVERFULL_REPORT_MS
+            if self._overfull_at is not None and self._overfull_at >= since:
+                return
             self._late_first_tokens += 1
             if self._late_first_tokens >= 2:
                 self.cold()
--- a/tests/targets/test_limit_fuzz.py
+++ b/tests/targets/test_limit_fuzz.py
@@ -191,3 +191,18 @@
         limit.on_in_flight(int(limit.value), int(limit.value))
         limit.on_progress(8, 8 * (31 if limit.value <= 6 else 100))
     assert 3 <= limit.value <= 7
+
+
+@pytest.mark.parametrize(("waiting", "limit"), [(3, 12), (0, 1)])
+def test_late_first_tokens_mean_a_cold_target_unless_it_holds_too_many(waiting, limit):
+    # Requests of a lost router that still run delay the first tokens of those granted after them.
+    clock = ManualClock()
+    state = build(clock, Limits(cold=1, max=12))
+    state.limit.value = 12.0
+    for _ in range(5):
+        state.limit.on_first_token(100)
+    state.limit.on_load(12, waiting, 12, cold=False)
+    clock.advance(2_000)
+    for _ in range(2):
+        state.limit.on_first_token(2_000)
+    assert state.limit.value == limit
