Return no port of a local fleet twice

Engines get their ports after the routers' were chosen but not yet bound, and router-7 found its port taken in one of ten starts. The failed router also stayed as a process: its start ends with an error, but the mesh thread keeps it alive (open issue in commands/router.py).

--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -14,6 +14,7 @@
 STOP_TIMEOUT_S = 40.0
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+_returned: set[int] = set()
 SOURCE = Path(__file__).resolve().parent.parent / "src"
 
 
@@ -21,17 +22,21 @@
     """Return `count` loopback addresses whose ports were free a moment ago.
 
     The ports are below the range from which the kernel takes those of outgoing connections, which
-    would otherwise occupy one of them before its process listens.
+    would otherwise occupy one of them before its process listens. No port is returned twice.
     """
     sockets: list[socket.socket] = []
     try:
         while len(sockets) < count:
+            port = random.randrange(FIRST_PORT, LAST_PORT)
             sock = socket.socket()
             try:
-                sock.bind(("127.0.0.1", random.randrange(FIRST_PORT, LAST_PORT)))
+                if port in _returned:
+                    raise OSError(f"port {port} was returned before")
+                sock.bind(("127.0.0.1", port))
             except OSError:
                 sock.close()
                 continue
+            _returned.add(port)
             sockets.append(sock)
         return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
     finally:
