Do not learn the best time per token from a burst

A paused router reads the tokens that arrived meanwhile at once. Windows with such a burst set the best time per token near zero; every later window then counted as overload, and the limit fell by 0.7 per window to 1 (12, 8.4, 5.9, 4.1, 2.9, 2.0, 1.4, 1.0 read from /v1/status) and stayed there with 30 tickets queued. The best time now falls by at most a fifth per window, and at the cold limit it is the measured time, so a wrong one is corrected.

--- a/src/jacinthcove/targets/limit.py
+++ b/src/jacinthcove/targets/limit.py
@@ -14,6 +14,9 @@
 LATENCY_RATIO = 2.0
 # The best time is forgotten by this part per window, so that a lasting change is accepted.
 BASELINE_GROWTH = 1.002
+# A paused router reads the tokens that came meanwhile in one burst, which is not a better time:
+# a best time of 1 ms from a burst kept limits at 1 for the rest of a run.
+BASELINE_DROP = 0.8
 LATENCY_DECREASE = 0.7
 ERROR_DECREASE = 0.5
 # Errors of one burst count as one.
@@ -138,13 +141,20 @@
             return
         if self._tokens:
             mean = self._token_ms / self._tokens
-            if self.baseline_ms and mean > LATENCY_RATIO * self.baseline_ms:
+            if self.value <= self.limits.cold:
+                # With the least load the time per token is the best one that there is.
+                self.baseline_ms = mean
+            elif self.baseline_ms and mean > LATENCY_RATIO * self.baseline_ms:
                 self.baseline_ms *= BASELINE_GROWTH
                 self._decrease(LATENCY_DECREASE)
                 self._restart_window()
                 return
-            grown = self.baseline_ms * BASELINE_GROWTH or mean
-            self.baseline_ms = min(mean, grown)
+            if self.baseline_ms:
+                grown = self.baseline_ms * BASELINE_GROWTH
+                least = self.baseline_ms * BASELINE_DROP
+                self.baseline_ms = max(least, min(mean, grown))
+            else:
+                self.baseline_ms = mean
         if self._healthy and self._saturated and self.foreign == 0:
             self.value = min(float(self.limits.max), self.value + 1)
         self._restart_window()
--- a/tests/targets/test_limit_fuzz.py
+++ b/tests/targets/test_limit_fuzz.py
@@ -206,3 +206,24 @@
     for _ in range(2):
         state.limit.on_first_token(2_000)
     assert state.limit.value == limit
+
+
+def steady(clock: ManualClock, limit: AdaptiveLimit, steps: int) -> None:
+    for _ in range(steps):
+        clock.advance(250)
+        limit.on_in_flight(int(limit.value), int(limit.value))
+        limit.on_progress(8, 8 * (31 + int(limit.value)))
+
+
+@pytest.mark.parametrize("first", [False, True], ids=["later", "at the start"])
+def test_a_burst_of_buffered_tokens_is_no_reason_to_lower_the_limit_for_long(first):
+    # A paused router reads the tokens that came meanwhile within a few milliseconds.
+    clock = ManualClock()
+    limit = build(clock, Limits(cold=1, max=12)).limit
+    if not first:
+        steady(clock, limit, 80)
+        assert limit.value == 12
+    clock.advance(WINDOW_MS)
+    limit.on_progress(300, 10)
+    steady(clock, limit, 200)
+    assert limit.value == 12
