Give a retry time with requests whose deadline passed in the queue

A request that waited for a target up to its deadline was refused with code 211 and no retry_after_ms, although the design promises a time to try again with every request that the system gives up on. They now carry 1,000 ms; the test of the deadline fails without the change.

--- a/src/jacinthcove/scheduling/entry.py
+++ b/src/jacinthcove/scheduling/entry.py
@@ -31,6 +31,8 @@
 SILENT_OWNER_MS = 2_000
 HINT_LIFETIME_MS = 5_000
 NO_TARGET_RETRY_MS = 1_000
+# Every slot was taken up to the deadline, so another attempt needs a moment as well.
+DEADLINE_RETRY_MS = 1_000
 # The end of a use is repeated until the owner has it; later it counts the slot as lost anyway.
 END_RETRY_MS = 500
 END_GIVE_UP_MS = 60_000
@@ -181,6 +183,7 @@
                 raise RequestRefused(
                     ResultCode.DEADLINE_BEFORE_START,
                     "the deadline passed before a target was free",
+                    DEADLINE_RETRY_MS,
                 )
             if not waiting.owner:
                 waiting.event.clear()
--- a/tests/scheduling/test_dispatch.py
+++ b/tests/scheduling/test_dispatch.py
@@ -58,6 +58,8 @@
     with pytest.raises(RequestRefused) as refusal:
         waiting.get(timeout=1)
     assert refusal.value.code is ResultCode.DEADLINE_BEFORE_START
+    # Without a retry time the caller cannot tell a refusal from a request given up for good.
+    assert refusal.value.retry_after_ms
     assert fleet.in_flight() == 1
 
 
