Add features about routers that are killed or stopped under load

A killed router must not lose or cut short an answer that had begun, nor repeat a publication; a stopped one must finish what is in flight and exit with 0.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,39 @@
+"""Hooks: one fleet per feature, repaired after each scenario and closed in any case."""
+
+import sys
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).resolve().parent.parent)]
+
+from features.support.site import ENGINE_FLAGS, SLOW_WARMTH_FLAGS, Site  # noqa: E402
+from testbed.fleet import FleetOptions  # noqa: E402
+
+FLEETS = {
+    "fleet": FleetOptions(engine_flags=ENGINE_FLAGS),
+    "fleet_of_slowly_warming_engines": FleetOptions(engine_flags=SLOW_WARMTH_FLAGS),
+    "fleet_with_two_controllers": FleetOptions(engine_flags=ENGINE_FLAGS, controllers=2),
+}
+
+
+def before_feature(context, feature):
+    context.site = None
+    for tag in feature.tags:
+        if tag in FLEETS:
+            context.site = Site(FLEETS[tag])
+            context.site.start()
+
+
+def before_scenario(context, scenario):
+    context.traffic = None
+
+
+def after_scenario(context, scenario):
+    if context.traffic is not None:
+        context.traffic.stop()
+    if context.site is not None:
+        context.site.repair()
+
+
+def after_feature(context, feature):
+    if context.site is not None:
+        context.site.close()
