Fall to the cold limit when a target loses its streams

After a restart of an engine its owner halved the limit at the first broken stream and granted the freed slots again before the next load report showed the new boot id. A slowly warming engine got 4 or 5 requests where it bears 2, and collapsed 2 s later. The design lists a broken stream among the causes for the cold limit.

--- a/src/jacinthcove/targets/state.py
+++ b/src/jacinthcove/targets/state.py
@@ -99,8 +99,11 @@
 
     def _on_end(self, usage: Usage, route: str) -> None:
         code = usage.code
-        failed = code in (ResultCode.TARGET_FAILED, ResultCode.STREAM_BROKEN)
-        if failed or code is ResultCode.NOT_ADMITTED:
+        if code is ResultCode.STREAM_BROKEN:
+            # A target that lost its streams has probably restarted. Its next load report says so
+            # only after the freed slots have been granted again.
+            self.on_cold()
+        elif code in (ResultCode.TARGET_FAILED, ResultCode.NOT_ADMITTED):
             self.limit.on_error()
         elif result_class(code) is ResultClass.DONE:
             if usage.tokens:
