--- a/features/support/traffic.py
+++ b/features/support/traffic.py
@@ -139,7 +139,7 @@
             )
             for engine in (True, False)
         }
-        while not self.stopping:
+        while once or not self.stopping:
             spec = next(specs)
             record = Record(spec, workspace.name, self.clock.now())
             self.records.append(record)
