--- a/src/jacinthcove/scheduling/entry.py
+++ b/src/jacinthcove/scheduling/entry.py
@@ -34,6 +34,8 @@
 LOCAL_BACKLOG_RATIO = 1.25
 LOCAL_SLACK = 4
 NO_TARGET_RETRY_MS = 1_000
+# Every slot was taken up to the deadline, so another attempt needs a moment as well.
+DEADLINE_RETRY_MS = 1_000
 # The end of a use is repeated until the owner has it; later it counts the slot as lost anyway.
 END_RETRY_MS = 500
 END_GIVE_UP_MS = 60_000
@@ -184,6 +186,7 @@
                 raise RequestRefused(
                     ResultCode.DEADLINE_BEFORE_START,
                     "the deadline passed before a target was free",
+                    DEADLINE_RETRY_MS,
                 )
             if not waiting.owner:
                 waiting.event.clear()
