Spread VM list changes as small patches and pass patches on

Each router also made the patch again to pass it on, 0.25 to 0.35 s of processor time.

The HTTP answer of the platform is unchanged. A router passes on the patch that it received and verified.

--- a/src/jacinthcove/mesh/spread.py
+++ b/src/jacinthcove/mesh/spread.py
@@ -52,6 +52,7 @@
         self.current: dict[str, Document] = {}
         self.bodies: dict[str, OrderedDict[int, bytes]] = {}
         self.patches: dict[tuple[str, int], pb.DocumentPush | None] = {}
+        self.received: dict[str, pb.DocumentPush] = {}
         self.pulling: set[str] = set()
         self.callbacks: dict[str, list[Callable[[Document], None]]] = {}
         self.log = structlog.get_logger()
@@ -110,8 +111,9 @@
                 document = self._read(push)
             except DigestMismatch as error:
                 self.log.warning("document pulled whole", member=member_id, reason=str(error))
-                document = self._read(self._ask(member_id, kind, 0))
-            self.offer(document)
+                push = self._ask(member_id, kind, 0)
+                document = self._read(push)
+            self._take(push, document)
         return push.revision
 
     def answer_pull(self, sender: str, pull: pb.DocumentPull) -> pb.DocumentPush:
@@ -128,7 +130,7 @@
         if push.revision <= self._revision(push.kind):
             return
         try:
-            self.offer(self._read(push))
+            self._take(push, self._read(push))
         except DigestMismatch:
             notice = pb.DocumentRevision(kind=push.kind, revision=push.revision)
             self.compare(sender, [notice])
@@ -146,6 +148,12 @@
             retry_s = min(retry_s * 2, MAX_RETRY_S)
         return self.get(kind)
 
+    def _take(self, push: pb.DocumentPush, document: Document) -> None:
+        # Passing the sender's patch on saves making it anew at every router.
+        if push.patch_from:
+            self.received[document.kind] = push
+        self.offer(document)
+
     def _ask_all(self, kind: str, read_store: ReadStore) -> bool:
         others = [m.id for m in self.members.alive() if m.id != self.members.me.id]
         chosen = self.rng.sample(others, min(BOOTSTRAP_PEERS, len(others)))
@@ -190,6 +198,12 @@
 
     def _patch(self, document: Document, from_revision: int) -> pb.DocumentPush | None:
         key = (document.kind, from_revision)
+        received = self.received.get(document.kind)
+        if received and (received.patch_from, received.revision) == (
+            from_revision,
+            document.revision,
+        ):
+            return received
         if key not in self.patches:
             old_body = self.bodies[document.kind].get(from_revision)
             made = None if old_body is None else patch_push(document, from_revision, old_body)
--- a/src/jacinthcove/mesh/watching.py
+++ b/src/jacinthcove/mesh/watching.py
@@ -13,7 +13,7 @@
 from jacinthcove.mesh.members import Membership
 from jacinthcove.mesh.peers import Member, Members
 from jacinthcove.platform.store import Store, StoredObject
-from jacinthcove.platform.vms import VmList, decode_vms, encode_vms
+from jacinthcove.platform.vms import VmList, decode_vms, encode_vms_by_id
 
 CONFIG_KEY = "config/current"
 WATCHERS_PER_DOMAIN = 2
@@ -35,7 +35,7 @@
 
 def vms_document(vm_list: VmList) -> Document:
     """Return the VM list as a document."""
-    return Document(VMS, vm_list.revision, encode_vms(vm_list))
+    return Document(VMS, vm_list.revision, encode_vms_by_id(vm_list))
 
 
 def follow_vm_list(documents: Documents, members: Membership) -> None:
--- a/src/jacinthcove/platform/client.py
+++ b/src/jacinthcove/platform/client.py
@@ -25,6 +25,8 @@
         # A watch occupies its connection for long, so watches have connections of their own.
         self.watches = Connections(address, timeout_ms, max_idle=1)
         self.calls: Counter[str] = Counter()
+        self.vms_body = b""
+        self.vm_list = VmList()
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -75,10 +77,14 @@
     def fetch_vms(self) -> VmList:
         """Return the platform's VM list; raise `StoreUnavailable` if there is no usable answer."""
         reply = self._checked(self._read("vms", "/vms"))
-        try:
-            return decode_vms(reply.body)
-        except (KeyError, TypeError, ValueError) as error:
-            raise StoreUnavailable(f"the VM list is malformed: {error}") from error
+        # Decoding thousands of VMs takes longer than the pause between two polls allows.
+        if reply.body != self.vms_body:
+            try:
+                self.vm_list = decode_vms(reply.body)
+            except (KeyError, TypeError, ValueError) as error:
+                raise StoreUnavailable(f"the VM list is malformed: {error}") from error
+            self.vms_body = reply.body
+        return self.vm_list
 
     def _read(self, kind: str, path: str) -> Reply:
         """Read, once more over a fresh connection if the first one gave no reply."""
--- a/src/jacinthcove/platform/vms.py
+++ b/src/jacinthcove/platform/vms.py
@@ -44,8 +44,11 @@
 
 
 def decode_vms(body: bytes) -> VmList:
-    """Decode the JSON answer of `GET /vms`."""
+    """Decode the JSON answer of `GET /vms`, or the same with the VMs as an object by id."""
     data = orjson.loads(body)
+    items = data["vms"]
+    if isinstance(items, dict):
+        items = [{"id": vm_id, **item} for vm_id, item in items.items()]
     vms = tuple(
         Vm(
             id=item["id"],
@@ -57,26 +60,34 @@
             leaving=item.get("state", "live") == "leaving",
             mesh_address=item.get("mesh_address", ""),
         )
-        for item in data["vms"]
+        for item in items
     )
     return VmList(revision=data["revision"], vms=vms)
 
 
 def encode_vms(vm_list: VmList) -> bytes:
     """Encode a VM list as the JSON answer of `GET /vms`."""
-    vms = [
-        {
-            "id": vm.id,
-            "role": vm.role.value,
-            "address": vm.address,
-            "failure_domain": vm.failure_domain,
-            "service": vm.service,
-            "version": vm.version,
-            "state": "leaving" if vm.leaving else "live",
-            "mesh_address": vm.mesh_address,
-        }
-        for vm in vm_list.vms
-    ]
-    # Sorted keys let a change spread as a patch on the older body.
-    body = {"revision": vm_list.revision, "vms": vms}
+    vms = [{"id": vm.id, **_fields(vm)} for vm in vm_list.vms]
+    return orjson.dumps({"revision": vm_list.revision, "vms": vms})
+
+
+def encode_vms_by_id(vm_list: VmList) -> bytes:
+    """Encode a VM list for the mesh, with the VMs as an object by id and sorted keys.
+
+    In this form the JSON patch of one VM has the size of that VM. In a JSON array the removal of
+    an entry shifts all later ones, and their patch is as large as the list.
+    """
+    body = {"revision": vm_list.revision, "vms": {vm.id: _fields(vm) for vm in vm_list.vms}}
     return orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+
+
+def _fields(vm: Vm) -> dict[str, str]:
+    return {
+        "role": vm.role.value,
+        "address": vm.address,
+        "failure_domain": vm.failure_domain,
+        "service": vm.service,
+        "version": vm.version,
+        "state": "leaving" if vm.leaving else "live",
+        "mesh_address": vm.mesh_address,
+    }
--- a/tests/mesh/test_documents_fuzz.py
+++ b/tests/mesh/test_documents_fuzz.py
@@ -182,3 +182,27 @@
     holder._keep(Document(CONFIG, 5, body_of(5)))
     other = machine.nodes[2]
     assert other.bootstrap(CONFIG, read_store).revision == 5
+
+
+def test_a_received_patch_is_passed_on_and_not_made_again(monkeypatch):
+    # Comparing two VM lists of the design size takes 0.35 s, which every router would spend.
+    machine = DocumentsMachine()
+    made = []
+
+    def counted(document, *arguments):
+        made.append(document.revision)
+        return patches.patch_push(document, *arguments)
+
+    monkeypatch.setattr(spread, "patch_push", counted)
+    machine.nodes[0].offer(Document(CONFIG, 1, body_of(1)))
+    run_spawned()
+    machine.nodes[0].offer(Document(CONFIG, 2, body_of(2)))
+    run_spawned()
+    assert [node.get(CONFIG).revision for node in machine.nodes] == [2] * NODES
+    assert made == [2]
+    # Whoever lags by another revision needs a patch of its own.
+    pull = patches.pb.DocumentPull(kind=CONFIG, have_revision=1)
+    assert machine.nodes[1].answer_pull("r0", pull).patch_from == 1
+    machine.nodes[1].offer(Document(CONFIG, 3, body_of(3)))
+    assert machine.nodes[1].answer_pull("r0", pull).patch_from == 1
+    assert made[-1] == 3
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -111,6 +111,16 @@
         fake.store.get("k")
 
 
+def test_an_unchanged_vm_list_is_decoded_once(fake):
+    # Pollers read a list of 13,000 VMs every 2 s, and decoding it takes 2% of a core.
+    changed = VMS.replace(b"1.1.1.1:1", b"1.1.1.1:2")
+    fake.answers = [(200, 0, VMS), (200, 0, VMS), (200, 0, changed), (200, 0, VMS)]
+    first, second, third, fourth = (fake.store.fetch_vms() for _ in range(4))
+    assert first is second
+    assert third.vms[0].address == "1.1.1.1:2"
+    assert fourth == first
+
+
 def test_a_malformed_vm_list_is_an_outage(fake):
     fake.answers = [(200, 0, VMS), (200, 0, b'{"vms": 3}'), (200, 0, b"<html>")]
     assert fake.store.fetch_vms().routers()[0].id == "r1"
