Keep the ids of listed routers for the expiry of members

With a dead member in the table, each of ten expiries a second built the set of listed routers from 13,000 VMs: 0.97 to 1.8 ms per call at the design size, 1 to 1.8% of a core. At the design churn some member is always dead. Built once per VM list, an expiry takes 0.14 ms.

--- a/src/jacinthcove/mesh/members.py
+++ b/src/jacinthcove/mesh/members.py
@@ -64,6 +64,7 @@
         # Number of times that the current record of a member was sent.
         self.updates: dict[str, int] = {}
         self.vm_list: VmList | None = None
+        self.listed: frozenset[str] = frozenset()
         self.callbacks: list[Callable[[Member], None]] = []
         self.cached_alive: tuple[Member, ...] | None = None
         self.log = structlog.get_logger()
@@ -135,6 +136,8 @@
     def set_vm_list(self, vm_list: VmList) -> None:
         """Take the platform's list; it only adds addresses to contact and lets the dead go."""
         self.vm_list = vm_list
+        # `expire` looks members up ten times a second; the list names thousands of VMs.
+        self.listed = frozenset(vm.id for vm in vm_list.routers())
 
     def unknown_addresses(self) -> list[str]:
         """Return mesh addresses on the VM list at which no member is known."""
@@ -224,11 +227,10 @@
         dead = self.others(MemberState.DEAD)
         if not dead:
             return
-        listed = {vm.id for vm in self.vm_list.routers()} if self.vm_list else set()
         dead.sort(key=lambda m: self.changed_ms[m.id])
         excess = {m.id for m in itertools.islice(dead, max(0, len(dead) - MAX_DEAD))}
         for member in dead:
-            unlisted = self.vm_list is not None and member.id not in listed
+            unlisted = self.vm_list is not None and member.id not in self.listed
             limit = FORGET_UNLISTED_MS if unlisted else FORGET_MS
             if member.id in excess or now - self.changed_ms[member.id] >= limit:
                 del self.table[member.id]
