--- a/src/jacinthcove/commands/router.py
+++ b/src/jacinthcove/commands/router.py
@@ -3,14 +3,20 @@
 import sys
 from collections.abc import Sequence
 
-from jacinthcove.commands.service import run_program
+from jacinthcove.commands.program import run_program
 from jacinthcove.config.settings import RouterSettings
-from jacinthcove.router.daemon import Router
+from jacinthcove.router.daemon import DispatchFactory, Router
+from jacinthcove.scheduling.dispatch import MeshDispatch
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
+def main(arguments: Sequence[str] | None = None, dispatch: DispatchFactory = MeshDispatch) -> int:
     """Run the program and return its exit code."""
-    return run_program("jacinthcove-router", RouterSettings, Router, arguments)
+    return run_program(
+        "jacinthcove-router",
+        RouterSettings,
+        lambda settings: Router(settings, dispatch),
+        arguments,
+    )
 
 
 if __name__ == "__main__":
