--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -35,6 +35,7 @@
 
     members: Membership
     links: PeerLinks
+    documents: SpreadDocuments
     probing: Probing
 
     def close(self) -> None:
@@ -57,7 +58,7 @@
     if seeds:
         probing.join(CALL_TIMEOUT_MS / 1000)
     probing.start()
-    return LightMember(members, links, probing)
+    return LightMember(members, links, documents, probing)
 
 
 def measure_round_trips(concurrency: int) -> str:
