--- a/src/jacinthcove/router/runner.py
+++ b/src/jacinthcove/router/runner.py
@@ -33,6 +33,9 @@
     def choose(self, service: str, route: str) -> str:
         """Return the name of the version."""
 
+    def withdrawn(self, service: str, route: str, version: str) -> bool:
+        """Return whether requests that wait for a version must choose again."""
+
 
 class RequestRunner:
     """Finds a target, runs the request on it and tries again where that is safe."""
@@ -66,13 +69,16 @@
             attempt += 1
             try:
                 grant = self._acquire(self._ticket(request, estimate, avoid, attempt), stream)
+                if grant is None:
+                    continue
             except RequestRefused as refusal:
                 return Answer(
                     refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms
                 )
             granted_at = self.clock.now()
             result = self._attempt(request, grant, stream)
-            self._learn(request, grant, estimate, result, granted_at - started)
+            self._learn(request, grant, estimate, result, granted_at)
+            log_attempt(request, grant, result, granted_at - started, self.clock.now() - granted_at)
             if not self._may_retry(request, result, attempt):
                 return self._final(result.answer)
             avoid |= {grant.target_id}
@@ -107,20 +113,35 @@
             avoid=avoid,
         )
 
-    def _acquire(self, ticket: TicketRequest, stream: EventStream | None) -> GrantedTarget:
-        """Wait for a target and keep a streaming caller's connection alive meanwhile."""
-        if stream is None:
-            return self.dispatch.acquire(ticket)
+    def _acquire(self, ticket: TicketRequest, stream: EventStream | None) -> GrantedTarget | None:
+        """Wait for a target and keep a streaming caller's connection alive meanwhile.
+
+        Returns None when the ticket's version was taken back while the request waited.
+        """
         worker = gevent.spawn(self._acquire_or_refusal, ticket)
-        while not worker.ready():
-            worker.join(KEEP_ALIVE_INTERVAL_S)
-            if not worker.ready():
-                stream.idle()
+        try:
+            while not worker.ready():
+                worker.join(KEEP_ALIVE_INTERVAL_S)
+                if worker.ready():
+                    break
+                if self._withdrawn(ticket):
+                    return None
+                if stream is not None:
+                    stream.idle()
+        finally:
+            worker.kill()
         outcome = worker.get()
         if isinstance(outcome, RequestRefused):
             raise outcome
+        if self._withdrawn(ticket):
+            code = ResultCode.DEADLINE_BEFORE_START
+            self.dispatch.report(outcome, Usage(0.0, ended=True, code=code))
+            return None
         return outcome
 
+    def _withdrawn(self, ticket: TicketRequest) -> bool:
+        return self.versions.withdrawn(ticket.service, ticket.route, ticket.version)
+
     def _acquire_or_refusal(self, ticket: TicketRequest) -> GrantedTarget | RequestRefused:
         try:
             return self.dispatch.acquire(ticket)
@@ -162,12 +183,15 @@
         grant: GrantedTarget,
         estimate: Estimate,
         result: AttemptResult,
-        waited_ms: int,
+        granted_at: int,
     ) -> None:
         if result.code is ResultCode.OK:
             self.estimator.observe(
                 request.workspace.name, request.route.name, estimate, result.used
             )
+        # A refused connection is not run and says nothing about the version on other targets.
+        if result.unreachable:
+            return
         self.recorder.record(
             VersionResult(
                 service=request.service.name,
@@ -177,22 +201,11 @@
                 first_token_ms=result.first_token_ms,
                 token_ms_sum=result.token_ms_sum,
                 tokens=result.tokens,
+                sent_at=granted_at,
+                target=grant.target_id,
+                target_lost=result.target_lost,
             )
         )
-        log.info(
-            "request_attempted",
-            request_id=request.id,
-            workspace=request.workspace.name,
-            service=request.service.name,
-            route=request.route.name,
-            target=grant.target_id,
-            version=grant.version,
-            code=int(result.code),
-            reason=result.answer.message or "answered",
-            used=round(result.used, 1),
-            first_token_ms=result.first_token_ms,
-            waited_ms=waited_ms,
-        )
 
     def _may_retry(self, request: CallerRequest, result: AttemptResult, attempt: int) -> bool:
         """Return whether another attempt is safe and affordable."""
@@ -208,6 +221,27 @@
         return answer
 
 
+def log_attempt(
+    request: CallerRequest, grant: GrantedTarget, result: AttemptResult, waited_ms: int, ran_ms: int
+) -> None:
+    """Write the log line of one attempt; `ran_ms` is the time from its grant to its end."""
+    log.info(
+        "request_attempted",
+        request_id=request.id,
+        workspace=request.workspace.name,
+        service=request.service.name,
+        route=request.route.name,
+        target=grant.target_id,
+        version=grant.version,
+        code=int(result.code),
+        reason=result.answer.message or "answered",
+        used=round(result.used, 1),
+        first_token_ms=result.first_token_ms,
+        waited_ms=waited_ms,
+        ran_ms=ran_ms,
+    )
+
+
 def content_hash(request: CallerRequest) -> str:
     """Return a digest of what a keyed request asks for, to detect a reused key."""
     content = [request.service.name, request.route.name, request.payload]
