Start the canary share of each router and route at a random credit

Cause: error diffusion started at zero credit on each router and route, so with share 0.05 the first request of the new version came after 20 requests of the route on the router.

--- a/src/jacinthcove/moves/split.py
+++ b/src/jacinthcove/moves/split.py
@@ -1,5 +1,6 @@
 """The share of a service's requests that goes to the new version of a move."""
 
+import random
 from collections.abc import Callable
 
 from jacinthcove.clock import Clock
@@ -26,6 +27,10 @@
 
     `is_cut(move_id, route)` tells whether the new version is cut on a route, `usable(service,
     version)` whether any target of a version takes work.
+
+    With `origin`, the router's id, each route starts with a credit drawn from [0, 1). From zero
+    credit no router of a large fleet would send a request to the new version before it has had
+    1 / share requests itself. Either way a route has at most ceil(share x total) new requests.
     """
 
     def __init__(
@@ -34,11 +39,13 @@
         clock: Clock,
         is_cut: Callable[[str, str], bool],
         usable: Callable[[str, str], bool],
+        origin: str = "",
     ):
         self.config = config
         self.clock = clock
         self.is_cut = is_cut
         self.usable = usable
+        self.origin = origin
         self.credits: dict[tuple[str, str], int] = {}
         self.move_ids: dict[str, str] = {}
 
@@ -57,7 +64,10 @@
         """Add the share to the route's credit; a whole credit buys one request of the new one."""
         self.forget_other_moves(move)
         key = (move.service, route)
-        credit = self.credits.get(key, 0) + int(share * WHOLE_REQUEST)
+        credit = self.credits.get(key)
+        if credit is None:
+            credit = self.first_credit(move, route)
+        credit += int(share * WHOLE_REQUEST)
         take_new = credit >= WHOLE_REQUEST
         if take_new and not self.usable(move.service, move.to_version):
             take_new = False
@@ -70,8 +80,15 @@
             self.credits[key] = min(credit, WHOLE_REQUEST)
         return move.to_version if take_new else move.from_version
 
+    def first_credit(self, move: Move, route: str) -> int:
+        """Return the credit with which a route starts, the same after every restart."""
+        if not self.origin:
+            return 0
+        seed = f"{self.origin}/{move.service}/{route}/{move.id}"
+        return random.Random(seed).randrange(WHOLE_REQUEST)
+
     def forget_other_moves(self, move: Move) -> None:
-        """Start from zero credit when a service has another move than before."""
+        """Start from the first credit when a service has another move than before."""
         if self.move_ids.get(move.service) == move.id:
             return
         self.move_ids[move.service] = move.id
