Judge the steps of a move by requests of the step, spread as the traffic

Cause: each route needed the whole minimum number of requests, so the route with the longest requests held the move; results of requests that were sent in an earlier step counted for the next one; and the check of the share counted results, which lag behind on slow routes. Refused connections and streams of a VM that died counted as errors of its version.

Routers now count per step, with a count of requests sent; a route needs its part of the minimum, and one result if a request was sent. Refused connections count for no version; streams of dead targets count once more than half of the version's targets died. A version of which no target answers is reverted. move start warns if the steps cannot end in time at the present request rate.

--- a/src/jacinthcove/commands/operator.py
+++ b/src/jacinthcove/commands/operator.py
@@ -277,9 +277,11 @@
             self.option("id"),
         )
         client = self.client()
-        move_id, revision = client.start_move(request)
-        self.line(f"move {move_id} started")
-        return self.finish(client, revision)
+        started = client.start_move(request)
+        self.line(f"move {started.id} started")
+        for warning in started.warnings:
+            self.line_error(f"warning: {warning}")
+        return self.finish(client, started.revision)
 
 
 class MoveWatch(FleetCommand):
--- a/src/jacinthcove/control/api.py
+++ b/src/jacinthcove/control/api.py
@@ -29,6 +29,7 @@
 )
 from jacinthcove.control.web import Answer, Refused, Request, read_request, send
 from jacinthcove.errors import ConfigurationError, Conflict, StoreUnavailable
+from jacinthcove.moves.rates import pace_warnings
 from jacinthcove.observe.logs import get_logger
 
 Statuses = Callable[[], tuple[list[tuple[str, int]], list[str]]]
@@ -58,6 +59,7 @@
     `active` returns None on the active controller and else the address of the active one, empty if
     unknown. `statuses` returns the configuration revisions applied by live members and the ids of
     members that did not answer. `bootstrap_key_hash` admits an operator while none is configured.
+    `request_rate` returns the requests/s of a service, None if no router answers.
     """
 
     def __init__(
@@ -67,12 +69,14 @@
         statuses: Statuses,
         status: Callable[[], dict[str, Any]] = dict,
         bootstrap_key_hash: str = "",
+        request_rate: Callable[[str], float | None] = lambda service: None,
     ):
         self.acceptance = acceptance
         self.active = active
         self.statuses = statuses
         self.status = status
         self.bootstrap_key_hash = bootstrap_key_hash
+        self.request_rate = request_rate
         self.known = FleetConfig()
         self.log = get_logger(component="admin")
         self.routes: dict[tuple[str, ...], Callable[[Call], Answer]] = {
@@ -244,7 +248,13 @@
 
         action = f"start move of {data.get('service')} to {data.get('to')}"
         revision = self.acceptance.update(edit, call.change(action))
-        return Answer(200, {"revision": revision, "id": _move_id(data)})
+        move = self.acceptance.current().moves.get(_move_id(data))
+        warnings = self._pace(move, wall_ms) if move is not None else []
+        return Answer(200, {"revision": revision, "id": _move_id(data), "warnings": warnings})
+
+    def _pace(self, move: Move, wall_ms: int) -> list[str]:
+        left_ms = move.deadline_ms - max(move.start_ms, wall_ms)
+        return pace_warnings(move.steps, self.request_rate(move.service), left_ms)
 
     def _abort(self, call: Call) -> Answer:
         name = call.parts[1]
--- a/src/jacinthcove/control/daemon.py
+++ b/src/jacinthcove/control/daemon.py
@@ -44,6 +44,7 @@
             self.view.revisions,
             self.status,
             settings.bootstrap_key_hash,
+            self.view.request_rate,
         )
         host, _, port = settings.admin_listen.rpartition(":")
         self.server = WSGIServer((host, int(port)), self.api, log=None, error_log=None)
--- a/src/jacinthcove/control/fleetview.py
+++ b/src/jacinthcove/control/fleetview.py
@@ -46,6 +46,13 @@
         """Return the status of each live router; empty if no router answers."""
         return self.gather()[0]
 
+    def request_rate(self, service: str) -> float | None:
+        """Return the requests/s of a service over the fleet, None if no router answers."""
+        reports = self.reports()
+        if not reports:
+            return None
+        return sum(report.status.request_rate.get(service, 0.0) for report in reports)
+
     def revisions(self) -> tuple[list[tuple[str, int]], list[str]]:
         """Return the revision that each live router applied, and the routers without an answer."""
         reports, missing = self.gather()
--- a/src/jacinthcove/control/remote.py
+++ b/src/jacinthcove/control/remote.py
@@ -55,6 +55,15 @@
         return f"revision {self.revision}: {self.confirmed} confirmed, not confirmed by {names}"
 
 
+@dataclass(frozen=True)
+class StartedMove:
+    """A move that was accepted; `revision` contains it."""
+
+    id: str
+    revision: int
+    warnings: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class Applied:
     """The outcome of an accepted or trial configuration."""
@@ -148,10 +157,10 @@
         """Return all moves that the configuration contains."""
         return self.call("GET", "/admin/moves")["moves"]
 
-    def start_move(self, move: dict[str, Any]) -> tuple[str, int]:
-        """Start a move and return its id and the revision that contains it."""
+    def start_move(self, move: dict[str, Any]) -> StartedMove:
+        """Start a move."""
         body = self.call("POST", "/admin/moves", orjson.dumps(move))
-        return body["id"], body["revision"]
+        return StartedMove(body["id"], body["revision"], tuple(body.get("warnings", ())))
 
     def abort_move(self, move_id: str) -> int:
         """Revert a move and return the revision that contains it."""
--- a/src/jacinthcove/delivery/relay.py
+++ b/src/jacinthcove/delivery/relay.py
@@ -11,7 +11,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.errors import NotAdmitted, TargetFailed
-from jacinthcove.targets.client import TargetRequest, open_response, read_events
+from jacinthcove.targets.client import TargetRequest, TargetUnreachable, open_response, read_events
 
 MAX_REORDERED_CHUNKS = 256
 MAX_RESUMES = 3
@@ -48,6 +48,7 @@
     ended: bool = False
     resumes: int = 0
     duplicates: int = 0
+    target_lost: bool = False
     pending: dict[int, bytes] = field(default_factory=dict)
 
     @property
@@ -112,7 +113,8 @@
                 self._relay(self._request("GET", path), None)
             except StreamMissing:
                 raise
-            except (TargetFailed, NotAdmitted):
+            except (TargetFailed, NotAdmitted) as error:
+                self.progress.target_lost = isinstance(error, TargetUnreachable)
                 self.clock.sleep(100 * self.progress.resumes)
         return self.progress
 
--- a/src/jacinthcove/moves/driver.py
+++ b/src/jacinthcove/moves/driver.py
@@ -59,6 +59,18 @@
     status: MemberStatus
 
 
+@dataclass(frozen=True)
+class RouteCounters:
+    """The counters of both versions on one route."""
+
+    new: Counters
+    old: Counters
+
+    def sent(self) -> int:
+        """Return the requests sent on the route."""
+        return self.new.sent() + self.old.sent()
+
+
 @dataclass(frozen=True)
 class StepKey:
     """One step of one move."""
@@ -116,7 +128,7 @@
         elif move.state is MoveState.LOADING:
             self._load(move, service)
         else:
-            self._reconcile(move, service)
+            self._keep_loaded(move, service)
             self._shift(config, move, service, reports)
 
     def _fault(self, move: Move, service: Service | None, reports: list[MemberReport]) -> str:
@@ -151,6 +163,18 @@
             reason = f"load failed on targets {', '.join(sorted(given_up)[:5])}"
             self._update(lambda fresh: changes.revert(fresh, move.id, reason))
 
+    def _keep_loaded(self, move: Move, service: Service) -> None:
+        """Repeat orders to targets that changed; revert when no target answers any more.
+
+        Refused requests are no evidence against a version, so its targets must be watched here.
+        """
+        results = self._reconcile(move, service)
+        if results and all(
+            self.failures.get((move.id, target_id), 0) >= MAX_LOAD_FAILURES for target_id in results
+        ):
+            reason = "no target of the new version answers"
+            self._update(lambda fresh: changes.revert(fresh, move.id, reason))
+
     def _reconcile(self, move: Move, service: Service) -> dict[str, bool]:
         """Let each target of the new version match it; return which ones do."""
 
@@ -205,27 +229,32 @@
 
     def _judge(self, move: Move, service: Service, evidence: FleetEvidence) -> tuple[str, bool]:
         """Return the fault on any route, and whether every route with traffic has evidence."""
-        compared = 0
-        enough = True
+        routes: list[RouteCounters] = []
         for route in service.routes:
             new = evidence.total(EvidenceKey(service.name, route.name, move.to_version))
             old = evidence.total(EvidenceKey(service.name, route.name, move.from_version))
-            if new.requests + old.requests == 0:
-                continue
-            compared += 1
             fault = fleet_fault(new, old)
             if fault:
                 return f"route {route.name}: {fault}", False
-            enough = enough and self._has_evidence(move, new, old)
-        return "", enough and compared > 0
-
-    def _has_evidence(self, move: Move, new: Counters, old: Counters) -> bool:
-        """The minimum number of requests, enough for every target, at the step's share."""
+            routes.append(RouteCounters(new, old))
         needed = max(move.steps[move.step].min_requests, len(self._targets(move)))
-        under_load = new.requests >= UNDER_LOAD_FRACTION * move.share * (
-            new.requests + old.requests
-        )
-        return new.requests >= needed and under_load
+        return "", self._has_evidence(move, needed, routes)
+
+    def _has_evidence(self, move: Move, needed: int, routes: list[RouteCounters]) -> bool:
+        """Return whether the new version has `needed` results, spread as the service's requests.
+
+        A route's part of `needed` is its part of the requests, so a route with little traffic does
+        not hold the move; but each route with a request to the new version waits for a result.
+        """
+        sent = sum(route.sent() for route in routes)
+        if sum(route.new.requests for route in routes) < needed:
+            return False
+        for route in routes:
+            part = max(int(needed * route.sent() / sent), min(1, route.new.sent()))
+            under_load = route.new.sent() >= int(UNDER_LOAD_FRACTION * move.share * route.sent())
+            if route.new.requests < part or not under_load:
+                return False
+        return True
 
     def _update(self, change: Callable[[FleetConfig], FleetConfig]) -> None:
         """Change the configuration if this controller is still the active one."""
--- a/src/jacinthcove/moves/evidence.py
+++ b/src/jacinthcove/moves/evidence.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from jacinthcove.codes import ResultCode
-from jacinthcove.config.model import FleetConfig
+from jacinthcove.config.model import FleetConfig, Move
 from jacinthcove.mesh.mesh_pb2 import RouteEvidence
 
 # Old results give way to recent ones, so the comparison follows the load of the hour.
@@ -35,12 +35,16 @@
 
 @dataclass(frozen=True)
 class RequestResult:
-    """How one request ended; `token_ms_sum` covers the `tokens` after the first one."""
+    """How one request ended; `token_ms_sum` covers the `tokens` after the first one.
+
+    `earlier_step` says that the request was sent before the move's step in force.
+    """
 
     code: ResultCode
     first_token_ms: int = 0
     token_ms_sum: int = 0
     tokens: int = 0
+    earlier_step: bool = False
 
     @property
     def failed(self) -> bool:
@@ -55,25 +59,19 @@
 
 @dataclass(frozen=True)
 class Counters:
-    """Cumulative counters since the move began."""
+    """Cumulative counters of the step in force; `started` counts requests sent to the version."""
 
     requests: int = 0
     errors: int = 0
     first_token_ms_sum: int = 0
     token_ms_sum: int = 0
     tokens: int = 0
+    started: int = 0
 
     def plus(self, other: "Counters") -> "Counters":
         """Return the sum."""
         return Counters(*(a + b for a, b in zip(self.values(), other.values(), strict=True)))
 
-    def since(self, earlier: "Counters") -> "Counters":
-        """Return what was added after `earlier`; all zero if the counters began anew."""
-        if earlier.requests > self.requests:
-            return Counters()
-        pairs = zip(self.values(), earlier.values(), strict=True)
-        return Counters(*(max(0, a - b) for a, b in pairs))
-
     def values(self) -> tuple[int, ...]:
         """Return the counters in order of declaration."""
         return (
@@ -82,8 +80,13 @@
             self.first_token_ms_sum,
             self.token_ms_sum,
             self.tokens,
+            self.started,
         )
 
+    def sent(self) -> int:
+        """Return the requests sent; a result counts as sent, even if its start was not seen."""
+        return max(self.started, self.requests)
+
     def first_token_ms(self) -> float:
         """Return the mean first-token time of successful requests, in ms."""
         return self.first_token_ms_sum / max(1, self.requests - self.errors)
@@ -101,8 +104,13 @@
     recent: deque[RequestResult] = field(default_factory=lambda: deque(maxlen=WINDOW_REQUESTS))
 
     def add(self, result: RequestResult) -> None:
-        """Count one result; latencies of failed requests say nothing and are left out."""
+        """Count one result; latencies of failed requests say nothing and are left out.
+
+        A request of an earlier step says nothing about the load of the step in force.
+        """
         self.recent.append(result)
+        if result.earlier_step:
+            return
         if result.failed:
             added = Counters(1, 1)
         else:
@@ -113,18 +121,35 @@
 
 
 class Evidence:
-    """The evidence of one router, kept from the start of each service's move."""
+    """The evidence of one router: counters of each move's step, and recent results.
+
+    Counters begin anew with each step, so that a step ends on requests that ran at its share.
+    Recent results are kept over the whole move.
+    """
 
     def __init__(self) -> None:
         self.moves: dict[str, str] = {}
+        self.steps: dict[str, int] = {}
         self.by_key: dict[EvidenceKey, Record] = {}
 
-    def begin(self, service: str, move_id: str) -> None:
-        """Start from zero when `service` has another move than before."""
-        if self.moves.get(service) == move_id:
-            return
-        self.moves[service] = move_id
-        self.by_key = {key: item for key, item in self.by_key.items() if key.service != service}
+    def begin(self, move: Move) -> bool:
+        """Start from zero when a service has another move or step than before; return whether."""
+        service = move.service
+        if self.moves.get(service) != move.id:
+            self.by_key = {key: item for key, item in self.by_key.items() if key.service != service}
+        elif self.steps.get(service) == move.step:
+            return False
+        self.moves[service] = move.id
+        self.steps[service] = move.step
+        for key, record in self.by_key.items():
+            if key.service == service:
+                record.counters = Counters()
+        return True
+
+    def start(self, key: EvidenceKey) -> None:
+        """Count a request that is sent to a version."""
+        record = self.by_key.setdefault(key, Record())
+        record.counters = record.counters.plus(Counters(started=1))
 
     def add(self, key: EvidenceKey, result: RequestResult) -> Record:
         """Count one result and return the record of its key."""
@@ -143,9 +168,9 @@
         this move's would pass for evidence.
         """
         moves = {name: config.active_move(name) for name in config.services}
-        active = {name: move.id for name, move in moves.items() if move is not None}
-        for service, move_id in active.items():
-            self.begin(service, move_id)
+        active = {name: move for name, move in moves.items() if move is not None}
+        for move in active.values():
+            self.begin(move)
         return [
             to_message(key, record.counters)
             for key, record in self.by_key.items()
@@ -164,6 +189,7 @@
         first_token_ms_sum=counters.first_token_ms_sum,
         token_ms_sum=counters.token_ms_sum,
         tokens=counters.tokens,
+        started=counters.started,
     )
 
 
@@ -176,6 +202,7 @@
         message.first_token_ms_sum,
         message.token_ms_sum,
         message.tokens,
+        message.started,
     )
     return key, counters
 
@@ -189,30 +216,28 @@
 
 
 class FleetEvidence:
-    """Evidence merged from the reports of routers.
+    """Evidence of one step merged from the reports of routers.
 
     Counters are cumulative, so the maximum per reporter tolerates loss, reordering and duplicates,
-    and a restarted router adds to what its earlier life reported. What a reporter had counted when
-    it was first seen lies before this evidence and is left out.
+    and a restarted router adds to what its earlier life reported. Routers count from the start of
+    the step, so the first report counts in full, also for a controller that takes over.
     """
 
     def __init__(self) -> None:
-        self.first: dict[Reporter, dict[EvidenceKey, Counters]] = {}
         self.latest: dict[Reporter, dict[EvidenceKey, Counters]] = {}
 
     def merge(self, reporter: Reporter, messages: Iterable[RouteEvidence]) -> None:
         """Take one report."""
         report = dict(from_message(message) for message in messages)
         known = self.latest.setdefault(reporter, {})
-        self.first.setdefault(reporter, dict(report))
         for key, counters in report.items():
-            if counters.requests >= known.get(key, Counters()).requests:
+            before = known.get(key, Counters())
+            if (counters.requests, counters.started) >= (before.requests, before.started):
                 known[key] = counters
 
     def total(self, key: EvidenceKey) -> Counters:
         """Return the sum over all reporters."""
         total = Counters()
-        for reporter, known in self.latest.items():
-            earlier = self.first[reporter].get(key, Counters())
-            total = total.plus(known.get(key, Counters()).since(earlier))
+        for known in self.latest.values():
+            total = total.plus(known.get(key, Counters()))
         return total
--- a/src/jacinthcove/moves/guard.py
+++ b/src/jacinthcove/moves/guard.py
@@ -191,7 +191,7 @@
         move = self.config().active_move(service)
         if move is None:
             return
-        self.evidence.begin(service, move.id)
+        self.evidence.begin(move)
         self.evidence.add(EvidenceKey(service, route, version), result)
         key = CutKey(move.id, route)
         if version != move.to_version or key in self.known:
--- a/src/jacinthcove/router/attempt.py
+++ b/src/jacinthcove/router/attempt.py
@@ -165,6 +165,7 @@
             progress.token_ms_sum,
             progress.next_offset,
             delivered=self.stream is not None and progress.next_offset > 0,
+            target_lost=progress.target_lost,
         )
 
 
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -81,7 +81,7 @@
         self.table = TargetTable()
         self.dispatch = MeshDispatch(self.clock, self.members, self.links, self.config, self.table)
         self.versions = VersionControl(
-            self.clock, self.config, self.members, self.links, self.has_targets
+            self.clock, self.config, self.members, self.links, self.target_count
         )
         self.status_service = StatusService(self.members, self.links, self.member_status)
         self.claims = Claims(self.store, self.clock, settings.id)
@@ -193,9 +193,11 @@
         shards = self.dispatch.placement.shards_of(workspace, service, version)
         return list(dict.fromkeys(shard.owner for shard in shards))
 
-    def has_targets(self, service: str, version: str) -> bool:
-        """Return whether any target of a version takes work."""
-        return bool(self.dispatch.placement.open_shards(service, version))
+    def target_count(self, service: str, version: str) -> int:
+        """Return how many targets of a version take work."""
+        if not self.dispatch.placement.open_shards(service, version):
+            return 0
+        return self.table.count(service, version)
 
     def member_status(self) -> pb.MemberStatus:
         """Return this router's part of the fleet status."""
--- a/src/jacinthcove/router/results.py
+++ b/src/jacinthcove/router/results.py
@@ -11,7 +11,8 @@
 class AttemptResult:
     """The end of one attempt; times are in milliseconds, `used` in service units.
 
-    `delivered` says whether the caller already received part of the answer.
+    `delivered` says whether the caller already received part of the answer, `target_lost` whether
+    the target refused connections after it had the request.
     """
 
     answer: Answer
@@ -21,6 +22,7 @@
     tokens: int = 0
     unreachable: bool = False
     delivered: bool = False
+    target_lost: bool = False
 
     @property
     def code(self) -> ResultCode:
@@ -30,7 +32,11 @@
 
 @dataclass(frozen=True)
 class VersionResult:
-    """A result as evidence about a version on a route."""
+    """A result as evidence about a version on a route.
+
+    `sent_at` is the monotonic ms of the grant. `target_lost` says that the target died during the
+    request.
+    """
 
     service: str
     route: str
@@ -39,6 +45,9 @@
     first_token_ms: int
     token_ms_sum: int
     tokens: int
+    sent_at: int = 0
+    target: str = ""
+    target_lost: bool = False
 
 
 class ResultRecorder(Protocol):
--- a/src/jacinthcove/router/versions.py
+++ b/src/jacinthcove/router/versions.py
@@ -7,14 +7,15 @@
 import structlog
 
 from jacinthcove.clock import Clock
-from jacinthcove.config.model import FleetConfig
+from jacinthcove.config.model import FleetConfig, Move
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import MOVE_CUT
 from jacinthcove.mesh.peers import Members, Peers
 from jacinthcove.mesh.spread import broadcast
-from jacinthcove.moves.evidence import Evidence, RequestResult
+from jacinthcove.moves.evidence import Evidence, EvidenceKey, RequestResult
 from jacinthcove.moves.guard import Guard
-from jacinthcove.moves.split import VersionSplit
+from jacinthcove.moves.rates import RequestRates
+from jacinthcove.moves.split import VersionSplit, effective_share
 from jacinthcove.router.results import VersionResult
 
 log = structlog.get_logger()
@@ -27,7 +28,7 @@
 class VersionControl:
     """Joins the canary share, the local guard and the evidence of this router.
 
-    `has_targets(service, version)` tells whether any target of a version takes work.
+    `target_count(service, version)` returns how many targets of a version take work.
     """
 
     def __init__(
@@ -36,7 +37,7 @@
         config: Callable[[], FleetConfig],
         members: Members,
         peers: Peers,
-        has_targets: Callable[[str, str], bool],
+        target_count: Callable[[str, str], int],
     ):
         self.clock = clock
         self.config = config
@@ -45,7 +46,17 @@
         self.incarnation = clock.wall()
         self.evidence = Evidence()
         self.guard = Guard(config, clock, members.me.id, self.evidence, self._on_cut)
-        self.split = VersionSplit(config, clock, self.guard.is_cut, has_targets)
+        self.target_count = target_count
+        self.split = VersionSplit(
+            config,
+            clock,
+            self.guard.is_cut,
+            lambda service, version: target_count(service, version) > 0,
+            members.me.id,
+        )
+        self.step_since: dict[str, int] = {}
+        self.lost_targets: dict[str, set[str]] = {}
+        self.rates = RequestRates(clock)
         self.random = random.Random()
         self.task: gevent.Greenlet | None = None
         peers.register(MOVE_CUT, self._on_remote_cut)
@@ -62,16 +73,63 @@
 
     def choose(self, service: str, route: str) -> str:
         """Return the version that serves the next request of a route."""
-        return self.split.choose(service, route)
+        version = self.split.choose(service, route)
+        self.rates.count(service)
+        move = self.config().active_move(service)
+        if move is not None:
+            self._follow_step(move)
+            self.evidence.start(EvidenceKey(service, route, version))
+        return version
+
+    def withdrawn(self, service: str, route: str, version: str) -> bool:
+        """Return whether requests that wait for `version` must choose again."""
+        config = self.config()
+        for move in config.moves.values():
+            if move.service == service and move.to_version == version:
+                if config.services[service].version == version:
+                    return False
+                share = effective_share(move, self.clock.wall())
+                return share <= 0.0 or self.guard.is_cut(move.id, route)
+        return False
+
+    def _follow_step(self, move: Move) -> None:
+        if self.evidence.begin(move):
+            self.step_since[move.service] = self.clock.now()
+            if move.step == 0:
+                self.lost_targets.pop(move.service, None)
+
+    def _died_alone(self, result: VersionResult) -> bool:
+        """Return whether a request was lost with its target while most others are well.
+
+        A machine that dies says nothing about its version; a version that ends most of its
+        targets is to blame.
+        """
+        if not result.target_lost:
+            return False
+        lost = self.lost_targets.setdefault(result.service, set())
+        lost.add(result.target)
+        return 2 * len(lost) <= self.target_count(result.service, result.version)
 
     def record(self, result: VersionResult) -> None:
         """Take the result of one attempt."""
+        move = self.config().active_move(result.service)
+        if move is None:
+            return
+        self._follow_step(move)
+        if result.version == move.to_version and self._died_alone(result):
+            return
         later_tokens = max(0, result.tokens - 1)
         self.guard.record(
             result.service,
             result.route,
             result.version,
-            RequestResult(result.code, result.first_token_ms, result.token_ms_sum, later_tokens),
+            RequestResult(
+                result.code,
+                result.first_token_ms,
+                result.token_ms_sum,
+                later_tokens,
+                earlier_step=result.sent_at < self.step_since.get(result.service, 0),
+            ),
         )
 
     def member_status(self, revision: int) -> pb.MemberStatus:
@@ -82,6 +140,7 @@
             evidence=self.evidence.messages(self.config()),
             cuts=self.guard.cuts(),
             incarnation=self.incarnation,
+            request_rate=self.rates.per_second(),
         )
 
     def _on_cut(self, cut: pb.MoveCut) -> None:
--- a/src/jacinthcove/targets/table.py
+++ b/src/jacinthcove/targets/table.py
@@ -49,6 +49,14 @@
         """Return a known target, or None."""
         return self.targets.get(target_id)
 
+    def count(self, service: str, version: str) -> int:
+        """Return the number of targets of a version."""
+        return sum(
+            len(ids)
+            for pool, ids in self.pools.items()
+            if pool.service == service and pool.version == version
+        )
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback` after every change."""
         self._subscribers.append(callback)
--- /dev/null
+++ b/tests/moves/test_rates.py
@@ -0,0 +1,26 @@
+"""Guards against moves that start silently although their steps cannot end by the deadline."""
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.config.model import MoveStep
+from jacinthcove.moves.rates import RequestRates, pace_warnings
+
+STEPS = (MoveStep(0.05, 10), MoveStep(0.3, 30), MoveStep(1.0, 30))
+
+
+def test_rate_is_that_of_the_last_whole_window():
+    clock = ManualClock()
+    rates = RequestRates(clock)
+    assert rates.per_second() == {}
+    for _ in range(50):
+        rates.count("s")
+    clock.advance(10_000)
+    assert rates.per_second() == {"s": 5.0}
+    clock.advance(10_000)
+    assert rates.per_second() == {}
+
+
+def test_warns_only_when_the_steps_cannot_end_in_time():
+    assert pace_warnings(STEPS, 100.0, 40_000) == []
+    assert "at least" in pace_warnings(STEPS, 10.0, 40_000)[0]
+    assert "no requests" in pace_warnings(STEPS, 0.0, 40_000)[0]
+    assert pace_warnings(STEPS, None, 40_000) == []
--- /dev/null
+++ b/tests/moves/test_step_evidence.py
@@ -0,0 +1,123 @@
+"""Guards against routes that hold a move or escape judgement, and against blaming a dead VM."""
+
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.codes import ResultCode
+from jacinthcove.config.model import (
+    FleetConfig,
+    Move,
+    MoveState,
+    MoveStep,
+    Route,
+    Service,
+    ServiceKind,
+)
+from jacinthcove.control.orders import OrderOutcome, OrderResult
+from jacinthcove.mesh.members import Membership
+from jacinthcove.mesh.peers import Member
+from jacinthcove.moves.driver import MoveDriver, RouteCounters
+from jacinthcove.moves.evidence import Counters, Evidence, EvidenceKey, RequestResult
+from jacinthcove.platform.vms import Vm, VmList, VmRole
+from jacinthcove.router.results import VersionResult
+from jacinthcove.router.versions import VersionControl
+
+WALL = ManualClock().wall()
+SERVICE = Service("s", ServiceKind.ENGINE, "v1", (Route("a"), Route("b")))
+STEPS = (MoveStep(0.05, 10), MoveStep(1.0, 10))
+MOVE = Move("m", "s", "v1", "v2", WALL, WALL + 60_000, STEPS, 0, 0.05, MoveState.SHIFTING)
+SENT_AT = 10**12
+CONFIG = FleetConfig(revision=1, services={"s": SERVICE}, moves={"m": MOVE})
+
+
+class Updates:
+    def __init__(self):
+        self.config = CONFIG
+
+    def current(self):
+        return self.config
+
+    def update(self, change):
+        self.config = change(self.config)
+
+
+class DeadTargets:
+    def reconcile(self, order):
+        return OrderResult(OrderOutcome.FAILED)
+
+
+class Peers:
+    def register(self, kind, handler):
+        """Take no handler."""
+
+
+def make_driver(updates=None):
+    vms = VmList(1, (Vm("t", VmRole.TARGET, "t", "d", "s", "v2"),))
+    return MoveDriver(
+        updates or Updates(), DeadTargets(), lambda: [], lambda: vms, lambda: True, ManualClock()
+    )
+
+
+def counters(requests, started=None):
+    return Counters(requests=requests, started=requests if started is None else started)
+
+
+@pytest.mark.parametrize(
+    "routes, enough",
+    [
+        ([(10, 10, 200), (0, 0, 3)], True),  # a route with little traffic holds nothing
+        ([(10, 10, 200), (0, 1, 3)], False),  # but its request in flight is waited for
+        ([(10, 10, 100), (0, 4, 100)], False),  # quick results of one route do not stand for both
+        ([(7, 7, 100), (3, 3, 100)], False),  # half of the requests need half of the results
+        ([(6, 6, 100), (5, 5, 100)], True),
+        ([(4, 4, 100), (5, 5, 100)], False),
+        ([(10, 10, 2_000), (0, 0, 0)], False),  # below half of the step's share
+        ([(0, 0, 0), (0, 0, 0)], False),
+    ],
+)
+def test_need_of_a_route_follows_its_part_of_the_requests(routes, enough):
+    found = [RouteCounters(counters(new, sent), counters(old)) for new, sent, old in routes]
+    assert make_driver()._has_evidence(MOVE, 10, found) is enough
+
+
+def test_version_without_any_answering_target_is_reverted():
+    """Refused connections are no evidence, so nothing else would end the move before time."""
+    updates = Updates()
+    driver = make_driver(updates)
+    for _ in range(5):
+        driver.tick()
+    assert updates.config.moves["m"].reason == "no target of the new version answers"
+
+
+def test_results_of_an_earlier_step_do_not_count_for_the_next():
+    evidence = Evidence()
+    key = EvidenceKey("s", "a", "v2")
+    evidence.begin(MOVE)
+    evidence.add(key, RequestResult(ResultCode.OK, 10))
+    evidence.begin(Move(**{**MOVE.__dict__, "step": 1}))
+    evidence.add(key, RequestResult(ResultCode.OK, 10, earlier_step=True))
+    assert evidence.get(key).counters.requests == 0
+    assert len(evidence.get(key).recent) == 2
+
+
+def lose(control, target):
+    control.record(
+        VersionResult(
+            "s", "a", "v2", ResultCode.STREAM_BROKEN, 0, 0, 0, SENT_AT, target, target_lost=True
+        )
+    )
+
+
+def test_death_of_one_target_is_not_blamed_on_the_version():
+    """Twelve streams break at once when a VM dies; a version that kills most VMs is to blame."""
+    clock = ManualClock()
+    members = Membership(Member("r", "", "", "d"), clock)
+    control = VersionControl(clock, lambda: CONFIG, members, Peers(), lambda *names: 3)
+    for _ in range(12):
+        lose(control, "t1")
+    key = EvidenceKey("s", "a", "v2")
+    assert control.evidence.get(key).counters.errors == 0
+    for _ in range(12):
+        lose(control, "t2")
+    assert control.evidence.get(key).counters.errors > 5
+    assert control.guard.is_cut("m", "a")
