Take a first token one or two engine steps later for no fault

Cause: an engine emits tokens in steps.

The allowance is two steps of the old version's time per token, at least 5 ms.

--- a/src/jacinthcove/moves/guard.py
+++ b/src/jacinthcove/moves/guard.py
@@ -29,6 +29,9 @@
 # Differences below these are within the resolution of the measurement.
 FIRST_TOKEN_SLACK_MS = 5.0
 TOKEN_SLACK_MS = 2.0
+# Engines work in steps of one token, so a first token that comes a step or two later may only
+# have missed the start of a step.
+FIRST_TOKEN_SLACK_STEPS = 2
 FLEET_SLOW_RATIO = 2.0
 FLEET_MIN_RESULTS = 40
 REFRESH_REQUESTS = 20
@@ -72,13 +75,19 @@
     """Derive the baseline from the recent results of the old version."""
     recent = list(old.recent)
     good = [item for item in recent if not item.failed]
-    first, first_rate = _slow_rate([float(r.first_token_ms) for r in good], FIRST_TOKEN_SLACK_MS)
-    token_times = [item.token_ms for item in good]
-    token, token_rate = _slow_rate([t for t in token_times if t is not None], TOKEN_SLACK_MS)
+    token_times = [item.token_ms for item in good if item.token_ms is not None]
+    first_slack = first_token_slack_ms(median(token_times) if token_times else 0.0)
+    first, first_rate = _slow_rate([float(item.first_token_ms) for item in good], first_slack)
+    token, token_rate = _slow_rate(token_times, TOKEN_SLACK_MS)
     error_rate = upper_rate(len(recent) - len(good), len(recent))
     return Baseline(error_rate, first, first_rate, token, token_rate)
 
 
+def first_token_slack_ms(token_ms: float) -> float:
+    """Return the difference of first-token times that says nothing, from the time per token."""
+    return max(FIRST_TOKEN_SLACK_MS, FIRST_TOKEN_SLACK_STEPS * token_ms)
+
+
 def _slow_rate(times: list[float], slack_ms: float) -> tuple[float, float]:
     """Return the time above which a result counts as slow and how often old results are slow."""
     if len(times) < MIN_OLD_RESULTS:
@@ -148,9 +157,8 @@
             return "more errors than the old version over the fleet"
     if min(new.requests - new.errors, old.requests - old.errors) < FLEET_MIN_RESULTS:
         return ""
-    limit = max(
-        old.first_token_ms() * FLEET_SLOW_RATIO, old.first_token_ms() + FIRST_TOKEN_SLACK_MS
-    )
+    slack = first_token_slack_ms(old.token_ms())
+    limit = max(old.first_token_ms() * FLEET_SLOW_RATIO, old.first_token_ms() + slack)
     if new.first_token_ms() > limit:
         return "slower first token than the old version over the fleet"
     limit = max(old.token_ms() * FLEET_SLOW_RATIO, old.token_ms() + TOKEN_SLACK_MS)
--- a/tests/moves/test_guard.py
+++ b/tests/moves/test_guard.py
@@ -168,3 +168,14 @@
     moves = {"n": replace(router.config.moves["m"], id="n")}
     router.config = replace(router.config, moves=moves)
     assert router.guard.evidence.messages(router.config) == []
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_first_token_one_engine_step_later_is_no_fault(seed):
+    """Guards against cutting a version whose first tokens miss the start of a step."""
+    router = Router(seed, share=0.5, step=1)
+    old = Profile(first_ms=20, token_ms=31, spread=0.2)
+    router.run(4_000, "a", old, replace(old, first_ms=51))
+    assert not router.cuts
+    assert router.run(2_000, "a", old, replace(old, first_ms=200)) <= 250
+    assert router.guard.is_cut("m", "a")
