--- a/scripts/moves.py
+++ b/scripts/moves.py
@@ -8,7 +8,7 @@
 sys.path[:0] = [str(Path(__file__).resolve().parent.parent)]
 
 from jacinthcove.load.profiles import PROFILES  # noqa: E402
-from testbed.moves import CASES, run_cases, table  # noqa: E402
+from testbed.moves import CASES, row, run_cases, table  # noqa: E402
 
 
 def main() -> int:
@@ -29,9 +29,8 @@
         logs = options.logs or Path(directory)
         for result in run_cases(PROFILES[options.profile], logs, options.seed, cases):
             results.append(result)
-            verdict = "as expected" if result.met else "NOT AS EXPECTED"
-            print(f"{result.case.name}: {result.state} {verdict}, {result.reason}", flush=True)
-    print(table(results))
+            print(row(result), flush=True)
+    print(f"\nseed {options.seed}, profile {options.profile}\n{table(results)}")
     return 0 if all(result.met for result in results) else 1
 
 
--- a/testbed/moves.py
+++ b/testbed/moves.py
@@ -28,6 +28,11 @@
 WITHIN_S = 40
 OUTAGE_WITHIN_S = 15
 WARM_UP_S = 4.0
+# Long enough for requests that started before the end of a move to be logged.
+SETTLE_S = 3.0
+# The target that dies has a number of its own and works for a while before.
+DIES_NUMBER = 90
+LONE_TARGET_S = 3
 POLL_S = 0.2
 # A move is recorded a little after its deadline, because the controller regains its lease first.
 END_GRACE_S = 30.0
@@ -82,6 +87,13 @@
 )
 
 
+HEADER = (
+    "| case | expected | state | time s | new requests | share | cut after s | last after cut s |"
+    " past deadline | reason |",
+    "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | --- |",
+)
+
+
 @dataclass(frozen=True)
 class Attempt:
     """One `request_attempted` line of a router; times are in seconds since the epoch."""
@@ -213,16 +225,17 @@
 class CaseRun:
     """Runs one case on a bed."""
 
-    def __init__(self, bed: MoveBed, case: MoveCase):
+    def __init__(self, bed: MoveBed, case: MoveCase, within_s: int = 0, settle_s: float = SETTLE_S):
         self.bed = bed
         self.case = case
         bed.number += 1
         self.new_version = f"n{bed.number}"
         self.move_id = f"move-{bed.number}"
-        self.within_s = OUTAGE_WITHIN_S if case.outage else WITHIN_S
+        self.within_s = within_s or (OUTAGE_WITHIN_S if case.outage else WITHIN_S)
+        self.settle_s = settle_s
         self.fault_at: float | None = None
         self.step = -1
-        self.acted = False
+        self.lone_target = ""
 
     def run(self) -> CaseResult:
         """Run the case and return what it showed."""
@@ -241,8 +254,7 @@
         try:
             move = self._follow(started)
             ended = time.time()
-            # Long enough for requests that started before the cut to be logged.
-            gevent.sleep(4)
+            gevent.sleep(self.settle_s)
         finally:
             self._restore(old_version)
         result = CaseResult(case, move["state"], move["reason"], ended - started)
@@ -285,15 +297,16 @@
             bed.command("move", "abort", self.move_id, "--wait")
         if case.kill_target and self.step == 1:
             # The stand-ins run three to a process; a fresh one of its own dies alone.
-            bed.add_version(self.new_version, 1, 90)
-            gevent.sleep(3)
+            self.lone_target = bed.add_version(self.new_version, 1, DIES_NUMBER)[0]
+            gevent.sleep(LONE_TARGET_S)
             bed.fleet.standins[-1].kill()
 
     def _restore(self, old_version: str) -> None:
         bed = self.bed
         bed.fleet.set_faults(bed.fleet.store_address)
         bed.set_faults(old_version, {})
-        bed.set_faults(self.new_version, {}) if not self.case.kill_target else None
+        bed.fleet.targets.pop(self.lone_target, None)
+        bed.set_faults(self.new_version, {})
         for program in bed.fleet.controller_programs:
             if not program.running:
                 program.start()
@@ -317,9 +330,9 @@
             result.fault_to_cut = None if shown is None else max(0.0, cut - shown)
 
 
-def read_attempts(directory: Path, service: str) -> Iterator[Attempt]:
-    """Yield the attempts at targets of a service from the logs of all routers."""
-    for line in _events(directory, "router-*.log", b'"request_attempted"'):
+def read_attempts(directory: Path, service: str, logs: str = "router-*.log") -> Iterator[Attempt]:
+    """Yield the attempts at targets of a service from the logs of routers."""
+    for line in _events(directory, logs, b'"request_attempted"'):
         if line["service"] == service:
             ended = _seconds(line)
             started = ended - line["ran_ms"] / 1000
@@ -370,19 +383,17 @@
 
 def table(results: Iterable[CaseResult]) -> str:
     """Return the results as a Markdown table."""
-    lines = [
-        "| case | expected | state | time s | new requests | share | cut after s |"
-        " last after cut s | reason |",
-        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | --- |",
-    ]
-    for item in results:
-        lines.append(
-            f"| {item.case.name} | {item.case.expected} | {item.state} | {item.seconds:.1f} |"
-            f" {item.new_requests} of {item.requests} | {_shown(item.share, '.1%')} |"
-            f" {_shown(item.fault_to_cut, '.1f')} | {_shown(item.last_after_cut, '.1f')} |"
-            f" {item.reason} |"
-        )
-    return "\n".join(lines)
+    return "\n".join([*HEADER, *(row(item) for item in results)])
+
+
+def row(item: CaseResult) -> str:
+    """Return one result as a line of the table."""
+    return (
+        f"| {item.case.name} | {item.case.expected} | {item.state} | {item.seconds:.1f} |"
+        f" {item.new_requests} of {item.requests} | {_shown(item.share, '.1%')} |"
+        f" {_shown(item.fault_to_cut, '.1f')} | {_shown(item.last_after_cut, '.1f')} |"
+        f" {item.past_deadline} | {item.reason} |"
+    )
 
 
 def _shown(value: float | None, form: str) -> str:
