--- a/src/jacinthcove/commands/program.py
+++ b/src/jacinthcove/commands/program.py
@@ -7,12 +7,14 @@
 from typing import Protocol, TypeVar
 
 import gevent
+import structlog
 from gevent.event import Event
 
 from jacinthcove.config.settings import CommonSettings, load_settings, settings_table
 from jacinthcove.errors import ConfigurationError
 from jacinthcove.observe import logs
 
+EXIT_START_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 S = TypeVar("S", bound=CommonSettings)
 
@@ -27,19 +29,25 @@
         """Stop gracefully."""
 
 
-def run_until_signal(daemon: Daemon) -> None:
-    """Run `daemon` until SIGTERM or SIGINT, which also end a start that still waits."""
+def run_until_signal(daemon: Daemon) -> int:
+    """Run `daemon` until SIGTERM or SIGINT, which also end a start that still waits.
+
+    Returns the exit code.
+    """
     stopped = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
     starting = gevent.spawn(daemon.start)
     gevent.wait([starting, stopped], count=1)
-    if starting.ready():
-        starting.get()
+    failed = starting.ready() and not starting.successful()
+    if failed:
+        structlog.get_logger().error("start_failed", reason=str(starting.exception))
+    elif starting.ready():
         stopped.wait()
     else:
         starting.kill()
     daemon.close()
+    return EXIT_START_FAILED if failed else 0
 
 
 def run_program(
@@ -59,5 +67,4 @@
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     logs.configure(program, settings.id, settings.log_level.value)
-    run_until_signal(make(settings))
-    return 0
+    return run_until_signal(make(settings))
--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -106,17 +106,26 @@
             (host, int(port)), self, handler_class=CallerHandler, log=None, error_log=None
         )
         self.open_requests = 0
+        self.last_request_at = clock.now()
+        self.closing = False
 
     def start(self) -> None:
         """Accept connections."""
         self.server.start()
 
+    def announce_close(self) -> None:
+        """Close each connection after its next answer, so that callers open others elsewhere."""
+        self.closing = True
+
     def close(self) -> None:
         """Stop accepting connections and drop idle ones."""
         self.server.stop(timeout=1)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Serve one HTTP request."""
+        self.last_request_at = self.clock.now()
+        if self.closing:
+            start_response = _closing(start_response)
         try:
             return self._route(environ, start_response)
         except RequestRefused as refusal:
@@ -233,6 +242,13 @@
         return _finish(start_response, stream, answer)
 
 
+def _closing(start_response: StartResponse) -> StartResponse:
+    def start(status: str, headers: list[tuple[str, str]]) -> Callable[[bytes], Any]:
+        return start_response(status, [*headers, ("Connection", "close")])
+
+    return start
+
+
 def _event_stream(start_response: StartResponse) -> EventStream:
     headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")]
     return EventStream(lambda: start_response("200 OK", headers))
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -54,8 +54,8 @@
 log = structlog.get_logger()
 
 JOIN_TIMEOUT_S = 5.0
-# Callers learn of a leaving router from its refusals, so that few still arrive after this time.
-LEAVE_NOTICE_MS = 500
+# A request that is already on its way to a leaving router arrives within this time.
+QUIET_MS = 500
 CLAIMS_CLOSE_MS = 5_000
 DRAIN_POLL_S = 0.05
 RETRY_ELSEWHERE_MS = 0
@@ -168,9 +168,11 @@
         self.stopping = True
         if self.serving.is_set():
             log.info("router_leaving", open_requests=self.api.open_requests)
+            self.api.announce_close()
             self.probing.leave()
             self.dispatch.drain()
-            self.clock.sleep(LEAVE_NOTICE_MS)
+            # Until then callers may still use an address from an earlier lookup.
+            self.clock.sleep(self.state.config.lookup_lifetime_ms)
             self._finish_requests()
             self.api.close()
             self.claims.close(self.clock.now() + CLAIMS_CLOSE_MS)
@@ -188,11 +190,15 @@
 
     def _finish_requests(self) -> None:
         deadline = self.clock.now() + self.settings.stop_timeout_ms
-        while self.api.open_requests and self.clock.now() < deadline:
+        while not self._quiet() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_POLL_S)
         if self.api.open_requests:
             log.warning("requests_cut_off", open_requests=self.api.open_requests)
 
+    def _quiet(self) -> bool:
+        quiet_ms = self.clock.now() - self.api.last_request_at
+        return not self.api.open_requests and quiet_ms >= QUIET_MS
+
     def handle(self, request: CallerRequest, stream: EventStream | None) -> Answer:
         """Run a request and return its final answer."""
         if not request.idempotency_key:
