Let the power cut fill the queues of workspaces

With the default bound of 200 requests, 400 callers never reached a full queue, so the scenario did not show its refusals. The testbed can pass flags to controllers, for a short lease.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -1,4 +1,4 @@
-@fleet
+@fleet_with_short_queues
 Feature: Callers receive the whole answer to their own request
 
   # Guards against answers that are cut short, mixed up or lost when a target's streams are faulty.
@@ -18,7 +18,8 @@
     Given 400 callers with seed 42 that reconnect within one second after a power cut
     When 10 seconds pass
     And the callers have received their last answers
-    Then every answer is whole or was refused with a time to try again
+    Then callers found the queue of their workspace full
+    And every answer is whole or was refused with a time to try again
     And no answer is lost
     And at least 400 answers are whole
     And every workspace received whole answers in the first 10 seconds
--- a/features/environment.py
+++ b/features/environment.py
@@ -5,13 +5,20 @@
 
 sys.path[:0] = [str(Path(__file__).resolve().parent.parent)]
 
-from features.support.site import ENGINE_FLAGS, SLOW_WARMTH_FLAGS, Site  # noqa: E402
+from features.support.site import ENGINE_FLAGS, SHORT_QUEUES, SLOW_WARMTH_FLAGS, Site  # noqa: E402
 from testbed.fleet import FleetOptions  # noqa: E402
 
 FLEETS = {
     "fleet": FleetOptions(engine_flags=ENGINE_FLAGS),
+    "fleet_with_short_queues": FleetOptions(
+        engine_flags=ENGINE_FLAGS, config={"workspaces": SHORT_QUEUES}
+    ),
     "fleet_of_slowly_warming_engines": FleetOptions(engine_flags=SLOW_WARMTH_FLAGS),
-    "fleet_with_two_controllers": FleetOptions(engine_flags=ENGINE_FLAGS, controllers=2),
+    "fleet_with_two_controllers": FleetOptions(
+        engine_flags=ENGINE_FLAGS,
+        controllers=2,
+        controller_flags=("--lease-ttl", "3s", "--order-timeout", "1s"),
+    ),
 }
 
 
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -50,6 +50,11 @@
         context.traffic.add(workspace, specs, delay_ms=delay_ms)
 
 
+@then("callers found the queue of their workspace full")
+def step_queue_full(context):
+    assert context.site.counted('jacinthcove_requests_total{code="queue_full"}')
+
+
 @then("every workspace received whole answers in the first {seconds:d} seconds")
 def step_every_workspace(context, seconds):
     ends_at = context.power_cut_at + seconds * 1000
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -18,8 +18,8 @@
 
 from jacinthcove.config.model import Limits, ServiceKind
 from jacinthcove.load.profiles import LAVALLEE, Profile, RouteProfile, ServiceProfile
-from jacinthcove.platform.connections import NoReply
-from testbed.fleet import OPERATOR_KEY, FleetOptions, LocalFleet, http
+from jacinthcove.platform.connections import Connections, NoReply
+from testbed.fleet import CALL_TIMEOUT_MS, OPERATOR_KEY, FleetOptions, LocalFleet, http
 from testbed.processes import SOURCE
 
 ENGINE, PLAIN = "drafting", "publishing"
@@ -59,6 +59,11 @@
     ),
     routes=ROUTES,
 )
+# Bounds that a power cut reaches with a few hundred callers.
+SHORT_QUEUES = {
+    name: replace(workspace, max_queued=6)
+    for name, workspace in PROFILE.configured_workspaces().items()
+}
 
 
 @dataclass(frozen=True)
@@ -147,10 +152,10 @@
             runs.update(http(address, "GET", "/executions").get(kind, {}))
         return runs
 
-    def operate(self, *arguments: str, controllers: Iterable[str] = ()) -> CommandResult:
-        """Run the operators' command line."""
+    def operate(self, *arguments: str, remote: bool = True) -> CommandResult:
+        """Run the operators' command line; `remote` commands get the controllers' addresses."""
         command = [sys.executable, "-m", "jacinthcove.commands.operator", *arguments]
-        for address in controllers or self.fleet.admin_addresses:
+        for address in self.fleet.admin_addresses if remote else ():
             command += ["--controller", address]
         return self.run(command)
 
@@ -184,6 +189,20 @@
                 found.append(data)
         return found
 
+    def counted(self, metric: str) -> int:
+        """Return the sum of a counter over all routers; `metric` includes its labels."""
+        total = 0
+        for router in self.fleet.routers:
+            connections = Connections(router.caller, CALL_TIMEOUT_MS)
+            text = connections.request("GET", "/metrics").body.decode()
+            connections.close()
+            total += sum(
+                int(float(line.rpartition(" ")[2]))
+                for line in text.splitlines()
+                if line.startswith(metric)
+            )
+        return total
+
     def router_log(self, event: str) -> list[dict[str, Any]]:
         """Return the log lines of one event of all routers."""
         return [line for router in self.fleet.routers for line in self.log(router.id, event)]
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -34,6 +34,7 @@
     service_flags: tuple[str, ...] = ()
     store_flags: tuple[str, ...] = ()
     router_flags: tuple[str, ...] = ()
+    controller_flags: tuple[str, ...] = ()
     router_environment: dict[str, str] = field(default_factory=dict)
     config: dict[str, Any] = field(default_factory=dict)
 
@@ -234,7 +235,7 @@
         arguments = [
             "--id", f"controller-{index + 1}", "--failure-domain", router.failure_domain,
             "--admin-listen", self.admin_addresses[index], "--router", router.caller,
-            "--store", self.store_address,
+            "--store", self.store_address, *self.options.controller_flags,
         ]  # fmt: skip
         log_path = self.directory / f"controller-{index + 1}.log"
         program = Program("jacinthcove.commands.controller", arguments, log_path)
