Add a feature about an outage for the length of a move

The store goes down while the new version of a move serves requests and comes back after the deadline. Routers must keep the configuration, leave the new version on their own within 3 s, and the controller records the revert afterwards.

--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -64,7 +64,7 @@
 
 
 def write_files(context, **shares):
-    """Write files that match the fleet with changed shares; return the paths of base and overlay."""
+    """Write files that match the fleet with changed shares; return both paths."""
     config = context.site.fleet.initial_config()
     base = {
         "lookup_lifetime": f"{config.lookup_lifetime_ms}ms",
--- a/features/steps/store.py
+++ b/features/steps/store.py
@@ -1,15 +1,23 @@
 """Steps about failures of the object API."""
 
+import time
 from dataclasses import replace
 
+import gevent
+import orjson
 from behave import given, then, when
 
-from features.support.site import PLAIN, PROFILE
+from features.support.site import ENGINE, PLAIN, PROFILE, wait_until
 from features.support.traffic import Traffic
 from jacinthcove.codes import ResultCode
+from jacinthcove.load.profiles import TargetProfile
 from testbed.fleet import http
 
 REPLAYED_REQUESTS = 20
+MOVE = f"{ENGINE}-v2"
+MOVE_TIMEOUT_S = 8.0
+# The evidence for the next step is never reached, so that only the deadline ends the move.
+STEPS = ("--step", "0.3:100000", "--step", "1:100000")
 
 
 def counters(context):
@@ -133,3 +141,50 @@
         r for r in context.repeated if not (r.last.complete and r.last.code is ResultCode.REPLAYED)
     ]
     assert not bad, [r.describe() for r in bad[:10]]
+
+
+@given("a move of the engines to new targets within {seconds:d} seconds")
+def step_move(context, seconds):
+    site = context.site
+    context.new = [TargetProfile(f"{ENGINE}-v2-{n}", ENGINE, f"fd-{n}", "v2") for n in "abc"]
+    site.fleet.add_targets(context.new)
+    site.fleet.publish_vms()
+    result = site.operate("move", "start", ENGINE, "v2", "--within", f"{seconds}s", *STEPS)
+    assert result.code == 0, result
+    shown = site.operate("config", "show")
+    assert shown.code == 0, shown
+    context.deadline = orjson.loads(shown.output)["moves"][MOVE]["deadline_ms"] / 1000
+
+
+def new_grants(context, after):
+    """Return the grants of the new targets since a wall time in s."""
+    ids = {target.id for target in context.new}
+    return [
+        g for g in context.site.router_log("grant") if g["target"] in ids and g["at"] >= after
+    ]  # fmt: skip
+
+
+@given("the new targets serve requests")
+def step_new_serve(context):
+    wait_until("grants of the new targets", lambda: new_grants(context, 0), MOVE_TIMEOUT_S)
+    assert time.time() < context.deadline, "the move has ended before the outage"
+
+
+@when("the deadline of the move and {seconds:d} more seconds have passed")
+def step_deadline_passed(context, seconds):
+    gevent.sleep(max(0.0, context.deadline + seconds - time.time()))
+
+
+@then("the new targets received no new request from {seconds:d} seconds after the deadline on")
+def step_back(context, seconds):
+    late = new_grants(context, context.deadline + seconds)
+    assert not late, f"{len(late)} late grants, the first {late[0]}"
+
+
+@then("the move is recorded as reverted within {seconds:d} seconds")
+def step_reverted(context, seconds):
+    def reverted():
+        result = context.site.operate("move", "list")
+        return result.code == 0 and "reverted" in result.output and MOVE in result.output
+
+    wait_until("the move to be reverted", reverted, seconds)
--- a/features/store.feature
+++ b/features/store.feature
@@ -37,3 +37,20 @@
     When the callers send their finished keyed requests again
     Then each of them is answered from the stored outcome
     And no operation that may not be repeated ran twice
+
+  # Guards against a version that stays in use after its deadline because nobody can record it.
+  Scenario: The store is down for the length of a move
+    Given 32 callers with seed 33 that send requests of "draft, question"
+    And 60 answers have arrived
+    And a move of the engines to new targets within 10 seconds
+    And the new targets serve requests
+    When the store goes down
+    And the deadline of the move and 5 more seconds have passed
+    Then the configuration is still in force on every router
+    And the new targets received no new request from 3 seconds after the deadline on
+    And at least 60 requests without a key were answered since the outage began
+    When the store is up again
+    Then the move is recorded as reverted within 20 seconds
+    When the callers have received their last answers
+    Then every answer is whole
+    And no answer is lost
