Answer or close every caller connection when a router stops

The caller API ran its connections without a pool, so closing the server left kept-alive connections open. Requests that arrived on them between the close and the end of the process, up to 150 ms later on a busy machine, got no answer. A leaving router now ends connections with its answers; at the close it shuts down the reading side of idle ones, answers what has arrived and waits up to 1 s for the rest.

The tests fail on the former code.

--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -1,11 +1,14 @@
 """The HTTP API for callers."""
 
+import contextlib
 import hashlib
+import socket
 import uuid
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 from urllib.parse import parse_qs, unquote
 
+import gevent
 import gevent.socket
 import orjson
 import structlog
@@ -42,6 +45,9 @@
 # A caller's connection is dropped when sent data stays unacknowledged for this long, so that a
 # silent or very slow caller does not hold a target's slot.
 UNACKNOWLEDGED_TIMEOUT_MS = 15_000
+# Answers that are still being sent when the router closes get this long.
+CLOSE_TIMEOUT_MS = 1_000
+CLOSE_POLL_S = 0.01
 
 
 class RequestHandling(Protocol):
@@ -72,12 +78,46 @@
 class CallerHandler(WSGIHandler):
     """A connection of a caller with the socket options that streaming needs."""
 
+    idle = False
+
     def handle(self) -> None:
         """Serve the connection."""
         tcp = gevent.socket.IPPROTO_TCP
         self.socket.setsockopt(tcp, gevent.socket.TCP_NODELAY, 1)
         self.socket.setsockopt(tcp, gevent.socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
-        super().handle()
+        connections = self.server.application.connections
+        connections.add(self)
+        try:
+            super().handle()
+        finally:
+            connections.discard(self)
+
+    def read_requestline(self) -> str:
+        """Wait for the next request of the connection."""
+        self.idle = True
+        try:
+            return super().read_requestline()
+        finally:
+            self.idle = False
+
+    def start_response(self, status: str, headers: list[Any], exc_info: Any = None) -> Any:
+        """Begin a response; that of a leaving router ends its connection."""
+        if self.server.application.leaving:
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def end_if_idle(self) -> None:
+        """Close the connection unless a request is under way or has already arrived."""
+        if self.idle:
+            # What has arrived can still be read, so such a request gets its answer. The shutdown of
+            # gevent's own socket would make the waiting read fail instead.
+            with (
+                contextlib.suppress(OSError),
+                socket.fromfd(
+                    self.socket.fileno(), self.socket.family, self.socket.type
+                ) as duplicate,
+            ):
+                duplicate.shutdown(socket.SHUT_RD)
 
 
 class CallerApi:
@@ -106,14 +146,26 @@
             (host, int(port)), self, handler_class=CallerHandler, log=None, error_log=None
         )
         self.open_requests = 0
+        self.leaving = False
+        self.connections: set[CallerHandler] = set()
 
     def start(self) -> None:
         """Accept connections."""
         self.server.start()
 
+    def leave(self) -> None:
+        """Let every further response end its connection, so that callers go elsewhere."""
+        self.leaving = True
+
     def close(self) -> None:
-        """Stop accepting connections and drop idle ones."""
-        self.server.stop(timeout=1)
+        """Stop accepting connections, close idle ones and let the others end."""
+        self.leave()
+        self.server.stop()
+        for connection in list(self.connections):
+            connection.end_if_idle()
+        ends_at = self.clock.now() + CLOSE_TIMEOUT_MS
+        while self.connections and self.clock.now() < ends_at:
+            gevent.sleep(CLOSE_POLL_S)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Serve one HTTP request."""
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -168,6 +168,7 @@
         self.stopping = True
         if self.serving.is_set():
             log.info("router_leaving", open_requests=self.api.open_requests)
+            self.api.leave()
             self.probing.leave()
             self.dispatch.drain()
             self.clock.sleep(LEAVE_NOTICE_MS)
