Give callers after a power cut a deadline of 60 s, and judge keyed requests of a dead router

The sites give long drafts 120 s; the scenario now gives 60 s, and its checks are the same.

The other scenarios no longer accept a lost operation without a key.

--- a/features/routers.feature
+++ b/features/routers.feature
@@ -8,7 +8,7 @@
     When the router with the most open requests is killed
     And 6 seconds pass
     And the callers have received their last answers
-    Then every answer is whole or was refused with a time to try again
+    Then only operations that the killed router had begun have an unknown outcome
     And at least 1 answers were resumed on another router
     And no operation that may not be repeated ran twice
     And nothing that was refused as not run has run
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -1,12 +1,13 @@
 """Steps about faulty streams, the power cut and bad input of callers."""
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 import orjson
 from behave import given, then, when
 
-from features.support.site import ENGINE, PLAIN, PROFILE, wait_until
+from features.support.site import ENGINE, LONGEST_DEADLINE_MS, PLAIN, PROFILE, wait_until
 from features.support.traffic import Traffic
 from jacinthcove.codes import ResultCode, result_class
 from jacinthcove.load.profiles import POWER_CUT_WINDOW_MS
@@ -45,7 +46,8 @@
             workspace = PROFILE.workspaces[number]
         else:
             workspace = random.choices(PROFILE.workspaces, shares)[0]
-        specs = context.traffic.specs(workspace, number)
+        requests = context.traffic.specs(workspace, number)
+        specs = (replace(spec, deadline_ms=LONGEST_DEADLINE_MS) for spec in requests)
         delay_ms = 1 + random.randrange(POWER_CUT_WINDOW_MS)
         context.traffic.add(workspace, specs, delay_ms=delay_ms)
 
--- a/features/steps/traffic.py
+++ b/features/steps/traffic.py
@@ -8,12 +8,13 @@
 from jacinthcove.codes import ResultClass, ResultCode
 
 WARM_UP_TIMEOUT_S = 25.0
-PASSED_OVER = 10
+SHOWN = 10
+UNKNOWN_CODES = (ResultCode.IN_PROGRESS, ResultCode.OUTCOME_UNKNOWN)
 
 
 def show(records):
     """Return the first of some records for an assertion message."""
-    lines = [record.describe() for record in records[:PASSED_OVER]]
+    lines = [record.describe() for record in records[:SHOWN]]
     return f"{len(records)} requests:\n" + "\n".join(lines)
 
 
@@ -52,14 +53,32 @@
     context.records = context.traffic.finish()
 
 
+def unfinished(records):
+    """Return the requests that are neither whole nor refused with a time to try again."""
+    return [
+        record
+        for record in records
+        if not record.last.complete
+        and not (record.refused and record.last.retry_after_ms is not None)
+    ]
+
+
 @then("every answer is whole or was refused with a time to try again")
 def step_whole(context):
+    bad = unfinished(context.records)
+    assert not bad, show(bad)
+    step_uncorrupted(context)
+
+
+@then("only operations that the killed router had begun have an unknown outcome")
+def step_whole_after_kill(context):
+    # The connection of a whole answer ends with its router. Without a key the caller learns no
+    # more; with one the claim of the dead router stands until 30 s after the deadline.
     bad = [
         record
-        for record in context.records
-        if not record.last.complete
-        and (not record.refused or record.last.retry_after_ms is None)
-        and (record.repeatable or not record.last.lost)
+        for record in unfinished(context.records)
+        if not (record.spec.order_id and record.outcomes[0].lost)
+        or (record.spec.key and record.last.code not in UNKNOWN_CODES)
     ]
     assert not bad, show(bad)
     step_uncorrupted(context)
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -24,6 +24,8 @@
 
 ENGINE, PLAIN = "drafting", "publishing"
 DEADLINE_MS = 15_000
+# Half of the deadline of long drafts at the sites, for callers that arrive all at once.
+LONGEST_DEADLINE_MS = 60_000
 POLL_S = 0.05
 REPAIR_TIMEOUT_S = 20.0
 COMMAND_TIMEOUT_S = 60.0
--- a/features/support/traffic.py
+++ b/features/support/traffic.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from features.support.site import DEADLINE_MS, PROFILE, Site
+from features.support.site import LONGEST_DEADLINE_MS, PROFILE, Site
 from jacinthcove.clock import SystemClock
 from jacinthcove.codes import ResultClass, ResultCode
 from jacinthcove.load.callers import Caller, Connections
@@ -16,10 +16,10 @@
 # Streams carry a comment every second, so that a longer silence means a broken connection.
 STREAM_SILENCE_MS = 4_000
 # Whole answers carry nothing before their end, which may be as late as the deadline.
-WHOLE_SILENCE_MS = DEADLINE_MS + 3_000
+WHOLE_SILENCE_MS = LONGEST_DEADLINE_MS + 3_000
 REPEAT_PAUSE_MS = 200
-REPEAT_TIME_MS = 30_000
-FINISH_TIMEOUT_S = 60.0
+REPEAT_TIME_MS = 8_000
+FINISH_TIMEOUT_S = 80.0
 
 
 @dataclass
