--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -168,7 +168,7 @@
         self.stopping = True
         if self.serving.is_set():
             log.info("router_leaving", open_requests=self.api.open_requests)
-            self.api.announce_close()
+            self.api.leave()
             self.probing.leave()
             self.dispatch.drain()
             # Until then callers may still use an address from an earlier lookup.
