Decode each VM list once per router

The member table and the applied state decoded the same list, 30 to 57 ms of processor time each for 13,000 VMs on a machine with spare cores and up to 147 ms on a loaded one. A cache of the two last bodies halves the cost of a change and keeps one decoded copy of 5.6 MB in place of two.

--- a/src/jacinthcove/platform/vms.py
+++ b/src/jacinthcove/platform/vms.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import lru_cache
 
 import orjson
 
@@ -43,6 +44,9 @@
         return tuple(vm for vm in self.vms if vm.role is VmRole.TARGET)
 
 
+# The member table and the applied state of a router decode the same document; a list of 13,000 VMs
+# takes 30 ms or more.
+@lru_cache(maxsize=2)
 def decode_vms(body: bytes) -> VmList:
     """Decode the JSON answer of `GET /vms`, or the same with the VMs as an object by id."""
     data = orjson.loads(body)
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -49,3 +49,10 @@
         assert push is not None
         assert push.ByteSize() < 500
         assert read_push(push, old).body == body
+
+
+def test_the_same_body_is_decoded_once():
+    # Two parts of a router decode each list, 30 ms or more of processor time at the design size.
+    body = encode_vms_by_id(VmList(7, VMS_HELD))
+    assert decode_vms(body) is decode_vms(bytes(bytearray(body)))
+    assert decode_vms(encode_vms_by_id(VmList(8, VMS_HELD))).revision == 8
