Hold steps on suspicion, run the last step for a while, sum rare errors

A step now stays while few results look slow, and ten results decide about the time per token. The last step lasts a fifth of the move's time, at most a minute, unless the deadline is near. Errors are summed over the steps.

The state machine lets the last step last, checks its duration, and has a mutant without it; without that time it no longer reached the end of moves.

--- a/src/jacinthcove/moves/driver.py
+++ b/src/jacinthcove/moves/driver.py
@@ -17,12 +17,15 @@
 from jacinthcove.mesh.mesh_pb2 import MemberStatus
 from jacinthcove.moves import changes
 from jacinthcove.moves.evidence import Counters, EvidenceKey, FleetEvidence, Reporter
-from jacinthcove.moves.guard import fleet_fault
+from jacinthcove.moves.guard import fleet_errors, fleet_fault, fleet_suspicion
+from jacinthcove.moves.rates import last_step_ms
 from jacinthcove.platform.vms import Vm, VmList
 
 # A move is not recorded as done this shortly before its deadline, because the write could land
 # after routers have gone back to the old version.
 DONE_MARGIN_MS = 1_000
+# Evidence that is complete this shortly before that margin finishes the move at once.
+FINISH_WINDOW_MS = 3_000
 # A target that fails this many orders in a row is given up if others took theirs.
 MAX_LOAD_FAILURES = 5
 # The new version counts as under load when it receives at least this part of its share.
@@ -207,7 +210,9 @@
         self, config: FleetConfig, move: Move, service: Service, reports: list[MemberReport]
     ) -> None:
         """Revert on a fault over the fleet, else advance when the step has its evidence."""
-        evidence = self.evidence.setdefault(StepKey(move.id, move.step), FleetEvidence())
+        evidence = self.evidence.setdefault(
+            StepKey(move.id, move.step), FleetEvidence(self.clock.now())
+        )
         for report in reports:
             # An older configuration would report the previous step, or another move.
             if report.status.config_revision >= config.revision:
@@ -219,7 +224,7 @@
             self._update(lambda fresh: changes.revert(fresh, move.id, fault))
         elif enough and move.step + 1 < len(move.steps):
             self._update(lambda fresh: changes.advance(fresh, move.id, move.step))
-        elif enough:
+        elif enough and self._lasted(move):
             # Evaluated with the write, because a retry of the update can come much later.
             self._update(
                 lambda fresh: changes.finish(
@@ -227,19 +232,45 @@
                 )
             )
 
+    def _lasted(self, move: Move) -> bool:
+        """Return whether the last step ran long enough, or its deadline leaves no more time."""
+        least_ms = last_step_ms(move.deadline_ms - move.start_ms)
+        seen_ms = self.clock.now() - self.evidence[StepKey(move.id, move.step)].began_at
+        late = self.clock.wall() >= move.deadline_ms - DONE_MARGIN_MS - FINISH_WINDOW_MS
+        return seen_ms >= least_ms or late
+
     def _judge(self, move: Move, service: Service, evidence: FleetEvidence) -> tuple[str, bool]:
-        """Return the fault on any route, and whether every route with traffic has evidence."""
+        """Return the fault on any route, and whether the step has its evidence.
+
+        A step does not end while the few results so far look like a slow version.
+        """
         routes: list[RouteCounters] = []
+        suspicion = ""
         for route in service.routes:
             new = evidence.total(EvidenceKey(service.name, route.name, move.to_version))
             old = evidence.total(EvidenceKey(service.name, route.name, move.from_version))
-            fault = fleet_fault(new, old)
+            fault = fleet_fault(new, old) or fleet_errors(*self._all_steps(move, route.name))
             if fault:
                 return f"route {route.name}: {fault}", False
+            suspicion = suspicion or fleet_suspicion(new, old)
             routes.append(RouteCounters(new, old))
+        if suspicion:
+            return "", False
         needed = max(move.steps[move.step].min_requests, len(self._targets(move)))
         return "", self._has_evidence(move, needed, routes)
 
+    def _all_steps(self, move: Move, route: str) -> tuple[Counters, Counters]:
+        """Return the counters of both versions over all steps that this controller saw.
+
+        Rare errors add up over the steps, and the last step has no requests to the old version.
+        """
+        new, old = Counters(), Counters()
+        for step in range(move.step + 1):
+            evidence = self.evidence.get(StepKey(move.id, step), FleetEvidence())
+            new = new.plus(evidence.total(EvidenceKey(move.service, route, move.to_version)))
+            old = old.plus(evidence.total(EvidenceKey(move.service, route, move.from_version)))
+        return new, old
+
     def _has_evidence(self, move: Move, needed: int, routes: list[RouteCounters]) -> bool:
         """Return whether the new version has `needed` results, spread as the service's requests.
 
--- a/src/jacinthcove/moves/evidence.py
+++ b/src/jacinthcove/moves/evidence.py
@@ -220,10 +220,12 @@
 
     Counters are cumulative, so the maximum per reporter tolerates loss, reordering and duplicates,
     and a restarted router adds to what its earlier life reported. Routers count from the start of
-    the step, so the first report counts in full, also for a controller that takes over.
+    the step, so the first report counts in full, also for a controller that takes over. `began_at`
+    is the monotonic ms at which the collection began.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, began_at: int = 0) -> None:
+        self.began_at = began_at
         self.latest: dict[Reporter, dict[EvidenceKey, Counters]] = {}
 
     def merge(self, reporter: Reporter, messages: Iterable[RouteEvidence]) -> None:
--- a/src/jacinthcove/moves/guard.py
+++ b/src/jacinthcove/moves/guard.py
@@ -33,7 +33,9 @@
 # have missed the start of a step.
 FIRST_TOKEN_SLACK_STEPS = 2
 FLEET_SLOW_RATIO = 2.0
+# First-token times vary more than times per token, above all while prefix caches are empty.
 FLEET_MIN_RESULTS = 40
+FLEET_MIN_TOKEN_RESULTS = 10
 REFRESH_REQUESTS = 20
 
 
@@ -147,6 +149,18 @@
 
 def fleet_fault(new: Counters, old: Counters) -> str:
     """Compare merged counters, for faults too thinly spread to show on one router; or ''."""
+    return fleet_errors(new, old) or _fleet_slowness(
+        new, old, FLEET_MIN_RESULTS, FLEET_MIN_TOKEN_RESULTS
+    )
+
+
+def fleet_suspicion(new: Counters, old: Counters) -> str:
+    """Return what would be a fault if more results showed the same, or ''."""
+    return _fleet_slowness(new, old, 1, 1)
+
+
+def fleet_errors(new: Counters, old: Counters) -> str:
+    """Compare the errors of merged counters; return the fault or ''."""
     rate = upper_rate(old.errors, old.requests)
     if new.requests and new.errors / new.requests > rate:
         share = min(new.errors / new.requests, 1 - 1e-9)
@@ -155,14 +169,17 @@
         )
         if new.requests * divergence > CUT_THRESHOLD:
             return "more errors than the old version over the fleet"
-    if min(new.requests - new.errors, old.requests - old.errors) < FLEET_MIN_RESULTS:
-        return ""
+    return ""
+
+
+def _fleet_slowness(new: Counters, old: Counters, first_results: int, token_results: int) -> str:
+    results = min(new.requests - new.errors, old.requests - old.errors)
     slack = first_token_slack_ms(old.token_ms())
     limit = max(old.first_token_ms() * FLEET_SLOW_RATIO, old.first_token_ms() + slack)
-    if new.first_token_ms() > limit:
+    if results >= first_results and new.first_token_ms() > limit:
         return "slower first token than the old version over the fleet"
     limit = max(old.token_ms() * FLEET_SLOW_RATIO, old.token_ms() + TOKEN_SLACK_MS)
-    if old.tokens and new.tokens and new.token_ms() > limit:
+    if results >= token_results and old.tokens and new.tokens and new.token_ms() > limit:
         return "slower tokens than the old version over the fleet"
     return ""
 
--- a/src/jacinthcove/moves/rates.py
+++ b/src/jacinthcove/moves/rates.py
@@ -10,6 +10,11 @@
 RATE_WINDOW_MS = 10_000
 # A step also takes the spread of the configuration, the gathering of evidence and one request.
 STEP_OVERHEAD_MS = 3_000
+# Targets warm up and queues build only under the full share, so a fault under load takes a while
+# to show. The last step lasts at least this part of the time of the move, but no longer than a
+# minute.
+LAST_STEP_PART = 0.2
+LAST_STEP_MAX_MS = 60_000
 
 
 class RequestRates:
@@ -40,9 +45,14 @@
         self.began_at = self.clock.now()
 
 
-def needed_ms(steps: Sequence[MoveStep], rate: float) -> float:
+def last_step_ms(whole_ms: float) -> float:
+    """Return the least duration of the last step of a move with `whole_ms` until its deadline."""
+    return min(LAST_STEP_PART * whole_ms, LAST_STEP_MAX_MS)
+
+
+def needed_ms(steps: Sequence[MoveStep], rate: float, whole_ms: float) -> float:
     """Return the least time that `steps` take at `rate` requests/s of the service."""
-    total = 0.0
+    total = last_step_ms(whole_ms)
     for number, step in enumerate(steps):
         share = min(step.share, FIRST_STEP_MAX_SHARE) if number == 0 else step.share
         total += STEP_OVERHEAD_MS + 1000 * step.min_requests / max(share * rate, 1e-9)
@@ -55,7 +65,7 @@
         return []
     if rate <= 0:
         return ["the service has no requests now, without which no step ends"]
-    needed = needed_ms(steps, rate)
+    needed = needed_ms(steps, rate, left_ms)
     if needed <= left_ms:
         return []
     return [
--- a/tests/moves/test_driver_fuzz.py
+++ b/tests/moves/test_driver_fuzz.py
@@ -46,6 +46,9 @@
 SERVICE = Service("s", ServiceKind.ENGINE, "v1", (Route("a"), Route("b")))
 MOVE = Move("m", "s", "v1", "v2", WALL + 1_000, DEADLINE, STEPS)
 TARGETS = VmList(1, tuple(Vm(f"t{n}", VmRole.TARGET, f"t{n}", "d", "s", "v2") for n in range(3)))
+# A fifth of the time from start to deadline, and the end of a move in which it may be shorter.
+LAST_STEP_MS = 11_800
+LAST_MOMENT_MS = 4_000
 SETTINGS = settings(
     derandomize=True,
     database=None,
@@ -115,6 +118,7 @@
         self.loaded = {}
         self.failing = set()
         self.step_counts = Counter()
+        self.step_began_at = self.clock.now()
         self.total = {"v1": 0, "v2": 0}
         self.incarnations = count(2)
         self.cuts = []
@@ -167,10 +171,14 @@
             assert self.updates.config.services["s"].version == "v2"
             assert not self.bad, "a bad version was finished"
             assert not self.cuts, "a cut version was finished"
+            lasted = self.clock.now() - self.step_began_at
+            late = self.clock.wall() >= DEADLINE - LAST_MOMENT_MS
+            assert late or lasted >= LAST_STEP_MS, "finished before the full load showed"
         if after.state is MoveState.SHIFTING and before.state is MoveState.LOADING:
             assert sum(1 for version in self.loaded.values() if version == "v2") >= 2
         if after.step != before.step or after.state != before.state:
             self.step_counts = Counter()
+            self.step_began_at = self.clock.now()
 
     @rule(
         number=st.integers(0, 1),
@@ -215,6 +223,8 @@
     def busy_period(self, fault):
         """Every route shows enough for a step, and the controller's next change meets a fault."""
         self.all_agree_and_tick()
+        if self.updates.config.moves["m"].step == len(STEPS) - 1:
+            self.advance(LAST_STEP_MS)
         for number in (0, 1):
             for route in "ab":
                 self.traffic(number, route, 90, True)
@@ -343,7 +353,8 @@
         (split, "effective_share", share_past_deadline),
         (split, "effective_share", share_without_cap),
         (MoveDriver, "_fault", without_fault),
-        (MoveDriver, "_has_evidence", lambda self, move, new, old: True),
+        (MoveDriver, "_has_evidence", lambda self, move, needed, routes: True),
+        (MoveDriver, "_lasted", lambda self, move: True),
         (Guard, "is_cut", lambda self, move_id, route: False),
     ],
 )
--- a/tests/moves/test_step_evidence.py
+++ b/tests/moves/test_step_evidence.py
@@ -1,5 +1,7 @@
 """Guards against routes that hold a move or escape judgement, and against blaming a dead VM."""
 
+from dataclasses import replace
+
 import pytest
 
 from jacinthcove.clock import ManualClock
@@ -16,8 +18,17 @@
 from jacinthcove.control.orders import OrderOutcome, OrderResult
 from jacinthcove.mesh.members import Membership
 from jacinthcove.mesh.peers import Member
-from jacinthcove.moves.driver import MoveDriver, RouteCounters
-from jacinthcove.moves.evidence import Counters, Evidence, EvidenceKey, RequestResult
+from jacinthcove.moves.driver import MoveDriver, RouteCounters, StepKey
+from jacinthcove.moves.evidence import (
+    Counters,
+    Evidence,
+    EvidenceKey,
+    FleetEvidence,
+    Reporter,
+    RequestResult,
+    to_message,
+)
+from jacinthcove.moves.guard import fleet_fault
 from jacinthcove.platform.vms import Vm, VmList, VmRole
 from jacinthcove.router.results import VersionResult
 from jacinthcove.router.versions import VersionControl
@@ -94,7 +105,7 @@
     key = EvidenceKey("s", "a", "v2")
     evidence.begin(MOVE)
     evidence.add(key, RequestResult(ResultCode.OK, 10))
-    evidence.begin(Move(**{**MOVE.__dict__, "step": 1}))
+    evidence.begin(replace(MOVE, step=1))
     evidence.add(key, RequestResult(ResultCode.OK, 10, earlier_step=True))
     assert evidence.get(key).counters.requests == 0
     assert len(evidence.get(key).recent) == 2
@@ -121,3 +132,48 @@
         lose(control, "t2")
     assert control.evidence.get(key).counters.errors > 5
     assert control.guard.is_cut("m", "a")
+
+
+SLOW_TOKENS = Counters(9, 0, 900, 9 * 2_000, 9 * 20, 9)
+SLOW_FIRST = Counters(30, 0, 30 * 900, 30 * 600, 30 * 20, 30)
+LIKE_OLD = Counters(30, 0, 30 * 100, 30 * 600, 30 * 20, 30)
+OLD = Counters(200, 0, 200 * 100, 200 * 600, 200 * 20, 200)
+
+
+@pytest.mark.parametrize(
+    "new, fault, enough",
+    [(SLOW_TOKENS, "", False), (SLOW_FIRST, "", False), (LIKE_OLD, "", True)],
+)
+def test_step_does_not_end_while_few_results_look_slow(new, fault, enough):
+    """Guards against a slow version that gets its second step before the tests are sure."""
+    evidence = FleetEvidence()
+    messages = [
+        to_message(EvidenceKey("s", "a", "v2"), new),
+        to_message(EvidenceKey("s", "a", "v1"), OLD),
+    ]
+    evidence.merge(Reporter("r", 1), messages)
+    move = replace(MOVE, steps=(MoveStep(0.05, 5), MoveStep(1.0, 5)))
+    assert make_driver()._judge(move, SERVICE, evidence) == (fault, enough)
+
+
+def test_ten_slow_streams_are_a_fault_over_the_fleet():
+    """Guards against waiting for 40 results when the time per token is clear after ten."""
+    more = SLOW_TOKENS.plus(Counters(1, 0, 100, 2_000, 20, 1))
+    assert "slower tokens" in fleet_fault(more, OLD)
+    assert fleet_fault(SLOW_TOKENS, OLD) == ""
+
+
+def test_rare_errors_add_up_over_steps():
+    """Guards against a version with 10% errors that no single step shows, without old requests."""
+    driver = make_driver()
+    for step, (new, old) in enumerate(
+        [((20, 2), (400, 0)), ((60, 6), (400, 0)), ((60, 6), (0, 0))]
+    ):
+        evidence = FleetEvidence()
+        counters_of = {"v2": Counters(*new), "v1": Counters(*old)}
+        messages = [to_message(EvidenceKey("s", "a", v), c) for v, c in counters_of.items()]
+        evidence.merge(Reporter("r", 1), messages)
+        driver.evidence[StepKey("m", step)] = evidence
+    last = replace(MOVE, steps=(*STEPS, MoveStep(1.0, 10)), step=2)
+    fault, _ = driver._judge(last, SERVICE, evidence)
+    assert "more errors" in fault
