--- a/testbed/moves.py
+++ b/testbed/moves.py
@@ -30,6 +30,7 @@
 WARM_UP_S = 4.0
 # Long enough for requests that started before the end of a move to be logged.
 SETTLE_S = 3.0
+SPREAD_S = 1.0
 # The target that dies has a number of its own and works for a while before.
 DIES_NUMBER = 90
 LONE_TARGET_S = 3
@@ -288,6 +289,8 @@
                 bed.set_faults(self.new_version, case.faults)
             self.fault_at = time.time()
         if case.outage and self.step == 0:
+            # The routers shall know the step before they lose the store.
+            gevent.sleep(SPREAD_S)
             bed.fleet.set_faults(bed.fleet.store_address, outage=True)
         if case.kill_controller and self.step == 1:
             bed.fleet.controller_programs[bed.active_controller()].kill()
