--- a/src/jacinthcove/moves/guard.py
+++ b/src/jacinthcove/moves/guard.py
@@ -38,7 +38,9 @@
 FLEET_SLOW_FIRST_RATIO = 4.0
 # A first token is slow when it is slower by SLOW_RATIO than this part of the old version's: what
 # the old version shows on its own cache misses is no fault of a version without cached prefixes.
-SLOW_FIRST_QUANTILE = 0.95
+SLOW_FIRST_QUANTILE = 0.97
+# Fewer results may hold too few cache misses for that quantile.
+MIN_OLD_FIRST_TOKENS = 100
 # First-token times vary more than times per token, above all while prefix caches are empty.
 FLEET_MIN_RESULTS = 40
 FLEET_MIN_TOKEN_RESULTS = 10
@@ -86,6 +88,8 @@
     token_times = [item.token_ms for item in good if item.token_ms is not None]
     first_slack = first_token_slack_ms(median(token_times) if token_times else 0.0)
     first_times = [float(item.first_token_ms) for item in good]
+    if token_times and len(first_times) < MIN_OLD_FIRST_TOKENS:
+        first_times = []
     first, first_rate = _slow_rate(first_times, first_slack, SLOW_FIRST_QUANTILE)
     token, token_rate = _slow_rate(token_times, TOKEN_SLACK_MS)
     error_rate = upper_rate(len(recent) - len(good), len(recent))
