--- a/src/jacinthcove/moves/guard.py
+++ b/src/jacinthcove/moves/guard.py
@@ -33,7 +33,17 @@
 # have missed the start of a step.
 FIRST_TOKEN_SLACK_STEPS = 2
 FLEET_SLOW_RATIO = 2.0
+# A new version starts with empty prefix caches, which made the mean first token of equal engines
+# more than twice as late as that of warm ones.
+FLEET_SLOW_FIRST_RATIO = 4.0
+# A first token is slow when it is slower by SLOW_RATIO than this part of the old version's: what
+# the old version shows on its own cache misses is no fault of a version without cached prefixes.
+SLOW_FIRST_QUANTILE = 0.97
+# Fewer results may hold too few cache misses for that quantile.
+MIN_OLD_FIRST_TOKENS = 100
+# First-token times vary more than times per token, above all while prefix caches are empty.
 FLEET_MIN_RESULTS = 40
+FLEET_MIN_TOKEN_RESULTS = 10
 REFRESH_REQUESTS = 20
 
 
@@ -77,7 +87,10 @@
     good = [item for item in recent if not item.failed]
     token_times = [item.token_ms for item in good if item.token_ms is not None]
     first_slack = first_token_slack_ms(median(token_times) if token_times else 0.0)
-    first, first_rate = _slow_rate([float(item.first_token_ms) for item in good], first_slack)
+    first_times = [float(item.first_token_ms) for item in good]
+    if token_times and len(first_times) < MIN_OLD_FIRST_TOKENS:
+        first_times = []
+    first, first_rate = _slow_rate(first_times, first_slack, SLOW_FIRST_QUANTILE)
     token, token_rate = _slow_rate(token_times, TOKEN_SLACK_MS)
     error_rate = upper_rate(len(recent) - len(good), len(recent))
     return Baseline(error_rate, first, first_rate, token, token_rate)
@@ -88,12 +101,13 @@
     return max(FIRST_TOKEN_SLACK_MS, FIRST_TOKEN_SLACK_STEPS * token_ms)
 
 
-def _slow_rate(times: list[float], slack_ms: float) -> tuple[float, float]:
+def _slow_rate(times: list[float], slack_ms: float, quantile: float = 0.0) -> tuple[float, float]:
     """Return the time above which a result counts as slow and how often old results are slow."""
     if len(times) < MIN_OLD_RESULTS:
         return math.inf, UNKNOWN_RATE
     middle = median(times)
-    limit = max(middle * SLOW_RATIO, middle + slack_ms)
+    usual = max(middle, sorted(times)[int(quantile * (len(times) - 1))])
+    limit = max(usual * SLOW_RATIO, middle + slack_ms)
     return limit, upper_rate(sum(1 for time in times if time > limit), len(times))
 
 
@@ -147,6 +161,18 @@
 
 def fleet_fault(new: Counters, old: Counters) -> str:
     """Compare merged counters, for faults too thinly spread to show on one router; or ''."""
+    return fleet_errors(new, old) or _fleet_slowness(
+        new, old, FLEET_MIN_RESULTS, FLEET_MIN_TOKEN_RESULTS
+    )
+
+
+def fleet_suspicion(new: Counters, old: Counters) -> str:
+    """Return what would be a fault if more results showed the same, or ''."""
+    return _fleet_slowness(new, old, 1, 1)
+
+
+def fleet_errors(new: Counters, old: Counters) -> str:
+    """Compare the errors of merged counters; return the fault or ''."""
     rate = upper_rate(old.errors, old.requests)
     if new.requests and new.errors / new.requests > rate:
         share = min(new.errors / new.requests, 1 - 1e-9)
@@ -155,14 +181,17 @@
         )
         if new.requests * divergence > CUT_THRESHOLD:
             return "more errors than the old version over the fleet"
-    if min(new.requests - new.errors, old.requests - old.errors) < FLEET_MIN_RESULTS:
-        return ""
+    return ""
+
+
+def _fleet_slowness(new: Counters, old: Counters, first_results: int, token_results: int) -> str:
+    results = min(new.requests - new.errors, old.requests - old.errors)
     slack = first_token_slack_ms(old.token_ms())
-    limit = max(old.first_token_ms() * FLEET_SLOW_RATIO, old.first_token_ms() + slack)
-    if new.first_token_ms() > limit:
+    limit = max(old.first_token_ms() * FLEET_SLOW_FIRST_RATIO, old.first_token_ms() + slack)
+    if results >= first_results and new.first_token_ms() > limit:
         return "slower first token than the old version over the fleet"
     limit = max(old.token_ms() * FLEET_SLOW_RATIO, old.token_ms() + TOKEN_SLACK_MS)
-    if old.tokens and new.tokens and new.token_ms() > limit:
+    if results >= token_results and old.tokens and new.tokens and new.token_ms() > limit:
         return "slower tokens than the old version over the fleet"
     return ""
 
