Retry a change through lost answers of its history entry, and test mutants

A lost answer while the replaced revision was copied to the history refused the change, although nothing was wrong with it; the copy is now repeated within the settling time. A second mutant, which takes a missing answer for a refusal, is caught too. Unchanged configurations are not decoded again, and a time limit of the caller is no longer taken for that of the call.

--- a/src/jacinthcove/control/acceptance.py
+++ b/src/jacinthcove/control/acceptance.py
@@ -73,6 +73,7 @@
         self.store = store
         self.clock = clock
         self.settle_ms = settle_ms
+        self.last = _accepted(None)
 
     def current(self) -> FleetConfig:
         """Return the accepted configuration, revision 0 if there is none yet."""
@@ -80,7 +81,11 @@
 
     def accepted(self) -> Accepted:
         """Return the accepted configuration with its change; raise `StoreUnavailable`."""
-        return _accepted(self.store.get(CURRENT_KEY))
+        stored = self.store.get(CURRENT_KEY)
+        # Operators poll; an unchanged configuration of a large fleet is not decoded again.
+        if stored is None or (stored.version, stored.value) != (self.last.version, self.last.body):
+            self.last = _accepted(stored)
+        return self.last
 
     def at(self, revision: int) -> Accepted | None:
         """Return a revision, or None if it does not exist or is no longer kept."""
@@ -158,9 +163,9 @@
                 if self._put(new, stored.version):
                     return
             except StoreUnavailable as error:
-                if not sent:
-                    raise
                 if self.clock.now() >= gives_up_at:
+                    if not sent:
+                        raise
                     raise OutcomeUnknown(new.config.revision, new.change.id) from error
                 self.clock.sleep(SETTLE_PERIOD_MS)
 
@@ -183,10 +188,11 @@
 
     def _keep(self, accepted: Accepted) -> None:
         """Copy a revision to the history unless it is there."""
-        if accepted.config.revision == 0:
+        key = f"{HISTORY_PREFIX}{accepted.config.revision}"
+        if accepted.config.revision == 0 or self.store.get(key) is not None:
             return
         try:
-            self.store.put(f"{HISTORY_PREFIX}{accepted.config.revision}", accepted.body, 0)
+            self.store.put(key, accepted.body, 0)
         except Conflict:
             pass
 
--- a/src/jacinthcove/platform/connections.py
+++ b/src/jacinthcove/platform/connections.py
@@ -54,11 +54,14 @@
         """Make one call without repeating it; raise `NoReply` if no whole reply arrives in time."""
         limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
         client = self.idle.pop() if self.idle else self._open()
+        limit = gevent.Timeout(limit_ms / 1000)
         try:
-            with gevent.Timeout(limit_ms / 1000):
+            with limit:
                 reply = self._exchange(client, method, path, body, headers or {})
-        except gevent.Timeout:
+        except gevent.Timeout as error:
             self._drop(client)
+            if error is not limit:
+                raise
             raise NoReply(f"{self.address} did not answer within {limit_ms} ms") from None
         except ConnectionRefusedError as error:
             self._drop(client)
--- a/tests/control/test_acceptance_fuzz.py
+++ b/tests/control/test_acceptance_fuzz.py
@@ -39,8 +39,19 @@
             super()._require(key, if_version)
 
 
+class HastyAcceptance(Acceptance):
+    """Takes a missing answer for a refusal."""
+
+    def _settle(self, new):
+        stored = self.accepted()
+        self._keep(stored)
+        if stored.config.revision != new.config.revision - 1 or not self._put(new, stored.version):
+            raise Conflict(CURRENT_KEY, stored.config.revision)
+
+
 class Race(RuleBasedStateMachine):
     store_type = MemoryStore
+    acceptance_type = Acceptance
 
     def __init__(self):
         super().__init__()
@@ -58,7 +69,7 @@
             turn.clear()
 
     def _run(self, attempt, whole_update):
-        acceptance = Acceptance(self.store, self.clock, settle_ms=200)
+        acceptance = self.acceptance_type(self.store, self.clock, settle_ms=200)
 
         def edit(config):
             domains = {**config.failure_domains, attempt.domain: FailureDomain(attempt.domain)}
@@ -127,8 +138,9 @@
     def revisions_rise_by_one_and_keep_earlier_changes(self):
         previous = FleetConfig()
         for config in self.written():
-            assert config.revision == previous.revision + 1
-            assert config.failure_domains.keys() > previous.failure_domains.keys()
+            assert config.revision == previous.revision + 1, "a revision was skipped or repeated"
+            kept = config.failure_domains.keys() > previous.failure_domains.keys()
+            assert kept, "an accepted change was lost"
             previous = config
 
     @invariant()
@@ -137,9 +149,10 @@
         in_force = written[-1].failure_domains if written else {}
         for attempt in self.attempts:
             if isinstance(attempt.outcome, int):
-                assert attempt.domain in written[attempt.outcome - 1].failure_domains
+                accepted = written[attempt.outcome - 1].failure_domains
+                assert attempt.domain in accepted, "an accepted change is not in its revision"
             elif attempt.outcome == "refused":
-                assert attempt.domain not in in_force
+                assert attempt.domain not in in_force, "a refused change is in force"
 
     def teardown(self):
         for operator in list(self.running):
@@ -156,8 +169,12 @@
     store_type = UnconditionalStore
 
 
+class RaceWithoutSettling(Race):
+    acceptance_type = HastyAcceptance
+
+
 FUZZ = settings(derandomize=True, stateful_step_count=30, deadline=None)
-# The mutant only has to fail; shrinking its failure takes minutes.
+# The mutants only have to fail; shrinking a failure takes minutes.
 MUTANT = settings(FUZZ, phases=[Phase.generate])
 
 
@@ -165,6 +182,13 @@
     run_state_machine_as_test(Race, settings=FUZZ)
 
 
-def test_an_unconditional_write_is_caught():
-    with pytest.raises(AssertionError):
-        run_state_machine_as_test(RaceWithoutCondition, settings=MUTANT)
+@pytest.mark.parametrize(
+    ("race", "fault"),
+    [
+        (RaceWithoutCondition, "a revision was skipped or repeated|change was lost"),
+        (RaceWithoutSettling, "a refused change is in force"),
+    ],
+)
+def test_mutants_are_caught(race, fault):
+    with pytest.raises(AssertionError, match=fault):
+        run_state_machine_as_test(race, settings=MUTANT)
