Tell callers when to come back after a passed deadline

An idempotent request whose deadline passed while it ran ended without a retry time; the design promises one with each request that is given up. A request that must not run twice still gets none.

--- a/src/jacinthcove/router/runner.py
+++ b/src/jacinthcove/router/runner.py
@@ -10,7 +10,7 @@
 import structlog
 
 from jacinthcove.clock import Clock
-from jacinthcove.codes import ResultCode
+from jacinthcove.codes import ResultClass, ResultCode, result_class
 from jacinthcove.config.model import ServiceKind
 from jacinthcove.delivery.retry import Retries
 from jacinthcove.errors import RequestRefused
@@ -24,7 +24,7 @@
 log = structlog.get_logger()
 
 KEEP_ALIVE_INTERVAL_S = 1.0
-NOT_ADMITTED_RETRY_AFTER_MS = 500
+RETRY_AFTER_MS = 500
 
 
 class VersionChoice(Protocol):
@@ -80,7 +80,7 @@
             self._learn(request, grant, estimate, result, granted_at)
             log_attempt(request, grant, result, granted_at - started, self.clock.now() - granted_at)
             if not self._may_retry(request, result, attempt):
-                return self._final(result.answer)
+                return self._final(request, result.answer)
             avoid |= {grant.target_id}
             log.info(
                 "request_retried",
@@ -215,10 +215,13 @@
             request.workspace.name, result.code, idempotent, attempt, request.deadline
         )
 
-    def _final(self, answer: Answer) -> Answer:
-        if answer.code is ResultCode.NOT_ADMITTED and answer.retry_after_ms is None:
-            return replace(answer, retry_after_ms=NOT_ADMITTED_RETRY_AFTER_MS)
-        return answer
+    def _final(self, request: CallerRequest, answer: Answer) -> Answer:
+        """Add when to come back, unless sending the request again could run it twice."""
+        kind = result_class(answer.code)
+        again = kind is ResultClass.NOT_RUN or request.route.idempotent
+        if kind is ResultClass.DONE or not again or answer.retry_after_ms is not None:
+            return answer
+        return replace(answer, retry_after_ms=RETRY_AFTER_MS)
 
 
 def log_attempt(
