--- a/src/jacinthcove/mesh/links.py
+++ b/src/jacinthcove/mesh/links.py
@@ -158,7 +158,7 @@
         try:
             return handler(sender, message), ""
         except Exception as error:
-            self.log.exception("message handler failed", kind=kind, sender=sender)
+            self.log.exception("message_handler_failed", kind=kind, sender=sender)
             return None, f"{kind} failed: {error}"
 
     def _post(self, item: Outgoing) -> None:
--- a/src/jacinthcove/mesh/members.py
+++ b/src/jacinthcove/mesh/members.py
@@ -192,7 +192,7 @@
         self.me = member
         self.cached_alive = None
         self.log.info(
-            "own member state",
+            "own_member_state",
             member=member.id,
             state=member.state.name.lower(),
             incarnation=member.incarnation,
@@ -208,7 +208,7 @@
         if known == replace(member, incarnation=known.incarnation if known else 0):
             return
         self.log.info(
-            "member state",
+            "member_state",
             member=member.id,
             state=member.state.name.lower(),
             incarnation=member.incarnation,
@@ -221,7 +221,7 @@
             try:
                 callback(member)
             except Exception:
-                self.log.exception("member callback failed", member=member.id)
+                self.log.exception("member_callback_failed", member=member.id)
 
     def _forget(self, now: int) -> None:
         dead = self.others(MemberState.DEAD)
--- a/src/jacinthcove/mesh/probing.py
+++ b/src/jacinthcove/mesh/probing.py
@@ -305,4 +305,4 @@
             try:
                 step()
             except Exception:
-                self.log.exception("probing step failed", step=step.__name__)
+                self.log.exception("probing_step_failed", step=step.__name__)
--- a/src/jacinthcove/mesh/spread.py
+++ b/src/jacinthcove/mesh/spread.py
@@ -74,7 +74,7 @@
             return False
         self._keep(document)
         self.log.info(
-            "document revision taken",
+            "document_revision_taken",
             member=self.members.me.id,
             kind=document.kind,
             revision=document.revision,
@@ -84,7 +84,7 @@
             try:
                 callback(document)
             except Exception:
-                self.log.exception("document callback failed", kind=document.kind)
+                self.log.exception("document_callback_failed", kind=document.kind)
         return True
 
     def revisions(self) -> list[pb.DocumentRevision]:
@@ -110,7 +110,7 @@
             try:
                 document = self._read(push)
             except DigestMismatch as error:
-                self.log.warning("document pulled whole", member=member_id, reason=str(error))
+                self.log.warning("document_pulled_whole", member=member_id, reason=str(error))
                 push = self._ask(member_id, kind, 0)
                 document = self._read(push)
             self._take(push, document)
@@ -143,7 +143,7 @@
         """
         retry_s = FIRST_RETRY_S
         while not self._ask_all(kind, read_store):
-            self.log.warning("no source for document", kind=kind, member=self.members.me.id)
+            self.log.warning("no_source_for_document", kind=kind, member=self.members.me.id)
             gevent.sleep(retry_s * self.rng.uniform(0.5, 1.5))
             retry_s = min(retry_s * 2, MAX_RETRY_S)
         return self.get(kind)
--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -257,7 +257,7 @@
         hello = self.key.check("dial", stream.metadata)
         if hello is None:
             origin = str(stream.peer.addr() if stream.peer else "")
-            self.emit(StreamNote("stream refused, wrong fleet key", {"origin": origin}))
+            self.emit(StreamNote("stream_refused", {"origin": origin}))
             raise GRPCError(Status.UNAUTHENTICATED, "wrong fleet key")
         reply = self.key.hello("listen", self.member_id, self.address, hello.nonce)
         await stream.send_initial_metadata(metadata=reply)
@@ -330,7 +330,7 @@
             try:
                 self._tick()
             except Exception as error:  # without ticks no silent stream would be replaced
-                self.emit(StreamNote("stream check failed", {"reason": repr(error)}))
+                self.emit(StreamNote("stream_check_failed", {"reason": repr(error)}))
 
     def _tick(self) -> None:
         now = self.loop.time()
@@ -352,7 +352,7 @@
                 stream.abort()
             return
         if silent:
-            self.emit(StreamNote("silent stream replaced", {"peer": stream.member_id}))
+            self.emit(StreamNote("silent_stream_replaced", {"peer": stream.member_id}))
             stream.abort()
             stream.last_used = now
             self._replace(peer, stream)
--- a/src/jacinthcove/mesh/watching.py
+++ b/src/jacinthcove/mesh/watching.py
@@ -99,7 +99,7 @@
         try:
             self.documents.offer(config_document(stored))
         except ValueError as error:
-            self.log.error("stored configuration is malformed", reason=str(error))
+            self.log.error("stored_configuration_malformed", reason=str(error))
 
     def poll_vms(self) -> None:
         """Read the VM list once and offer it."""
@@ -122,13 +122,13 @@
             step()
         except StoreUnavailable as error:
             if not failures:
-                self.log.warning("platform unavailable", step=step.__name__, reason=str(error))
+                self.log.warning("platform_unavailable", step=step.__name__, reason=str(error))
             return False
         except Exception:
-            self.log.exception("platform step failed", step=step.__name__)
+            self.log.exception("platform_step_failed", step=step.__name__)
             return False
         if failures:
-            self.log.info("platform available again", step=step.__name__)
+            self.log.info("platform_available_again", step=step.__name__)
         return True
 
     def backoff_s(self, failures: int) -> float:
