--- a/benchmarks/designsize.py
+++ b/benchmarks/designsize.py
@@ -18,6 +18,7 @@
     ServiceKind,
     Workspace,
 )
+from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member
 from jacinthcove.platform.vms import Vm, VmList, VmRole
 
@@ -198,3 +199,21 @@
         Member(vm.id, vm.mesh_address, vm.address, vm.failure_domain, 1_700_000_000_000 + index)
         for index, vm in enumerate(router_vms(count))
     ]
+
+
+def route_evidence() -> list[pb.RouteEvidence]:
+    """Return a router's evidence of a move: two versions on three routes."""
+    return [
+        pb.RouteEvidence(
+            service="model-0",
+            route=route,
+            version=version,
+            requests=100_000,
+            errors=10,
+            first_token_ms_sum=20_000_000,
+            token_ms_sum=600_000_000,
+            tokens=20_000_000,
+        )
+        for route in ("draft", "short", "publish")
+        for version in ("v1", "v2")
+    ]
--- a/benchmarks/storeload.py
+++ b/benchmarks/storeload.py
@@ -182,20 +182,7 @@
 
 
 def _statuses(count: int) -> list[pb.MemberStatus]:
-    evidence = [
-        pb.RouteEvidence(
-            service="model-0",
-            route=route,
-            version=version,
-            requests=100_000,
-            errors=10,
-            first_token_ms_sum=20_000_000,
-            token_ms_sum=600_000_000,
-            tokens=20_000_000,
-        )
-        for route in ("draft", "short", "publish")
-        for version in ("v1", "v2")
-    ]
+    evidence = size.route_evidence()
     return [
         pb.MemberStatus(
             member_id=f"router-{index:05}",
--- a/benchmarks/traffic.py
+++ b/benchmarks/traffic.py
@@ -294,24 +294,10 @@
     """Measure a delegate's gathering by the routers of its failure domain, without transport."""
     cost = Samples("status: delegate, without transport", "routers asked", "ms", 273)
     traffic = Samples("status: sent and received by the delegate", "routers asked", "KB", 273)
-    evidence = [
-        pb.RouteEvidence(
-            service="model-0",
-            route=route,
-            version=version,
-            requests=100_000,
-            errors=10,
-            first_token_ms_sum=20_000_000,
-            token_ms_sum=600_000_000,
-            tokens=20_000_000,
-        )
-        for route in ("draft", "short", "publish")
-        for version in ("v1", "v2")
-    ]
     own = pb.MemberStatus(
         member_id="router-00000",
         config_revision=1_000_000,
-        evidence=evidence,
+        evidence=size.route_evidence(),
         incarnation=1_700_000_000_000,
     )
     for count in ASKED:
--- a/features/steps/moves.py
+++ b/features/steps/moves.py
@@ -12,7 +12,8 @@
 sys.path[:0] = [str(Path(__file__).resolve().parents[2])]
 
 from jacinthcove.load.profiles import SERENO  # noqa: E402
-from testbed.moves import CaseRun, MoveBed, MoveCase, read_attempts  # noqa: E402
+from testbed.decisions import read_attempts  # noqa: E402
+from testbed.moves import CaseRun, MoveBed, MoveCase  # noqa: E402
 
 BEDS = []
 MAX_SHARE = 0.05
--- a/src/jacinthcove/load/callers.py
+++ b/src/jacinthcove/load/callers.py
@@ -65,7 +65,7 @@
     """Idle HTTP clients by address, shared by the callers of one process.
 
     Each client has one connection: the library resends a GET once per connection of its pool, so
-    a large pool would storm a router that closes connections.
+    a large pool would send many repeats to a router that closes connections.
     """
 
     def __init__(self, silence_ms: int = STREAM_SILENCE_MS, whole_silence_ms: int = 0):
--- a/src/jacinthcove/load/experiments.py
+++ b/src/jacinthcove/load/experiments.py
@@ -230,7 +230,7 @@
         for n in range(2)
     ]
     slots = sum(s.targets * s.limits.max for s in profile.services if s.name == service)
-    storm = [
+    flooding = [
         Session(
             flooder,
             half * 1000,
@@ -239,7 +239,7 @@
         for n in range(5 * slots)
     ]
     with closing(start(None, WARM_ENGINES)) as fleet:
-        run = run_load(fleet, "flood", [*others, *quiet, *storm], report.seconds + WARM_UP_S)
+        run = run_load(fleet, "flood", [*others, *quiet, *flooding], report.seconds + WARM_UP_S)
     _add_run(report, run)
     ends = (report.seconds + WARM_UP_S) * 1000
     starts = run.result.tallies[small.name].first_tokens
--- a/src/jacinthcove/router/results.py
+++ b/src/jacinthcove/router/results.py
@@ -34,8 +34,8 @@
 class VersionResult:
     """A result as evidence about a version on a route.
 
-    `sent_at` is the monotonic ms of the grant. `target_lost` says that the target died during the
-    request.
+    `sent_at` is the monotonic ms of the grant. `target_lost` says that the target failed as a whole
+    during the request.
     """
 
     service: str
--- a/src/jacinthcove/router/versions.py
+++ b/src/jacinthcove/router/versions.py
@@ -101,8 +101,8 @@
     def _died_alone(self, result: VersionResult) -> bool:
         """Return whether a request was lost with its target while most others are well.
 
-        A machine that dies says nothing about its version; a version that ends most of its
-        targets is to blame.
+        A VM that fails says nothing about its version; a version that ends most of its targets
+        is to blame.
         """
         if not result.target_lost:
             return False
--- a/src/jacinthcove/scheduling/pulls.py
+++ b/src/jacinthcove/scheduling/pulls.py
@@ -78,7 +78,7 @@
             self._wake.set()
 
     def on_end(self, scheduler: ShardScheduler) -> None:
-        """Pull soon after a request ended on a shard that lately lived from pulls."""
+        """Pull soon after a request ended on a shard whose last tickets came by pulls."""
         now = self.owners.clock.now()
         recent = now - self._pulled_at.get(scheduler.shard.name, -RECENT_PULL_MS) < RECENT_PULL_MS
         if recent and not len(scheduler.queue):
--- a/testbed/moves.py
+++ b/testbed/moves.py
@@ -3,19 +3,18 @@
 import os
 import sys
 import time
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
-from datetime import datetime
 from pathlib import Path
 from typing import Any
 
 import gevent
 import gevent.subprocess
-import orjson
 
 from jacinthcove.control.remote import AdminClient, AdminError, NoController
 from jacinthcove.load.driver import LoadDriver, LoadResult
 from jacinthcove.load.profiles import Profile, TargetProfile, backlogged
+from testbed.decisions import cut_time, read_attempts
 from testbed.fleet import OPERATOR_KEY, FleetOptions, LocalFleet
 from testbed.processes import SOURCE
 
@@ -95,17 +94,6 @@
 )
 
 
-@dataclass(frozen=True)
-class Attempt:
-    """One `request_attempted` line of a router; times are in seconds since the epoch."""
-
-    started: float
-    ended: float
-    route: str
-    version: str
-    code: int
-
-
 @dataclass
 class CaseResult:
     """What one case showed; times are in seconds, None when there is nothing to measure."""
@@ -333,33 +321,6 @@
             result.fault_to_cut = None if shown is None else max(0.0, cut - shown)
 
 
-def read_attempts(directory: Path, service: str, logs: str = "router-*.log") -> Iterator[Attempt]:
-    """Yield the attempts at targets of a service from the logs of routers."""
-    for line in _events(directory, logs, b'"request_attempted"'):
-        if line["service"] == service:
-            ended = _seconds(line)
-            started = ended - line["ran_ms"] / 1000
-            yield Attempt(started, ended, line["route"], line["version"], line["code"])
-
-
-def cut_time(directory: Path, move_id: str) -> float | None:
-    """Return when the first router cut the new version, or None."""
-    lines = _events(directory, "router-*.log", b'"version_cut"')
-    return min((_seconds(line) for line in lines if line["move"] == move_id), default=None)
-
-
-def _events(directory: Path, pattern: str, text: bytes) -> Iterator[dict[str, Any]]:
-    for path in directory.glob(pattern):
-        with open(path, "rb") as log:
-            for line in log:
-                if text in line and line.endswith(b"\n"):
-                    yield orjson.loads(line)
-
-
-def _seconds(line: dict[str, Any]) -> float:
-    return datetime.fromisoformat(line["time"]).timestamp()
-
-
 def run_cases(
     profile: Profile, directory: Path, seed: int, cases: Sequence[MoveCase]
 ) -> Iterable[CaseResult]:
