Run commands of the test bed with the standard subprocess only

In a run of all features two operator scenarios failed with exit code 0 where the command had printed a conflict or errors; alone they passed. The move cases used gevent.subprocess, whose child watcher collects the exit codes of all children, so those of the standard subprocess read as 0.

--- a/features/support/site.py
+++ b/features/support/site.py
@@ -2,13 +2,11 @@
 
 import os
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import datetime
 from pathlib import Path
 from typing import Any
@@ -20,7 +18,7 @@
 from jacinthcove.load.profiles import LAVALLEE, Profile, RouteProfile, ServiceProfile
 from jacinthcove.platform.connections import Connections, NoReply
 from testbed.fleet import CALL_TIMEOUT_MS, OPERATOR_KEY, FleetOptions, LocalFleet, http
-from testbed.processes import SOURCE
+from testbed.processes import CommandResult, run_command
 
 ENGINE, PLAIN = "drafting", "publishing"
 DEADLINE_MS = 15_000
@@ -28,7 +26,6 @@
 LONGEST_DEADLINE_MS = 60_000
 POLL_S = 0.05
 REPAIR_TIMEOUT_S = 20.0
-COMMAND_TIMEOUT_S = 60.0
 ENGINE_FLAGS = ("--token-ms", "10", "--cold-ms", "200", "--load-lag-ms", "100")
 # An engine that warms up slowly collapses if it is given its usual load after a restart.
 SLOW_WARMTH_FLAGS = (
@@ -68,14 +65,6 @@
 }
 
 
-@dataclass(frozen=True)
-class CommandResult:
-    """What an operator's command printed and its exit code."""
-
-    code: int
-    output: str
-
-
 def wait_until(what: str, condition: Callable[[], Any], timeout_s: float) -> None:
     """Wait without stopping the callers of this process; raise `AssertionError` in the end."""
     ends_at = time.monotonic() + timeout_s
@@ -156,30 +145,13 @@
 
     def operate(self, *arguments: str, remote: bool = True) -> CommandResult:
         """Run the operators' command line; `remote` commands get the controllers' addresses."""
-        command = [sys.executable, "-m", "jacinthcove.commands.operator", *arguments]
-        for address in self.fleet.admin_addresses if remote else ():
-            command += ["--controller", address]
-        return self.run(command)
-
-    def run(self, command: list[str]) -> CommandResult:
-        """Run a command to its end while the callers of this process go on."""
-        environment = {
-            **os.environ, "PYTHONPATH": str(SOURCE), "JACINTHCOVE_OPERATOR_KEY": OPERATOR_KEY,
-        }  # fmt: skip
-        with tempfile.TemporaryFile() as output:
-            process = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=output, stderr=output, env=environment
-            )
-            try:
-                wait_until(
-                    " ".join(command[2:]), lambda: process.poll() is not None, COMMAND_TIMEOUT_S
-                )
-            finally:
-                if process.poll() is None:
-                    process.kill()
-                    process.wait()
-            output.seek(0)
-            return CommandResult(process.returncode, output.read().decode())
+        addresses = self.fleet.admin_addresses if remote else ()
+        controllers = [word for address in addresses for word in ("--controller", address)]
+        return run_command(
+            "jacinthcove.commands.operator",
+            [*arguments, *controllers],
+            {"JACINTHCOVE_OPERATOR_KEY": OPERATOR_KEY},
+        )
 
     def log(self, program_id: str, event: str) -> list[dict[str, Any]]:
         """Return the log lines of one event of a router or controller, with `at` in wall s."""
--- a/testbed/moves.py
+++ b/testbed/moves.py
@@ -1,7 +1,5 @@
 """Version moves on a local fleet: cases with good and bad versions, and what each one showed."""
 
-import os
-import sys
 import time
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
@@ -9,14 +7,13 @@
 from typing import Any
 
 import gevent
-import gevent.subprocess
 
 from jacinthcove.control.remote import AdminClient, AdminError, NoController
 from jacinthcove.load.driver import LoadDriver, LoadResult
 from jacinthcove.load.profiles import Profile, TargetProfile, backlogged
 from testbed.decisions import cut_time, read_attempts
 from testbed.fleet import OPERATOR_KEY, FleetOptions, LocalFleet
-from testbed.processes import SOURCE
+from testbed.processes import run_command
 
 # Requests are shorter than the site's own, so that a move of seconds sees as many of them as a
 # move of minutes does.
@@ -162,16 +159,13 @@
     def command(self, *arguments: str) -> str:
         """Run the operators' command line and return its output; raises `RuntimeError`."""
         environment = {
-            **os.environ,
-            "PYTHONPATH": str(SOURCE),
             "JACINTHCOVE_OPERATOR_KEY": OPERATOR_KEY,
             "JACINTHCOVE_CONTROLLERS": ",".join(self.fleet.admin_addresses),
         }
-        command = [sys.executable, "-m", "jacinthcove.commands.operator", *arguments]
-        done = gevent.subprocess.run(command, env=environment, capture_output=True, text=True)
-        if done.returncode:
-            raise RuntimeError(f"{' '.join(arguments)}: {done.stdout}{done.stderr}")
-        return str(done.stdout)
+        done = run_command("jacinthcove.commands.operator", arguments, environment)
+        if done.code:
+            raise RuntimeError(f"{' '.join(arguments)}: {done.output}")
+        return done.output
 
     def add_version(self, version: str, count: int, first: int = 0) -> list[str]:
         """Start targets of a version, put them on the VM list and return their ids."""
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -6,12 +6,17 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import gevent
+
 STOP_TIMEOUT_S = 40.0
+COMMAND_TIMEOUT_S = 60.0
+POLL_S = 0.05
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 _returned: set[int] = set()
@@ -101,6 +106,48 @@
             return None
 
 
+@dataclass(frozen=True)
+class CommandResult:
+    """The exit code and the whole output of a command."""
+
+    code: int
+    output: str
+
+
+def run_command(
+    module: str,
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+    timeout_s: float = COMMAND_TIMEOUT_S,
+) -> CommandResult:
+    """Run a module to its end while other greenlets of this process go on.
+
+    Uses the standard `subprocess` throughout the test bed: the child watcher of gevent's own one
+    would collect the exit codes of the other children, which then read as 0.
+    """
+    command = [sys.executable, "-m", module, *arguments]
+    with tempfile.TemporaryFile() as output:
+        process = subprocess.Popen(
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+            env={**os.environ, "PYTHONPATH": str(SOURCE), **environment},
+        )
+        try:
+            deadline = time.monotonic() + timeout_s
+            while process.poll() is None:
+                if time.monotonic() >= deadline:
+                    raise TimeoutError(f"{module} {' '.join(arguments)} did not end")
+                gevent.sleep(POLL_S)
+        finally:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        output.seek(0)
+        return CommandResult(process.returncode, output.read().decode())
+
+
 def stop_all(programs: Sequence[Program], timeout_s: float = STOP_TIMEOUT_S) -> None:
     """Stop several processes at the same time."""
     for program in programs:
