Build the answer to a refusal in one place and drop dead code

Three modules of the router turned a refusal into an answer with the same lines; Answer.of_refusal now serves them. The resumer's configuration, a constant of the target client and a method of the move bed were unused.

--- a/src/jacinthcove/router/answer.py
+++ b/src/jacinthcove/router/answer.py
@@ -7,7 +7,7 @@
 import orjson
 
 from jacinthcove.codes import ResultCode, result_class
-from jacinthcove.errors import TargetFailed
+from jacinthcove.errors import RequestRefused, TargetFailed
 
 KEEP_ALIVE = b": keep-alive\n\n"
 _CHUNK = b"event: chunk\nid: %d\ndata: %b\n\n"
@@ -35,6 +35,11 @@
     message: str = ""
     retry_after_ms: int | None = None
 
+    @classmethod
+    def of_refusal(cls, refusal: RequestRefused) -> "Answer":
+        """Return the answer that tells a caller of a refusal."""
+        return cls(refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms)
+
     def as_dict(self) -> dict[str, Any]:
         """Return the JSON form of a whole answer or a refusal."""
         data: dict[str, Any] = {
--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -175,10 +175,7 @@
             return self._route(environ, start_response)
         except RequestRefused as refusal:
             self.metrics.counter("requests_refused_total", code=refusal.code.name.lower()).add()
-            answer = Answer(
-                refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms
-            )
-            return _json_answer(start_response, answer)
+            return _json_answer(start_response, Answer.of_refusal(refusal))
 
     def _route(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -123,7 +123,7 @@
             self.fleet_key,
             Retries(self.clock),
         )
-        self.resumer = StreamResumer(self.clock, self.fleet_key, self.config)
+        self.resumer = StreamResumer(self.clock, self.fleet_key)
         lookup = Lookup(self.members, self.config, self.owners_of, random.Random())
         self.api = CallerApi(
             self.clock,
--- a/src/jacinthcove/router/keyed.py
+++ b/src/jacinthcove/router/keyed.py
@@ -28,9 +28,7 @@
                 workspace, key, content_hash(request), request.id, request.deadline
             )
         except RequestRefused as refusal:
-            return Answer(
-                refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms
-            )
+            return Answer.of_refusal(refusal)
         if result.kind is not ClaimKind.GRANTED or result.claim is None:
             return stored_answer(result)
         answer = Answer(ResultCode.INTERNAL, message="the router failed")
--- a/src/jacinthcove/router/resume.py
+++ b/src/jacinthcove/router/resume.py
@@ -4,7 +4,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode
-from jacinthcove.config.model import FleetConfig, Limits
+from jacinthcove.config.model import Limits
 from jacinthcove.delivery.relay import Progress, StreamMissing, StreamRelay
 from jacinthcove.delivery.resume import ResumeToken, decode_token
 from jacinthcove.errors import NotAdmitted, RequestRefused, TargetFailed
@@ -21,12 +21,9 @@
 class StreamResumer:
     """Continues streams that were started through any router of the fleet."""
 
-    def __init__(
-        self, clock: Clock, fleet_key: Callable[[], str], config: Callable[[], FleetConfig]
-    ):
+    def __init__(self, clock: Clock, fleet_key: Callable[[], str]):
         self.clock = clock
         self.fleet_key = fleet_key
-        self.config = config
 
     def resume(self, workspace: str, text: str, offset: int, stream: EventStream) -> Answer:
         """Relay the stream named by the token from `offset` to its end."""
--- a/src/jacinthcove/router/runner.py
+++ b/src/jacinthcove/router/runner.py
@@ -72,9 +72,7 @@
                 if grant is None:
                     continue
             except RequestRefused as refusal:
-                return Answer(
-                    refusal.code, message=refusal.message, retry_after_ms=refusal.retry_after_ms
-                )
+                return Answer.of_refusal(refusal)
             granted_at = self.clock.now()
             result = self._attempt(request, grant, stream)
             self._learn(request, grant, estimate, result, granted_at)
--- a/src/jacinthcove/targets/client.py
+++ b/src/jacinthcove/targets/client.py
@@ -25,7 +25,6 @@
 MAX_EVENT_BYTES = 1_000_000
 # The kernel drops a connection whose sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 10_000
-MAX_ERROR_BODY_BYTES = 2_000
 
 
 class TargetUnreachable(NotAdmitted):
--- a/testbed/moves.py
+++ b/testbed/moves.py
@@ -9,7 +9,7 @@
 import gevent
 
 from jacinthcove.control.remote import AdminClient, AdminError, NoController
-from jacinthcove.load.driver import LoadDriver, LoadResult
+from jacinthcove.load.driver import LoadDriver
 from jacinthcove.load.profiles import Profile, TargetProfile, backlogged
 from testbed.decisions import cut_time, read_attempts
 from testbed.fleet import OPERATOR_KEY, FleetOptions, LocalFleet
@@ -149,13 +149,6 @@
             self.load_task.kill()
         self.fleet.close()
 
-    @property
-    def load_result(self) -> LoadResult:
-        """Return what the callers received so far."""
-        if self.load is None:
-            raise RuntimeError("the fleet was not started")
-        return self.load.result
-
     def command(self, *arguments: str) -> str:
         """Run the operators' command line and return its output; raises `RuntimeError`."""
         environment = {
