Move the store's interface and clients to a package of their own

Cause: the folder platform/ is to hold only what translates between the users' platform and the product; it held the product's own store Protocol, in-memory store, object API client and VM list. Change: the package is called store; imports and tests follow. No logic changed.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -13,7 +13,7 @@
 from jacinthcove.clock import SystemClock
 from jacinthcove.control.acceptance import Acceptance
 from jacinthcove.load.profiles import LAVALLEE
-from jacinthcove.platform.client import HttpStore
+from jacinthcove.store.client import HttpStore
 from testbed.fleet import FleetOptions, LocalFleet
 
 CHANGES = 50
--- a/benchmarks/designsize.py
+++ b/benchmarks/designsize.py
@@ -20,7 +20,7 @@
 )
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member
-from jacinthcove.platform.vms import Vm, VmList, VmRole
+from jacinthcove.store.vms import Vm, VmList, VmRole
 
 DAEMONS = 3_000
 TARGETS = 10_000
--- a/benchmarks/inmemory.py
+++ b/benchmarks/inmemory.py
@@ -11,8 +11,8 @@
 from jacinthcove.mesh.peers import Handler, Member
 from jacinthcove.mesh.streams import FRAME_OVERHEAD_BYTES
 from jacinthcove.observe import logs
-from jacinthcove.platform.vms import Vm, VmList, VmRole
 from jacinthcove.scheduling.dispatch import MeshDispatch
+from jacinthcove.store.vms import Vm, VmList, VmRole
 from jacinthcove.targets.state import LoadReport, TargetState
 from jacinthcove.targets.table import TargetTable
 
--- a/benchmarks/statesize.py
+++ b/benchmarks/statesize.py
@@ -15,9 +15,9 @@
 from jacinthcove.mesh.patches import patch_push, read_push, whole_push
 from jacinthcove.mesh.peers import MemberState
 from jacinthcove.mesh.watching import Watching, vms_document
-from jacinthcove.platform.vms import VmList, decode_vms
 from jacinthcove.scheduling.dispatch import MeshDispatch
 from jacinthcove.scheduling.placement import Placement
+from jacinthcove.store.vms import VmList, decode_vms
 from jacinthcove.targets.table import TargetTable
 
 CONFIG_SIZES = (16, 520, 2_600, size.WORKSPACES)
--- a/benchmarks/storeload.py
+++ b/benchmarks/storeload.py
@@ -21,7 +21,7 @@
 from jacinthcove.errors import RequestRefused
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.moves.evidence import EvidenceKey, FleetEvidence, Reporter
-from jacinthcove.platform.memory import MemoryStore
+from jacinthcove.store.memory import MemoryStore
 
 ROUTERS = (1, 4, 16)
 # Between any two writes of a router, whichever the key shard.
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -11,7 +11,7 @@
 from features.support.traffic import Traffic
 from jacinthcove.codes import ResultCode, result_class
 from jacinthcove.load.profiles import POWER_CUT_WINDOW_MS
-from jacinthcove.platform.connections import Connections
+from jacinthcove.store.connections import Connections
 from testbed.fleet import http
 
 # Each engine shows one of these; the counts are chunks of one connection.
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -11,7 +11,7 @@
 
 from features.support.site import ENGINE, wait_until
 from jacinthcove.load.profiles import TargetProfile
-from jacinthcove.platform.connections import Connections, NoReply
+from jacinthcove.store.connections import Connections, NoReply
 from testbed.fleet import OPERATOR_KEY, http
 
 CALL_TIMEOUT_MS = 2_000
--- a/features/support/site.py
+++ b/features/support/site.py
@@ -16,7 +16,7 @@
 
 from jacinthcove.config.model import Limits, ServiceKind
 from jacinthcove.load.profiles import LAVALLEE, Profile, RouteProfile, ServiceProfile
-from jacinthcove.platform.connections import Connections, NoReply
+from jacinthcove.store.connections import Connections, NoReply
 from testbed.fleet import CALL_TIMEOUT_MS, OPERATOR_KEY, FleetOptions, LocalFleet, http
 from testbed.processes import CommandResult, run_command
 
--- a/src/jacinthcove/commands/load.py
+++ b/src/jacinthcove/commands/load.py
@@ -15,7 +15,7 @@
 from jacinthcove.load.experiments import DEPTH
 from jacinthcove.load.profiles import PROFILES, Profile, Session, power_cut, proportional
 from jacinthcove.load.trial import Report, Run, drive, order_problems
-from jacinthcove.platform.connections import Connections, NoReply
+from jacinthcove.store.connections import Connections, NoReply
 
 EXIT_WRONG_ANSWER = 1
 EXIT_BAD_OPTIONS = 2
--- a/src/jacinthcove/control/acceptance.py
+++ b/src/jacinthcove/control/acceptance.py
@@ -11,7 +11,7 @@
 from jacinthcove.config.document import decode, encode
 from jacinthcove.config.model import FleetConfig
 from jacinthcove.errors import ConfigurationError, Conflict, StoreUnavailable
-from jacinthcove.platform.store import Store, StoredObject
+from jacinthcove.store.store import Store, StoredObject
 
 CURRENT_KEY = "config/current"
 HISTORY_PREFIX = "config/history/"
--- a/src/jacinthcove/control/daemon.py
+++ b/src/jacinthcove/control/daemon.py
@@ -15,7 +15,7 @@
 from jacinthcove.errors import Conflict, StoreUnavailable
 from jacinthcove.moves.driver import MoveDriver
 from jacinthcove.observe.logs import get_logger
-from jacinthcove.platform.client import HttpStore
+from jacinthcove.store.client import HttpStore
 
 log = get_logger(component="controller")
 
--- a/src/jacinthcove/control/fleetview.py
+++ b/src/jacinthcove/control/fleetview.py
@@ -12,8 +12,8 @@
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.moves.driver import MemberReport
 from jacinthcove.observe.logs import get_logger
-from jacinthcove.platform.connections import Connections, NoReply
-from jacinthcove.platform.vms import VmList
+from jacinthcove.store.connections import Connections, NoReply
+from jacinthcove.store.vms import VmList
 
 FLEET_TIMEOUT_MS = 10_000
 VMS_MAX_AGE_MS = 1_000
--- a/src/jacinthcove/control/lease.py
+++ b/src/jacinthcove/control/lease.py
@@ -8,7 +8,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.platform.store import Store, StoredObject
+from jacinthcove.store.store import Store, StoredObject
 
 LEASE_KEY = "leases/controller"
 # Three renewals fit in one ttl, so two lost ones do not end the lease.
--- a/src/jacinthcove/control/remote.py
+++ b/src/jacinthcove/control/remote.py
@@ -12,7 +12,7 @@
 from jacinthcove.config.model import FleetConfig
 from jacinthcove.control.acceptance import new_change_id
 from jacinthcove.errors import ConfigurationError, JacinthcoveError
-from jacinthcove.platform.connections import Connections, NoReply, Reply
+from jacinthcove.store.connections import Connections, NoReply, Reply
 
 # A call may take the settling time of a lost store answer, and a little more.
 CALL_TIMEOUT_MS = 8_000
--- a/src/jacinthcove/delivery/claimbatch.py
+++ b/src/jacinthcove/delivery/claimbatch.py
@@ -11,7 +11,7 @@
 from jacinthcove.delivery.claimchain import Chain, Found
 from jacinthcove.delivery.claimlog import Entry, Outcome, Segment
 from jacinthcove.errors import Conflict
-from jacinthcove.platform.store import Store
+from jacinthcove.store.store import Store
 
 
 class ClaimKind(Enum):
--- a/src/jacinthcove/delivery/claimchain.py
+++ b/src/jacinthcove/delivery/claimchain.py
@@ -12,7 +12,7 @@
 from jacinthcove.delivery import claimlog
 from jacinthcove.delivery.claimlog import Entry, Segment
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.platform.store import Store
+from jacinthcove.store.store import Store
 
 FIRST_SEGMENT = 0
 CHECKED_SEGMENTS = 24
--- a/src/jacinthcove/delivery/claims.py
+++ b/src/jacinthcove/delivery/claims.py
@@ -27,7 +27,7 @@
 )
 from jacinthcove.delivery.claimlog import ClaimUsage
 from jacinthcove.errors import RequestRefused, StoreUnavailable
-from jacinthcove.platform.store import Store
+from jacinthcove.store.store import Store
 
 __all__ = ["Claim", "ClaimKind", "ClaimResult", "ClaimUsage", "Claims"]
 
--- a/src/jacinthcove/mesh/members.py
+++ b/src/jacinthcove/mesh/members.py
@@ -10,7 +10,7 @@
 from jacinthcove.clock import Clock
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member, MemberState
-from jacinthcove.platform.vms import VmList
+from jacinthcove.store.vms import VmList
 
 SUSPICION_MS = 3_000
 # A partition of an hour ends before its dead members are forgotten.
--- a/src/jacinthcove/mesh/watching.py
+++ b/src/jacinthcove/mesh/watching.py
@@ -12,8 +12,8 @@
 from jacinthcove.mesh.documents import CONFIG, VMS, Document, Documents
 from jacinthcove.mesh.members import Membership
 from jacinthcove.mesh.peers import Member, Members
-from jacinthcove.platform.store import Store, StoredObject
-from jacinthcove.platform.vms import VmList, decode_vms, encode_vms_by_id
+from jacinthcove.store.store import Store, StoredObject
+from jacinthcove.store.vms import VmList, decode_vms, encode_vms_by_id
 
 CONFIG_KEY = "config/current"
 WATCHERS_PER_DOMAIN = 2
--- a/src/jacinthcove/moves/driver.py
+++ b/src/jacinthcove/moves/driver.py
@@ -19,7 +19,7 @@
 from jacinthcove.moves.evidence import Counters, EvidenceKey, FleetEvidence, Reporter
 from jacinthcove.moves.guard import fleet_errors, fleet_fault, fleet_suspicion, suspect_errors
 from jacinthcove.moves.rates import last_step_ms
-from jacinthcove.platform.vms import Vm, VmList
+from jacinthcove.store.vms import Vm, VmList
 
 # A move is not recorded as done this shortly before its deadline, because the write could land
 # after routers have gone back to the old version.
--- a/src/jacinthcove/router/current.py
+++ b/src/jacinthcove/router/current.py
@@ -7,7 +7,7 @@
 from jacinthcove.config.document import decode
 from jacinthcove.config.model import FleetConfig, Workspace
 from jacinthcove.mesh.documents import CONFIG, VMS, Document, Documents
-from jacinthcove.platform.vms import VmList, decode_vms
+from jacinthcove.store.vms import VmList, decode_vms
 
 log = structlog.get_logger()
 
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -34,7 +34,6 @@
     vms_document,
 )
 from jacinthcove.observe.metrics import Metrics
-from jacinthcove.platform.client import HttpStore
 from jacinthcove.router.answer import Answer, EventStream
 from jacinthcove.router.api import CallerApi
 from jacinthcove.router.current import AppliedState
@@ -49,6 +48,7 @@
 from jacinthcove.scheduling.placement import Placement
 from jacinthcove.scheduling.shard import ShardStats
 from jacinthcove.scheduling.ticket import Dispatch
+from jacinthcove.store.client import HttpStore
 from jacinthcove.targets.table import TargetTable
 
 log = structlog.get_logger()
--- a/src/jacinthcove/standins/objectapi.py
+++ b/src/jacinthcove/standins/objectapi.py
@@ -9,7 +9,6 @@
 from gevent.event import Event
 
 from jacinthcove.clock import Clock
-from jacinthcove.platform.vms import VmList, decode_vms, encode_vms
 from jacinthcove.standins.faults import FaultControl, Faults
 from jacinthcove.standins.server import (
     Request,
@@ -19,6 +18,7 @@
     error_response,
     json_response,
 )
+from jacinthcove.store.vms import VmList, decode_vms, encode_vms
 
 MAX_WATCH_MS = 60_000
 
--- /dev/null
+++ b/src/jacinthcove/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store of durable state: its interface, clients and an in-memory form."""
--- a/src/jacinthcove/platform/client.py
+++ b/src/jacinthcove/store/client.py
@@ -8,9 +8,9 @@
 import orjson
 
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.platform.connections import Connections, NoReply, Reply
-from jacinthcove.platform.store import StoredObject
-from jacinthcove.platform.vms import VmList, decode_vms
+from jacinthcove.store.connections import Connections, NoReply, Reply
+from jacinthcove.store.store import StoredObject
+from jacinthcove.store.vms import VmList, decode_vms
 
 # A watch answers at its time limit; the reply needs this much time on top to arrive.
 WATCH_SLACK_MS = 1_000
--- a/src/jacinthcove/platform/memory.py
+++ b/src/jacinthcove/store/memory.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.platform.store import StoredObject
+from jacinthcove.store.store import StoredObject
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/targets/table.py
+++ b/src/jacinthcove/targets/table.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from jacinthcove.config.model import FleetConfig
-from jacinthcove.platform.vms import Vm, VmList
+from jacinthcove.store.vms import Vm, VmList
 
 
 @dataclass(frozen=True, order=True)
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -13,9 +13,9 @@
 from jacinthcove.config.document import encode
 from jacinthcove.config.model import FleetConfig, Operator
 from jacinthcove.load.profiles import Profile, TargetProfile
-from jacinthcove.platform.client import HttpStore
-from jacinthcove.platform.connections import Connections, NoReply
-from jacinthcove.platform.vms import Vm, VmList, VmRole, encode_vms
+from jacinthcove.store.client import HttpStore
+from jacinthcove.store.connections import Connections, NoReply
+from jacinthcove.store.vms import Vm, VmList, VmRole, encode_vms
 from testbed.processes import Program, free_addresses, stop_all
 
 FLEET_KEY = "local-fleet-key"
--- a/testbed/measure.py
+++ b/testbed/measure.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from jacinthcove.platform.connections import NoReply
+from jacinthcove.store.connections import NoReply
 from testbed.fleet import LocalFleet, http
 from testbed.processes import cpu_seconds, resident_mb
 
--- a/testbed/site.py
+++ b/testbed/site.py
@@ -17,8 +17,8 @@
 from jacinthcove.load.baseline import BaselineMode
 from jacinthcove.load.experiments import FleetFactory
 from jacinthcove.load.profiles import Profile
-from jacinthcove.platform.client import HttpStore
-from jacinthcove.platform.connections import NoReply
+from jacinthcove.store.client import HttpStore
+from jacinthcove.store.connections import NoReply
 from testbed.fleet import CALL_TIMEOUT_MS, FleetOptions, LocalFleet, RouterAddresses, http
 
 BASELINE_MODULE = "jacinthcove.load.baseline_router"
--- a/tests/control/test_acceptance_fuzz.py
+++ b/tests/control/test_acceptance_fuzz.py
@@ -17,7 +17,7 @@
 from jacinthcove.config.model import FailureDomain, FleetConfig
 from jacinthcove.control.acceptance import CURRENT_KEY, Acceptance, OutcomeUnknown
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.platform.memory import MemoryStore
+from jacinthcove.store.memory import MemoryStore
 
 OPERATORS = 3
 FAULTS = ("none", "none", "lose_answers", "lose_requests", "hold_writes", "outage")
--- a/tests/control/test_admin_api.py
+++ b/tests/control/test_admin_api.py
@@ -14,7 +14,7 @@
 from jacinthcove.control.api import AdminApi
 from jacinthcove.control.remote import AdminClient, AdminError, NoController, StartedMove
 from jacinthcove.errors import ConfigurationError
-from jacinthcove.platform.memory import MemoryStore
+from jacinthcove.store.memory import MemoryStore
 
 KEY = "operator-key-0001"
 FILE = """
--- a/tests/control/test_fleetview.py
+++ b/tests/control/test_fleetview.py
@@ -7,7 +7,7 @@
 from jacinthcove.clock import ManualClock
 from jacinthcove.control.fleetview import REPORT_AGE_MS_PER_ROUTER, FleetView
 from jacinthcove.mesh import mesh_pb2 as pb
-from jacinthcove.platform.vms import VmList
+from jacinthcove.store.vms import VmList
 
 
 class View(FleetView):
--- a/tests/load/test_load_command.py
+++ b/tests/load/test_load_command.py
@@ -5,8 +5,8 @@
 from cleo.testers.command_tester import CommandTester
 
 from jacinthcove.commands.load import EXIT_BAD_OPTIONS, RunCommand, order_runs
-from jacinthcove.platform.connections import Connections, NoReply
 from jacinthcove.standins.service import Service, ServiceSettings
+from jacinthcove.store.connections import Connections, NoReply
 
 
 @pytest.mark.parametrize(
--- a/tests/mesh/test_watching.py
+++ b/tests/mesh/test_watching.py
@@ -13,8 +13,8 @@
 from jacinthcove.mesh.spread import SpreadDocuments
 from jacinthcove.mesh.status import StatusService
 from jacinthcove.mesh.watching import MAX_BACKOFF_S, Watching, follow_vm_list
-from jacinthcove.platform.store import StoredObject
-from jacinthcove.platform.vms import Vm, VmList, VmRole
+from jacinthcove.store.store import StoredObject
+from jacinthcove.store.vms import Vm, VmList, VmRole
 
 
 class FakeStore:
--- a/tests/moves/test_driver_fuzz.py
+++ b/tests/moves/test_driver_fuzz.py
@@ -38,7 +38,7 @@
 from jacinthcove.moves.evidence import Evidence, FleetEvidence, RequestResult
 from jacinthcove.moves.guard import Guard
 from jacinthcove.moves.split import VersionSplit
-from jacinthcove.platform.vms import Vm, VmList, VmRole
+from jacinthcove.store.vms import Vm, VmList, VmRole
 
 WALL = ManualClock().wall()
 DEADLINE = WALL + 60_000
--- a/tests/moves/test_step_evidence.py
+++ b/tests/moves/test_step_evidence.py
@@ -30,9 +30,9 @@
     to_message,
 )
 from jacinthcove.moves.guard import fleet_errors, fleet_fault, suspect_errors
-from jacinthcove.platform.vms import Vm, VmList, VmRole
 from jacinthcove.router.results import VersionResult
 from jacinthcove.router.versions import VersionControl
+from jacinthcove.store.vms import Vm, VmList, VmRole
 
 WALL = ManualClock().wall()
 SERVICE = Service("s", ServiceKind.ENGINE, "v1", (Route("a"), Route("b")))
--- a/tests/scheduling/fakes.py
+++ b/tests/scheduling/fakes.py
@@ -19,8 +19,8 @@
 )
 from jacinthcove.errors import PeerUnavailable
 from jacinthcove.mesh.peers import Member, MemberState
-from jacinthcove.platform.vms import Vm, VmList, VmRole
 from jacinthcove.scheduling.dispatch import MeshDispatch
+from jacinthcove.store.vms import Vm, VmList, VmRole
 from jacinthcove.targets.state import LoadReport, TargetState
 from jacinthcove.targets.table import TargetTable
 
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -3,8 +3,8 @@
 from dataclasses import replace
 
 from jacinthcove.mesh.peers import Member, MemberState
-from jacinthcove.platform.vms import VmList
 from jacinthcove.scheduling.placement import MIN_SHARDS, Placement, shard_targets
+from jacinthcove.store.vms import VmList
 from jacinthcove.targets.table import Pool, TargetTable
 from scheduling.fakes import FakeMembers, fleet_config, router_vms, target_vms
 
--- a/tests/platform/test_store_client.py
+++ b/tests/store/test_store_client.py
@@ -7,7 +7,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.platform.client import HttpStore
+from jacinthcove.store.client import HttpStore
 
 VMS = (
     b'{"revision": 3, "vms": [{"id": "r1", "role": "router", "address": "1.1.1.1:1",'
--- a/tests/platform/test_vms.py
+++ b/tests/store/test_vms.py
@@ -4,7 +4,7 @@
 
 from jacinthcove.mesh.documents import VMS, Document
 from jacinthcove.mesh.patches import patch_push, read_push
-from jacinthcove.platform.vms import (
+from jacinthcove.store.vms import (
     Vm,
     VmList,
     VmRole,
