Follow the rendezvous order of the last shared part; judge shares by what is admitted

Cause: prompts were spread by least cost, and the fair level came from the nominal throughput, which the engines do not reach under load. Change: first engine in rendezvous order with room; standing of a workspace against the level of what is admitted.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -119,7 +119,7 @@
             targets,
             known.engine,
             self.least_goals.get(service, request.route.latency_goal_ms),
-            self.ledger.over_share(request.workspace),
+            self.ledger.standing(request.workspace),
             now,
         )
 
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -12,31 +12,41 @@
 from enum import Enum
 
 from jacinthcove.gateway.model import EngineShape, GatewayRequest, PromptShape
+from jacinthcove.gateway.shares import Standing
 from jacinthcove.gateway.targets import TargetState
 
-# Part of the service's least latency goal that unread prompts at an engine may take.
-BACKLOG_PART = 0.8
-# A prompt that is longer than that by itself may still wait this part of the goal.
-LONG_PROMPT_WAIT_PART = 0.25
-# The same for workspaces that already got their share.
-OVER_SHARE_BACKLOG_PART = 0.35
-OVER_SHARE_WAIT_PART = 0.08
-# Part of an engine's slots and memory that is filled by choice.
-SLOTS_PART = 1.0
-OVER_SHARE_SLOTS_PART = 0.8
+# Part of an engine's memory that is filled by choice.
 MEMORY_PART = 0.9
 # Requests that a plain target may hold beyond its slots.
 PLAIN_QUEUE = 2
-# Weight of reading shared parts again, in time that a request would rather wait.
-REREAD_WEIGHT = 2.0
 # Weight of a target's fill in ms, which spreads requests that have no shared parts.
 FILL_WEIGHT_MS = 60.0
 ERROR_WEIGHT_MS = 1_500.0
 OTHER_DOMAIN_MS = 2.0
 # Shared parts that a target read this long ago may have been evicted.
 PART_LIFETIME_MS = 20_000
-# Targets, best first by hash, that are expected to hold a shared part without other knowledge.
-HOME_TARGETS = 1
+# A target that fails this part of its requests is the last choice.
+FAILING_RATE = 0.4
+
+
+@dataclass(frozen=True)
+class Room:
+    """How far an engine is filled for a request, by what its workspace got so far.
+
+    `backlog` is the part of the service's least latency goal that unread prompts may take. A prompt
+    that is longer than that by itself still waits behind `wait` of the goal.
+    """
+
+    backlog: float
+    wait: float
+    slots: float
+
+
+ROOM = {
+    Standing.BEHIND: Room(backlog=1.1, wait=0.6, slots=1.0),
+    Standing.WITHIN: Room(backlog=0.8, wait=0.25, slots=1.0),
+    Standing.OVER: Room(backlog=0.35, wait=0.08, slots=0.8),
+}
 
 
 class Verdict(Enum):
@@ -104,27 +114,36 @@
         targets: list[TargetState],
         shape: EngineShape,
         least_goal_ms: int,
-        over_share: bool,
+        standing: Standing,
         now: int,
     ) -> Choice | Verdict:
-        """Return the engine with the earliest expected start, or why there is none."""
+        """Return the engine for a request, or why there is none.
+
+        Engines come in the rendezvous order of the last shared part, so that all routers send its
+        requests to the same one and, when that is full, to the same next one.
+        """
         if not targets:
             return Verdict.NO_TARGET
-        prompt = request.prompt
-        key = shared_key(prompt)
-        homes = home_order(key, targets)[:HOME_TARGETS] if key else []
-        best: tuple[float, Choice] | None = None
-        for target in targets:
-            unread = unread_tokens(prompt, target, target in homes, now)
-            memory = prompt.parts[-1].tokens if prompt.parts else prompt.input_tokens
-            memory += prompt.output_tokens
-            choice = Choice(target, unread, memory, target.load.wait_ms(), target.load.running)
-            if not fits(choice, shape, least_goal_ms, over_share):
-                continue
-            cost = self._cost(choice, prompt, shape.slots)
-            if best is None or cost < best[0]:
-                best = (cost, choice)
-        return best[1] if best is not None else Verdict.FULL
+        key = shared_key(request.prompt)
+        ordered = home_order(key, targets) if key else targets
+        home = ordered[0] if key else None
+        choices = [self._choice(request.prompt, item, item is home, now) for item in ordered]
+        if not key:
+            choices.sort(key=lambda item: self._cost(item, shape.slots))
+        choices.sort(key=lambda item: item.target.error_rate >= FAILING_RATE)
+        room = ROOM[standing]
+        fitting = (item for item in choices if fits(item, shape, least_goal_ms, room))
+        return next(fitting, Verdict.FULL)
+
+    def _choice(self, prompt: PromptShape, target: TargetState, home: bool, now: int) -> Choice:
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.input_tokens
+        return Choice(
+            target,
+            unread_tokens(prompt, target, home, now),
+            own + prompt.output_tokens,
+            target.load.wait_ms(),
+            target.load.running,
+        )
 
     def choose_plain(self, targets: list[TargetState]) -> Choice | Verdict:
         """Return the plain target with the fewest requests per slot, or why there is none."""
@@ -141,14 +160,11 @@
                 best = (cost, Choice(target, 0, 0, 0.0, running))
         return best[1] if best is not None else Verdict.FULL
 
-    def _cost(self, choice: Choice, prompt: PromptShape, slots: int) -> float:
+    def _cost(self, choice: Choice, slots: int) -> float:
         target = choice.target
-        last = prompt.parts[-1].tokens if prompt.parts else prompt.input_tokens
-        reread = max(0, choice.unread_tokens - last)
         return (
             choice.wait_ms
-            + target.load.read_ms(last)
-            + REREAD_WEIGHT * target.load.read_ms(reread)
+            + target.load.read_ms(choice.unread_tokens)
             + FILL_WEIGHT_MS * choice.running / max(1, slots)
             + self._penalty(target)
         )
@@ -158,15 +174,12 @@
         return domain + ERROR_WEIGHT_MS * target.error_rate
 
 
-def fits(choice: Choice, shape: EngineShape, least_goal_ms: int, over_share: bool) -> bool:
+def fits(choice: Choice, shape: EngineShape, least_goal_ms: int, room: Room) -> bool:
     """Return whether an engine can start the request in time and has room for it."""
     load = choice.target.load
-    slots = shape.slots * (OVER_SHARE_SLOTS_PART if over_share else SLOTS_PART)
-    if choice.running >= slots:
+    if choice.running >= shape.slots * room.slots:
         return False
     if load.memory_tokens + choice.memory_tokens > MEMORY_PART * shape.memory_tokens:
         return choice.running == 0
-    backlog = OVER_SHARE_BACKLOG_PART if over_share else BACKLOG_PART
-    wait = OVER_SHARE_WAIT_PART if over_share else LONG_PROMPT_WAIT_PART
     total = choice.wait_ms + load.read_ms(choice.unread_tokens)
-    return total <= backlog * least_goal_ms or choice.wait_ms <= wait * least_goal_ms
+    return total <= room.backlog * least_goal_ms or choice.wait_ms <= room.wait * least_goal_ms
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -6,10 +6,23 @@
 
 from collections import defaultdict, deque
 from dataclasses import dataclass
+from enum import Enum
 
 from jacinthcove.clock import Clock
 
 TICK_MS = 250
+# Capacity is short while less than this part of what is asked for gets admitted.
+PRESSED_PART = 0.95
+# Below this part of what it is due a workspace is served before others.
+BEHIND_PART = 0.7
+
+
+class Standing(Enum):
+    """What a workspace got in the recent window against what it is due."""
+
+    BEHIND = "behind"
+    WITHIN = "within"
+    OVER = "over"
 
 
 def fair_level(demands: list[float], capacity: float) -> float:
@@ -81,13 +94,20 @@
                 totals[workspace].asked += use.asked
                 totals[workspace].admitted += use.admitted
         self.recent = dict(totals)
-        capacity = self.capacity_per_s * self.window_ms / 1000
-        if capacity > 0:
-            self.level = fair_level([use.asked for use in totals.values()], capacity)
-
-    def over_share(self, workspace: str) -> bool:
-        """Return whether a workspace already got its share of the window."""
+        admitted = float(sum(use.admitted for use in totals.values()))
+        asked = [use.asked for use in totals.values()]
+        # What was admitted is what the engines can carry at present, if more was asked for.
+        capacity = min(self.capacity_per_s * self.window_ms / 1000 or admitted, admitted)
+        pressed = sum(asked) * PRESSED_PART > admitted
+        self.level = fair_level(asked, capacity) if pressed else float("inf")
+
+    def standing(self, workspace: str) -> Standing:
+        """Return how a workspace fares against its max-min share of the window."""
         use = self.recent.get(workspace)
-        if use is None:
-            return False
-        return use.admitted + self.fresh[workspace].admitted >= self.level
+        if use is None or self.level == float("inf"):
+            return Standing.WITHIN
+        got = use.admitted + self.fresh[workspace].admitted
+        if got >= self.level:
+            return Standing.OVER
+        due = min(self.level, use.asked + self.fresh[workspace].asked)
+        return Standing.BEHIND if got < BEHIND_PART * due else Standing.WITHIN
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -33,9 +33,9 @@
 
 STORE_TIMEOUT_MS = 800
 # Waits of the watches; that of the configuration bounds the age of what is believed about keys.
-CONFIG_WAIT_MS = 1_500
-TARGETS_WAIT_MS = 2_500
-DRAINED_WAIT_MS = 2_500
+CONFIG_WAIT_MS = 1_800
+TARGETS_WAIT_MS = 4_000
+DRAINED_WAIT_MS = 8_000
 # Margin of the revocation bound for requests on their way to a target.
 REVOKE_MARGIN_MS = 500
 # Parts of the fleet's limits that are used, so that delays on the way do not break them.
