Fetch shared prompt parts from their holder; take the fair level from what is admitted

Cause: the level was cut at the nominal tokens per second, which counts cached parts not at all, so every workspace was over its share and none was preferred; overflow to a second engine read shared parts again. Change: level from admitted tokens without shared parts; overflow fetches the memory of shared parts.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -69,7 +69,6 @@
     def configure(self, config: RoutingConfig) -> None:
         """Take the services and goals of a new configuration."""
         self.services = config.services
-        self.ledger.capacity_per_s = config.limits.tokens_per_s
         goals: dict[str, int] = {}
         for route in config.routes:
             for share in route.services:
--- a/src/jacinthcove/gateway/codec.py
+++ b/src/jacinthcove/gateway/codec.py
@@ -10,6 +10,7 @@
 
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.model import GatewayRequest
+from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.routes import RouteTable
 from jacinthcove.targets.client import TargetResponse
 
@@ -69,7 +70,7 @@
         """Return the typed request; raises `RequestRefused` with a not-run code."""
 
     def encode(
-        self, request: GatewayRequest, target_id: str, left_ms: int, last_event_id: str
+        self, request: GatewayRequest, choice: Choice, left_ms: int, last_event_id: str
     ) -> bytes:
         """Return the head of the request to a target; the body follows unchanged."""
 
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -151,7 +151,7 @@
             self.sending = True
             left_ms = max(1, self.request.deadline - self.clock.now())
             head = self.forwarder.codec.encode(
-                self.request, target.record.id, left_ms, self.last_event_id
+                self.request, attempt.choice, left_ms, self.last_event_id
             )
             response = exchange.send(head, self.request.body, self.request.method)
             self._receive(attempt, exchange, response)
--- a/src/jacinthcove/gateway/model.py
+++ b/src/jacinthcove/gateway/model.py
@@ -76,8 +76,6 @@
     max_body_bytes: int = 4_194_304
     header_timeout_ms: int = 3_000
     idle_timeout_ms: int = 15_000
-    # Tokens that all engines serve together: each one read counts once, each generated one twice.
-    tokens_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -109,10 +107,18 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the prompt tokens that no other request shares."""
+        return self.parts[-1].tokens if self.parts else self.input_tokens
+
     @property
     def service_tokens(self) -> int:
-        """Return the tokens by which fair shares count: read ones once, generated ones twice."""
-        return self.input_tokens + 2 * self.output_tokens
+        """Return the tokens by which fair shares count: read ones once, generated ones twice.
+
+        Shared parts are left out, because most of them are kept and not read again.
+        """
+        return self.own_tokens + 2 * self.output_tokens
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -7,7 +7,6 @@
 """
 
 import hashlib
-from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -19,6 +18,10 @@
 MEMORY_PART = 0.9
 # Requests that a plain target may hold beyond its slots.
 PLAIN_QUEUE = 2
+# Price of reading shared parts again and of fetching them from another engine, in parts of the time
+# that reading them takes.
+REREAD_WEIGHT = 3.0
+FETCH_WEIGHT = 0.35
 # Weight of a target's fill in ms, which spreads requests that have no shared parts.
 FILL_WEIGHT_MS = 60.0
 ERROR_WEIGHT_MS = 1_500.0
@@ -58,24 +61,24 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """A target with the inputs that decided for it, for the log."""
+    """A target with the inputs that decided for it, for the log.
+
+    `fetch_from` is the address of an engine that holds shared parts which the target lacks.
+    """
 
     target: TargetState
     unread_tokens: int
     memory_tokens: int
     wait_ms: float
     running: int
+    missing_tokens: int = 0
+    fetch_from: str = ""
 
 
 def _weight(key: str, target_id: str) -> bytes:
     return hashlib.blake2b(f"{key}\n{target_id}".encode(), digest_size=8).digest()
 
 
-def home_order(key: str, targets: Iterable[TargetState]) -> list[TargetState]:
-    """Return the targets in rendezvous order for a shared part."""
-    return sorted(targets, key=lambda item: _weight(key, item.record.id), reverse=True)
-
-
 def shared_key(prompt: PromptShape) -> str:
     """Return the id of the last shared part, or the empty text."""
     return prompt.parts[-2].id if len(prompt.parts) >= 2 else ""
@@ -117,32 +120,45 @@
         standing: Standing,
         now: int,
     ) -> Choice | Verdict:
-        """Return the engine for a request, or why there is none.
-
-        Engines come in the rendezvous order of the last shared part, so that all routers send its
-        requests to the same one and, when that is full, to the same next one.
-        """
+        """Return the engine with the least cost among those with room, or why there is none."""
         if not targets:
             return Verdict.NO_TARGET
-        key = shared_key(request.prompt)
-        ordered = home_order(key, targets) if key else targets
-        home = ordered[0] if key else None
-        choices = [self._choice(request.prompt, item, item is home, now) for item in ordered]
-        if not key:
-            choices.sort(key=lambda item: self._cost(item, shape.slots))
-        choices.sort(key=lambda item: item.target.error_rate >= FAILING_RATE)
+        holder = self._holder(request.prompt, targets, now)
+        choices = [self._choice(request.prompt, item, holder, now) for item in targets]
         room = ROOM[standing]
-        fitting = (item for item in choices if fits(item, shape, least_goal_ms, room))
-        return next(fitting, Verdict.FULL)
-
-    def _choice(self, prompt: PromptShape, target: TargetState, home: bool, now: int) -> Choice:
-        own = prompt.parts[-1].tokens if prompt.parts else prompt.input_tokens
+        fitting = [item for item in choices if fits(item, shape, least_goal_ms, room)]
+        if not fitting:
+            return Verdict.FULL
+        return min(fitting, key=lambda item: self._cost(item, shape.slots))
+
+    def _holder(
+        self, prompt: PromptShape, targets: list[TargetState], now: int
+    ) -> TargetState | None:
+        """Return the target that should hold the prompt's shared parts.
+
+        It is the first in rendezvous order of the last shared part, so that all routers send to
+        the same one.
+        """
+        key = shared_key(prompt)
+        if not key:
+            return None
+        sound = [item for item in targets if item.error_rate < FAILING_RATE] or targets
+        return max(sound, key=lambda item: _weight(key, item.record.id))
+
+    def _choice(
+        self, prompt: PromptShape, target: TargetState, holder: TargetState | None, now: int
+    ) -> Choice:
+        own = prompt.own_tokens
+        missing = unread_tokens(prompt, target, target is holder, now) - own
+        fetch = holder is not None and target is not holder and missing > 0
         return Choice(
             target,
-            unread_tokens(prompt, target, home, now),
+            own + (0 if fetch else missing),
             own + prompt.output_tokens,
             target.load.wait_ms(),
             target.load.running,
+            missing,
+            holder.record.address if holder is not None and fetch else "",
         )
 
     def choose_plain(self, targets: list[TargetState]) -> Choice | Verdict:
@@ -162,9 +178,12 @@
 
     def _cost(self, choice: Choice, slots: int) -> float:
         target = choice.target
+        weight = FETCH_WEIGHT if choice.fetch_from else REREAD_WEIGHT
+        missing = weight * target.load.read_ms(choice.missing_tokens)
         return (
             choice.wait_ms
             + target.load.read_ms(choice.unread_tokens)
+            + missing
             + FILL_WEIGHT_MS * choice.running / max(1, slots)
             + self._penalty(target)
         )
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -8,8 +8,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import structlog
+
 from jacinthcove.clock import Clock
 
+log = structlog.get_logger()
+
 TICK_MS = 250
 # Capacity is short while less than this part of what is asked for gets admitted.
 PRESSED_PART = 0.95
@@ -50,7 +54,6 @@
     def __init__(self, clock: Clock, window_ms: int):
         self.clock = clock
         self.window_ms = window_ms
-        self.capacity_per_s = 0.0
         self.own: dict[str, Use] = defaultdict(Use)
         self.seen: dict[tuple[str, str], Use] = {}
         self.fresh: dict[str, Use] = defaultdict(Use)
@@ -95,11 +98,20 @@
                 totals[workspace].admitted += use.admitted
         self.recent = dict(totals)
         admitted = float(sum(use.admitted for use in totals.values()))
-        asked = [use.asked for use in totals.values()]
+        asked = [float(use.asked) for use in totals.values()]
         # What was admitted is what the engines can carry at present, if more was asked for.
-        capacity = min(self.capacity_per_s * self.window_ms / 1000 or admitted, admitted)
         pressed = sum(asked) * PRESSED_PART > admitted
-        self.level = fair_level(asked, capacity) if pressed else float("inf")
+        self.level = fair_level(asked, admitted) if pressed else float("inf")
+        if pressed:
+            log.info(
+                "shares_pressed",
+                level=round(self.level),
+                admitted=round(admitted),
+                workspaces={
+                    name: (use.asked, use.admitted, self.standing(name).value)
+                    for name, use in sorted(totals.items(), key=lambda item: -item[1].asked)[:6]
+                },
+            )
 
     def standing(self, workspace: str) -> Standing:
         """Return how a workspace fares against its max-min share of the window."""
--- a/src/jacinthcove/platform/codec.py
+++ b/src/jacinthcove/platform/codec.py
@@ -8,6 +8,7 @@
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.codec import AnswerHead, Execution, Headers, RawRequest, RefusalAnswer
 from jacinthcove.gateway.model import GatewayRequest, PromptPart, PromptShape
+from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.routes import RouteTable
 from jacinthcove.platform import names
 from jacinthcove.targets.client import TargetResponse
@@ -92,15 +93,17 @@
         )
 
     def encode(
-        self, request: GatewayRequest, target_id: str, left_ms: int, last_event_id: str
+        self, request: GatewayRequest, choice: Choice, left_ms: int, last_event_id: str
     ) -> bytes:
         """Return the head of the request to a target."""
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in request.headers]
         lines.append(f"{names.TIME_LEFT_MS}: {left_ms}")
-        lines.append(f"{names.EXPECTED_TARGET}: {target_id}")
+        lines.append(f"{names.EXPECTED_TARGET}: {choice.target.record.id}")
         if request.workspace:
             lines.append(f"{names.WORKSPACE}: {request.workspace}")
+        if choice.fetch_from:
+            lines.append(f"{names.FETCH_MEMORY_FROM}: {choice.fetch_from}")
         if last_event_id:
             lines.append(f"{names.LAST_EVENT_ID}: {last_event_id}")
         if request.body or request.method in _BODY_METHODS:
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -106,7 +106,6 @@
         max_body_bytes=int(item.get("max_body_bytes") or default.max_body_bytes),
         header_timeout_ms=int(item.get("header_timeout_ms") or default.header_timeout_ms),
         idle_timeout_ms=int(item.get("idle_timeout_ms") or default.idle_timeout_ms),
-        tokens_per_s=float(item.get("tokens_per_s") or 0),
     )
 
 
--- a/src/jacinthcove/platform/names.py
+++ b/src/jacinthcove/platform/names.py
@@ -14,6 +14,8 @@
 WORKSPACE = "X-Tenant"
 EXPECTED_TARGET = "X-Expect-Instance"
 EXPECTED_VERSION = "X-Expect-Version"
+# ip:port of a target from which the receiver fetches the memory of shared prompt parts.
+FETCH_MEMORY_FROM = "Kv-Fetch"
 NOT_RUN = "X-Not-Executed"
 RETRY_AFTER = "Retry-After"
 COLD_LEFT_MS = "X-Cold-Ms"
@@ -34,7 +36,7 @@
         "X-Pin-Ms",
         "X-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        FETCH_MEMORY_FROM,
     )
 )
 
