Report unread prompt tokens as they are; log why a request was not placed

Cause: each router integrated the tokens that others had sent and corrected the sum only by its own first events. A router that a freeze had misled saw waits of 35 s at all engines, refused one workspace for 6 s (FAIR) and so never learned better. Ruled out: the shares themselves (the workspace stood as behind all the while).

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -15,6 +15,7 @@
 from jacinthcove.gateway.placement import Choice, Placement, Verdict, note_parts
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook, TargetState
+from jacinthcove.observe.decisions import DecisionLog
 
 log = structlog.get_logger()
 
@@ -25,6 +26,8 @@
 RETRY_MIN_MS = 300
 RETRY_MAX_MS = 1_300
 NO_TARGET_RETRY_MS = 500
+# A log line names at most this many targets.
+LOGGED_TARGETS = 10
 
 
 @dataclass(frozen=True)
@@ -55,6 +58,7 @@
         cold: ColdLimit,
         cold_bound: ColdBound,
         fleet: Callable[[], FleetSize],
+        decisions: DecisionLog,
     ):
         self.clock = clock
         self.book = book
@@ -63,6 +67,7 @@
         self.cold = cold
         self.cold_bound = cold_bound
         self.fleet = fleet
+        self.decisions = decisions
         self.least_goals: dict[str, int] = {}
         self.services: dict[str, GatewayService] = {}
 
@@ -93,6 +98,7 @@
             if self.clock.now() + WAIT_STEP_MS >= give_up_at:
                 break
             gevent.sleep(WAIT_STEP_MS / 1000)
+        self._log_refusal(request, service, verdict, avoid)
         raise self._refusal(verdict)
 
     def release(self, request: GatewayRequest, target: TargetState) -> None:
@@ -141,6 +147,33 @@
         target.load.begin(request.id, choice.unread_tokens, choice.memory_tokens)
         note_parts(request.prompt, target, self.clock.now())
 
+    def _log_refusal(
+        self, request: GatewayRequest, service: str, verdict: Verdict, avoid: frozenset[str]
+    ) -> None:
+        now = self.clock.now()
+        usable = self.book.usable(service)
+        self.decisions.note(
+            "request_not_placed",
+            request_id=request.id,
+            workspace=request.workspace,
+            route=request.route.name,
+            own_tokens=request.prompt.own_tokens,
+            standing=self.ledger.standing(request.workspace).value,
+            avoided=len(avoid),
+            reachable=sum(target.unreachable_until <= now for target in usable),
+            # Wait, requests, memory in thousands of tokens, and ms left cold, for each target.
+            targets={
+                target.record.id: (
+                    round(target.load.wait_ms()),
+                    target.load.running,
+                    target.load.memory_tokens // 1_000,
+                    max(0, target.cold_until - now),
+                )
+                for target in usable[:LOGGED_TARGETS]
+            },
+            outcome=verdict.value,
+        )
+
     def _refusal(self, verdict: Verdict) -> RequestRefused:
         if verdict is Verdict.NO_TARGET:
             message = "no target of the service takes work"
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -7,6 +7,7 @@
 import structlog
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.load import PeerLoad
 from jacinthcove.gateway.shares import TICK_MS, ShareLedger
 from jacinthcove.gateway.targets import TargetBook
 from jacinthcove.mesh import mesh_pb2 as pb
@@ -44,7 +45,7 @@
         self.incarnation = clock.wall()
         self.sequence = 0
         self.known: dict[str, tuple[int, int]] = {}
-        self.reported: dict[str, tuple[int, int, int]] = {}
+        self.reported: dict[str, int] = {}
         self.greenlets: list[Any] = []
         peers.register(LOAD_SHARE, self.take)
 
@@ -65,17 +66,16 @@
         self.sequence += 1
         message = pb.LoadShare(incarnation=self.incarnation, sequence=self.sequence)
         for state in self.book.states.values():
-            load = state.load
-            memory = sum(item.memory_tokens for item in load.own.values())
-            counts = (len(load.own), load.prefill_tokens, memory)
-            if any(counts[:1]) or self.reported.get(state.record.id) != counts:
-                self.reported[state.record.id] = counts
-                message.targets.add(
-                    target_id=state.record.id,
-                    running=counts[0],
-                    prefill_tokens=counts[1],
-                    memory_tokens=counts[2],
-                )
+            running = len(state.load.own)
+            if not running and not self.reported.get(state.record.id):
+                continue
+            self.reported[state.record.id] = running
+            message.targets.add(
+                target_id=state.record.id,
+                running=running,
+                unread_tokens=state.load.own_unread_tokens,
+                memory_tokens=state.load.own_memory_tokens,
+            )
         for workspace, use in self.ledger.own.items():
             message.workspaces.add(
                 workspace=workspace, asked_tokens=use.asked, admitted_tokens=use.admitted
@@ -91,11 +91,13 @@
                 state.load.forget(sender)
         elif known is not None and message.sequence <= known[1]:
             return
+        now = self.clock.now()
         self.known[sender] = (message.incarnation, message.sequence)
         for item in message.targets:
             target = self.book.states.get(item.target_id)
             if target is not None:
-                target.load.on_report(sender, item.running, item.memory_tokens, item.prefill_tokens)
+                report = PeerLoad(item.running, item.memory_tokens, item.unread_tokens, now)
+                target.load.on_report(sender, report)
         for use in message.workspaces:
             self.ledger.on_report(sender, use.workspace, use.asked_tokens, use.admitted_tokens)
 
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -75,6 +75,7 @@
             ColdLimit(clock),
             ColdBound(bounds.cold_over * COLD_PART, bounds.cold_slack * COLD_PART),
             self.fleet.size,
+            self.decisions,
         )
         self.beliefs.listeners.append(self.admission.configure)
         self.budget = WindowedRetryBudget(
