--- a/src/jacinthcove/commands/platform.py
+++ b/src/jacinthcove/commands/platform.py
@@ -2,7 +2,6 @@
 
 import os
 import sys
-from pathlib import Path
 
 from returns.result import Success
 
@@ -10,7 +9,8 @@
 from jacinthcove.observe import logs
 from jacinthcove.observe.output import BoundedOutput
 from jacinthcove.platform.daemon import PlatformRouter
-from jacinthcove.platform.settings import VARIABLE, decode_settings
+from jacinthcove.platform.settings import VARIABLE
+from jacinthcove.platform.settingsfile import SettingsFile
 
 
 def main() -> int:
@@ -19,10 +19,17 @@
     if not path:
         print(f"{VARIABLE} must name the settings file", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    result = decode_settings(Path(path).read_text("utf-8"))
+    file = SettingsFile(path)
+    result = file.read()
     if not isinstance(result, Success):
         print("\n".join(f"{path}: {problem}" for problem in result.failure()), file=sys.stderr)
         return EXIT_BAD_SETTINGS
     settings = result.unwrap()
     logs.configure("jacinthcove-router", settings.id, "info", BoundedOutput())
-    return run_until_signal(PlatformRouter(settings))
+    router = PlatformRouter(settings)
+    file.on_change = router.reload
+    file.start()
+    try:
+        return run_until_signal(router)
+    finally:
+        file.close()
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -1,5 +1,7 @@
 """The router on the platform: wires its parts together, starts and stops them."""
 
+from dataclasses import replace
+
 import gevent
 import structlog
 
@@ -27,7 +29,7 @@
 from jacinthcove.platform.followers import ConfigFollower, DrainFollower, TargetFollower
 from jacinthcove.platform.names import CONFIG_KIND, DRAINED_DOMAINS_KIND, TARGETS_KIND
 from jacinthcove.platform.objects import PlatformObjects
-from jacinthcove.platform.settings import PlatformSettings
+from jacinthcove.platform.settings import Bounds, PlatformSettings
 
 log = structlog.get_logger()
 
@@ -49,10 +51,17 @@
 EXIT_MARGIN_MS = 900
 QUIET_MS = 600
 POLL_S = 0.05
+# Open requests of one router; each takes two descriptors and about 30 KB.
+MAX_OPEN_REQUESTS = 1_200
+OVERLOADED_RETRY_MS = 1_000
 METRICS_PORT = 9464
 FIRST_STATE_POLL_S = 0.02
 
 
+def _cold_bound(bounds: Bounds) -> ColdBound:
+    return ColdBound(bounds.cold_over * COLD_PART, bounds.cold_slack * COLD_PART)
+
+
 class PlatformRouter:
     """One router daemon on the platform."""
 
@@ -73,7 +82,7 @@
             Placement(settings.failure_domain),
             self.ledger,
             ColdLimit(clock),
-            ColdBound(bounds.cold_over * COLD_PART, bounds.cold_slack * COLD_PART),
+            _cold_bound(bounds),
             self.fleet.size,
             self.decisions,
         )
@@ -82,7 +91,7 @@
             clock,
             bounds.retry_window_ms,
             bounds.retry_ratio * RETRY_RATIO_PART,
-            lambda: int(bounds.retry_slack * RETRY_SLACK_PART / self.fleet.size().routers),
+            self._retry_slack,
         )
         codec = PlatformCodec()
         forwarder = Forwarder(
@@ -144,6 +153,14 @@
         self.endpoints.close()
         self.objects.close()
 
+    def reload(self, settings: PlatformSettings) -> None:
+        """Take changed bounds; addresses are those of the start."""
+        self.settings = replace(self.settings, bounds=settings.bounds)
+        self.beliefs.max_age_ms = settings.bounds.revoke_ms - REVOKE_MARGIN_MS
+        self.admission.cold_bound = _cold_bound(settings.bounds)
+        self.budget.window_ms = settings.bounds.retry_window_ms
+        self.budget.ratio = settings.bounds.retry_ratio * RETRY_RATIO_PART
+
     def ready(self) -> bool:
         """Return whether callers should come here."""
         return self.stopping_at is None and self._knows_all() and self.beliefs.check()
@@ -165,7 +182,14 @@
             return addresses if own in addresses else [*addresses, own]
         return [address for address in addresses if address != own]
 
+    def _retry_slack(self) -> int:
+        slack = self.settings.bounds.retry_slack * RETRY_SLACK_PART
+        return int(slack / self.fleet.size().routers)
+
     def _refusal(self, request: GatewayRequest) -> RequestRefused | None:
+        if self.application.open_requests > MAX_OPEN_REQUESTS:
+            message = "the router has too many open requests"
+            return RequestRefused(ResultCode.OVERLOADED, message, OVERLOADED_RETRY_MS)
         if self.stopping_at is None:
             return None
         elapsed = self.clock.now() - self.stopping_at
--- /dev/null
+++ b/src/jacinthcove/platform/settingsfile.py
@@ -0,0 +1,63 @@
+"""Follows the settings file, which changes with SIGHUP or without any signal."""
+
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+import structlog
+from returns.result import Failure, Result, Success
+
+from jacinthcove.platform.settings import PlatformSettings, decode_settings
+
+log = structlog.get_logger()
+
+CHECK_PERIOD_S = 2.0
+
+
+class SettingsFile:
+    """Reads the file; `on_change` gets every usable new version of it."""
+
+    def __init__(self, path: str):
+        self.path = Path(path)
+        self.text = ""
+        self.on_change: Callable[[PlatformSettings], None] = lambda settings: None
+        self.greenlet: gevent.Greenlet | None = None
+
+    def read(self) -> Result[PlatformSettings, tuple[str, ...]]:
+        """Return the settings, or every problem of the file."""
+        try:
+            self.text = self.path.read_text("utf-8")
+        except OSError as error:
+            return Failure((f"cannot be read: {error}",))
+        return decode_settings(self.text)
+
+    def start(self) -> None:
+        """Read again at SIGHUP and when the text has changed."""
+        gevent.signal_handler(signal.SIGHUP, self.reload, "SIGHUP")
+        self.greenlet = gevent.spawn(self._watch)
+
+    def close(self) -> None:
+        """Stop following."""
+        if self.greenlet is not None:
+            self.greenlet.kill(block=False)
+
+    def reload(self, cause: str) -> None:
+        """Read the file and pass it on; an unusable one changes nothing."""
+        result = self.read()
+        if isinstance(result, Success):
+            log.info("settings_reloaded", cause=cause, outcome="applied")
+            self.on_change(result.unwrap())
+        else:
+            log.error("settings_reloaded", cause=cause, outcome="kept", problems=result.failure())
+
+    def _watch(self) -> None:
+        while True:
+            gevent.sleep(CHECK_PERIOD_S)
+            try:
+                changed = self.path.read_text("utf-8") != self.text
+            except OSError as error:
+                log.warning("settings_unreadable", reason=str(error))
+                continue
+            if changed:
+                self.reload("changed file")
--- /dev/null
+++ b/tests/gateway/test_beliefs.py
@@ -0,0 +1,59 @@
+"""Beliefs and their age."""
+
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.codes import ResultCode
+from jacinthcove.errors import RequestRefused
+from jacinthcove.gateway.beliefs import Beliefs
+from tests.gateway.samples import config
+
+MAX_AGE_MS = 4_500
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def beliefs(clock):
+    beliefs = Beliefs(clock, MAX_AGE_MS)
+    beliefs.apply(config(version=3), 10)
+    beliefs.confirm(clock.boot())
+    return beliefs
+
+
+def test_without_a_configuration_requests_are_refused_as_not_run(clock):
+    with pytest.raises(RequestRefused) as refused:
+        Beliefs(clock, MAX_AGE_MS).routes()
+    assert refused.value.code is ResultCode.CONFIGURATION_STALE
+
+
+@pytest.mark.parametrize("version", [2, 3])
+def test_versions_never_fall(beliefs, version):
+    beliefs.apply(config(version=version, routes=()), 11)
+    assert len(beliefs.routes().config.routes) == 1
+
+
+def test_keys_are_honoured_for_a_bounded_time_without_word(beliefs, clock):
+    clock.advance(MAX_AGE_MS - 1)
+    beliefs.require_fresh("small")
+    clock.advance(1)
+    with pytest.raises(RequestRefused) as refused:
+        beliefs.require_fresh("small")
+    assert refused.value.code is ResultCode.CONFIGURATION_STALE
+    beliefs.require_fresh("")
+    beliefs.confirm(clock.boot())
+    beliefs.require_fresh("small")
+
+
+def test_suspended_time_counts(beliefs, clock):
+    clock.suspend(MAX_AGE_MS)
+    assert not beliefs.check()
+
+
+def test_an_old_confirmation_does_not_shorten_the_age(beliefs, clock):
+    clock.advance(1_000)
+    beliefs.confirm(clock.boot() - 3_000)
+    assert beliefs.age_ms() == 1_000
--- /dev/null
+++ b/tests/gateway/test_gateway_placement.py
@@ -0,0 +1,119 @@
+"""Choice of the target under load."""
+
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.placement import Choice, Placement, Verdict, note_parts
+from jacinthcove.gateway.shares import Standing
+from tests.gateway.samples import GOAL_MS, SHAPE, prompt, request, target
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def placement():
+    return Placement("a")
+
+
+def choose(placement, clock, targets, standing=Standing.WITHIN, **fields):
+    return placement.choose_engine(
+        request(clock, **fields), targets, SHAPE, GOAL_MS, standing, clock.now()
+    )
+
+
+def busy(state, wait_ms, requests=1):
+    tokens = int(wait_ms * state.load.tokens_per_ms / requests)
+    for number in range(requests):
+        state.load.begin(f"{state.record.id}-{number}", tokens, 0)
+
+
+def test_requests_with_the_same_shared_part_go_to_the_same_target(placement, clock):
+    targets = [target(clock, f"t{number}") for number in range(6)]
+    chosen = {choose(placement, clock, targets, id=f"q{n}").target.record.id for n in range(20)}
+    assert len(chosen) == 1
+
+
+def test_shared_parts_spread_over_the_targets(placement, clock):
+    targets = [target(clock, f"t{number}") for number in range(6)]
+    chosen = {
+        choose(placement, clock, targets, prompt=prompt(key=f"doc{n}")).target.record.id
+        for n in range(100)
+    }
+    assert len(chosen) == 6
+
+
+def test_overflow_fetches_the_shared_parts_from_their_holder(placement, clock):
+    targets = [target(clock, f"t{n}", address=f"10.0.0.{n}:80") for n in range(3)]
+    home = choose(placement, clock, targets).target
+    busy(home, 250)
+    choice = choose(placement, clock, targets)
+    assert choice.target is not home
+    assert choice.fetch_from == home.record.address
+    assert choice.unread_tokens == prompt().own_tokens
+
+
+def test_a_target_that_read_the_parts_before_needs_no_fetch(placement, clock):
+    targets = [target(clock, f"t{number}") for number in range(3)]
+    home = choose(placement, clock, targets).target
+    other = next(item for item in targets if item is not home)
+    note_parts(prompt(), other, clock.now())
+    busy(home, 250)
+    choice = choose(placement, clock, targets)
+    assert (choice.target, choice.fetch_from) == (other, "")
+
+
+@pytest.mark.parametrize(
+    ("standing", "wait_ms", "admitted"),
+    [
+        (Standing.WITHIN, 200, True),
+        (Standing.WITHIN, 380, False),
+        (Standing.OVER, 200, False),
+        (Standing.OVER, 60, True),
+        (Standing.BEHIND, 380, True),
+        (Standing.BEHIND, 900, False),
+    ],
+)
+def test_room_depends_on_what_the_workspace_got(placement, clock, standing, wait_ms, admitted):
+    only = target(clock)
+    busy(only, wait_ms)
+    choice = choose(placement, clock, [only], standing)
+    assert isinstance(choice, Choice) == admitted
+
+
+def test_a_prompt_longer_than_the_goal_is_admitted_where_little_waits(placement, clock):
+    only = target(clock)
+    long = prompt(shared=0, own=60_000)
+    assert isinstance(choose(placement, clock, [only], prompt=long), Choice)
+    busy(only, 150)
+    assert choose(placement, clock, [only], prompt=long) is Verdict.FULL
+
+
+def test_slots_and_memory_are_not_overfilled(placement, clock):
+    only = target(clock)
+    busy(only, 0, SHAPE.slots)
+    assert choose(placement, clock, [only]) is Verdict.FULL
+    other = target(clock)
+    other.load.begin("q0", 0, SHAPE.memory_tokens - 10_000)
+    assert choose(placement, clock, [other]) is Verdict.FULL
+
+
+def test_a_failing_target_is_not_the_holder(placement, clock):
+    targets = [target(clock, f"t{number}") for number in range(3)]
+    home = choose(placement, clock, targets).target
+    for _ in range(20):
+        home.note_answer(True, clock.now())
+    assert choose(placement, clock, targets).target is not home
+
+
+def test_plain_requests_go_where_the_fewest_are_and_stop_at_the_slots(placement, clock):
+    first, second = target(clock, "t1", slots=2), target(clock, "t2", slots=2)
+    first.load.begin("q1", 0, 0)
+    assert placement.choose_plain([first, second]).target is second
+    for number in range(4):
+        first.load.begin(f"a{number}", 0, 0)
+        second.load.begin(f"b{number}", 0, 0)
+    assert placement.choose_plain([first, second]) is Verdict.FULL
+    assert placement.choose_plain([]) is Verdict.NO_TARGET
--- /dev/null
+++ b/tests/gateway/test_gateway_targets.py
@@ -0,0 +1,96 @@
+"""The book of known targets."""
+
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.targets import (
+    LAPSED_GRACE_MS,
+    UNREACHABLE_MAX_PAUSE_MS,
+    UNREACHABLE_PAUSE_MS,
+    TargetBook,
+)
+from tests.gateway.samples import record, target
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def book(clock):
+    book = TargetBook(clock)
+    book.replace_all([record("t1"), record("t2", failure_domain="b")], 5, False)
+    return book
+
+
+def usable(book):
+    return [state.record.id for state in book.usable("models")]
+
+
+def test_a_leaving_target_gets_nothing_new(book):
+    chosen = book.states["t1"]
+    book.put(record("t1", leaving=True), 6)
+    assert usable(book) == ["t2"]
+    assert not book.may_send(chosen)
+
+
+def test_a_removed_target_gets_nothing_new(book):
+    chosen = book.states["t1"]
+    book.delete("t1", False)
+    assert usable(book) == ["t2"]
+    assert not book.may_send(chosen)
+
+
+def test_a_drained_failure_domain_gets_nothing_until_it_returns(book):
+    book.set_drained(frozenset(("b",)))
+    assert usable(book) == ["t1"]
+    book.set_drained(frozenset())
+    assert usable(book) == ["t1", "t2"]
+
+
+def test_an_entry_that_lapsed_in_an_outage_keeps_a_grace(book, clock):
+    book.replace_all([record("t2", failure_domain="b")], 9, True)
+    assert usable(book) == ["t1", "t2"]
+    clock.advance(LAPSED_GRACE_MS)
+    assert usable(book) == ["t2"]
+    book.expire()
+    assert "t1" not in book.states
+
+
+def test_an_entry_that_comes_back_ends_the_grace(book, clock):
+    book.replace_all([], 9, True)
+    book.put(record("t1"), 10)
+    clock.advance(LAPSED_GRACE_MS)
+    assert usable(book) == ["t1"]
+
+
+def test_a_leaving_target_has_no_grace(book):
+    book.put(record("t1", leaving=True), 6)
+    book.replace_all([], 9, True)
+    assert "t1" not in book.states
+
+
+def test_a_new_target_at_a_known_address_is_another_one(book):
+    book.states["t1"].load.begin("q1", 10, 10)
+    book.put(record("t1", address="10.0.0.9:80"), 7)
+    assert book.states["t1"].load.running == 0
+
+
+def test_a_restart_under_the_same_id_starts_anew(book):
+    book.states["t1"].recent_parts["doc"] = 1
+    book.put(record("t1", started_at=77, cold_left_ms=3_000), 7)
+    state = book.states["t1"]
+    assert state.recent_parts == {}
+    assert state.cold_until > book.clock.now()
+
+
+def test_failed_connections_pause_a_target_for_longer_each_time(clock):
+    state = target(clock)
+    state.note_unreachable(clock.now())
+    assert state.unreachable_until - clock.now() == UNREACHABLE_PAUSE_MS
+    for _ in range(9):
+        state.note_unreachable(clock.now())
+    assert state.unreachable_until - clock.now() == UNREACHABLE_MAX_PAUSE_MS
+    state.note_answer(False, clock.now())
+    assert state.unreachable_until == 0
--- /dev/null
+++ b/tests/platform/test_wire_answers.py
@@ -0,0 +1,244 @@
+"""Answers of targets, good and bad, as callers get them."""
+
+import gevent
+import pytest
+from wire_bed import (
+    TIMEOUT_MS,
+    GatewayBed,
+    answer,
+    chunk,
+    event,
+    header,
+    not_run,
+    read_answer,
+    stream_head,
+)
+
+from jacinthcove.codes import ResultCode
+from jacinthcove.errors import RequestRefused
+from jacinthcove.platform import names
+
+SEAL = names.SIGNATURE.lower()
+
+
+@pytest.fixture
+def bed():
+    bed = GatewayBed()
+    bed.start()
+    yield bed
+    bed.close()
+
+
+def answering(make):
+    """Return a script that sends what `make(head)` returns and closes."""
+
+    def script(target, sock, head):
+        sock.sendall(make(head))
+
+    return script
+
+
+def streaming(events, end=True):
+    """Return a script that streams events after the one that the request names."""
+
+    def script(target, sock, head):
+        first = int(header(head, names.LAST_EVENT_ID) or 0)
+        sock.sendall(stream_head(head) + b"".join(chunk(event(n)) for n in events if n > first))
+        if end:
+            sock.sendall(b"0\r\n\r\n")
+
+    return script
+
+
+def test_an_answer_arrives_as_the_target_made_it(bed):
+    target = bed.add("t1", "ledger", answering(lambda head: answer(head, extra="X-Note: n1\r\n")))
+    status, headers, body = bed.call("/publish/7?copy=2", b'{"n":1}')
+    assert (status, body, headers[SEAL], headers["x-note"]) == (200, b"published", "s1", "n1")
+    head = target.seen[0]
+    assert head.startswith("POST /publish/7?copy=2 HTTP/1.1")
+    assert header(head, names.EXPECTED_TARGET) == "t1"
+    assert header(head, names.WORKSPACE) == "small"
+    assert 0 < int(header(head, names.TIME_LEFT_MS)) <= TIMEOUT_MS
+    assert target.bodies == [b'{"n":1}']
+
+
+def test_callers_cannot_set_what_is_the_systems(bed):
+    target = bed.add("t1", "ledger", answering(answer))
+    forged = "".join(
+        f"{name}: forged\r\n"
+        for name in (names.WORKSPACE, "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch",
+                     names.EXPECTED_TARGET)
+    )  # fmt: skip
+    bed.call("/publish/7", extra=f"{forged}Connection: {names.ATTEMPT_ID}, close\r\n")
+    head = target.seen[0]
+    assert "forged" not in head
+    assert header(head, names.AUTHORIZATION) is None
+    assert header(head, names.ATTEMPT_ID) == "q1"
+
+
+@pytest.mark.parametrize("gap", [False, True])
+def test_bytes_after_an_answer_belong_to_nobody(bed, gap):
+    def script(target, sock, head):
+        sock.sendall(answer(head))
+        if gap:
+            gevent.sleep(0.02)
+        sock.sendall(answer(head, b"another", id="other"))
+
+    bed.add("t1", "ledger", script)
+    sock = bed.send("/publish/7")
+    assert read_answer(sock)[2] == b"published"
+    gevent.sleep(0.05)
+    sock.settimeout(0.05)
+    with pytest.raises(OSError, match="timed out"):
+        sock.recv(1)
+
+
+BROKEN = {
+    "cut": lambda head: answer(head, b"publ", length=9),
+    "garbage": lambda head: b"\x00\x17 no answer\r\n\r\n",
+    "foreign": lambda head: answer(head, id="other"),
+    "unsigned": lambda head: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "nothing": lambda head: b"",
+}
+
+
+@pytest.mark.parametrize("fault", sorted(BROKEN))
+def test_a_broken_answer_to_an_unsafe_request_is_no_promise(bed, fault):
+    first = bed.add("t1", "ledger", answering(BROKEN[fault]))
+    second = bed.add("t2", "ledger", answering(BROKEN[fault]))
+    status, headers, _ = bed.call("/publish2/7")
+    assert status == 502
+    assert SEAL not in headers
+    assert len(first.seen) + len(second.seen) == 1
+
+
+@pytest.mark.parametrize("fault", sorted(BROKEN))
+def test_a_safe_request_goes_to_another_target(bed, fault):
+    bed.add("t1", "ledger", answering(BROKEN[fault]))
+    bed.add("t2", "ledger", answering(answer))
+    for number in range(4):
+        status, _, body = bed.call("/status/7", b"", "GET", id=f"q{number}")
+        assert (status, body) == (200, b"published")
+
+
+def test_a_target_that_did_not_run_it_lets_another_one(bed):
+    full = bed.add("t1", "ledger", answering(not_run))
+    bed.add("t2", "ledger", answering(answer))
+    for number in range(4):
+        assert bed.call("/publish2/7", id=f"q{number}")[0] == 200
+    assert full.seen
+
+
+@pytest.mark.parametrize("status", ["503 Service Unavailable", "421 Misdirected Request"])
+def test_a_refusal_says_not_run_and_when_to_come_back(bed, status):
+    bed.add("t1", "ledger", answering(lambda head: not_run(head, status)))
+    code, headers, _ = bed.call("/publish/7")
+    assert code == 503
+    assert float(headers["retry-after"]) >= 0
+    assert SEAL not in headers
+
+
+def test_a_targets_own_failure_is_delivered(bed):
+    make = answering(lambda head: answer(head, b"no", "500 Internal Server Error"))
+    bed.add("t1", "ledger", make)
+    status, headers, body = bed.call("/publish/7")
+    assert (status, headers[SEAL], body) == (500, "s1", b"no")
+
+
+def test_a_target_out_of_reach_costs_no_attempt(bed):
+    gone = bed.add("t1", "ledger", answering(answer))
+    gone.close()
+    bed.add("t2", "ledger", answering(answer))
+    for number in range(3):
+        assert bed.call("/publish/7", id=f"q{number}")[0] == 200
+
+
+def test_without_targets_a_request_is_refused_at_once(bed):
+    status, headers, _ = bed.call("/publish/7")
+    assert status == 503
+    assert "retry-after" in headers
+
+
+def test_the_routes_time_limit_ends_the_wait(bed):
+    target = bed.add("t1", "ledger", lambda target, sock, head: gevent.sleep(5))
+    started = gevent.get_hub().loop.now()
+    assert bed.call("/publish/7")[0] == 504
+    assert gevent.get_hub().loop.now() - started < (TIMEOUT_MS + 400) / 1000
+    assert len(target.seen) == 1
+
+
+def test_a_stream_passes_whole_events(bed):
+    bed.add("t1", "models", streaming(range(1, 6)))
+    assert bed.call("/draft/7")[2] == b"".join(event(n) for n in range(1, 6))
+
+
+def test_a_cut_stream_must_not_look_complete(bed):
+    bed.add("t1", "models", streaming(range(1, 4), end=False))
+    status, _, body = bed.call("/draft/7")
+    assert (status, body) == (200, None)
+
+
+def test_a_resumable_stream_goes_on_without_gap_or_repeat(bed):
+    def script(target, sock, head):
+        if header(head, names.LAST_EVENT_ID) is None:
+            whole = b"".join(chunk(event(n)) for n in (1, 2, 3))
+            # The target stops in the middle of an event.
+            sock.sendall(stream_head(head) + whole + chunk(b"id: 4\nda"))
+        else:
+            streaming(range(1, 7))(target, sock, head)
+
+    targets = [bed.add(f"t{n}", "models", script) for n in (1, 2)]
+    assert bed.call("/ask/7")[2] == b"".join(event(n) for n in range(1, 7))
+    assert [len(target.seen) for target in targets] == [1, 1]
+    resumed = [header(target.seen[0], names.LAST_EVENT_ID) for target in targets]
+    assert sorted(resumed, key=str) == ["3", None]
+
+
+def test_a_caller_that_leaves_ends_the_work(bed):
+    ended = gevent.event.Event()
+
+    def script(target, sock, head):
+        sock.sendall(stream_head(head) + chunk(event(1)))
+        if not sock.recv(1):
+            ended.set()
+
+    bed.add("t1", "models", script)
+    sock = bed.send("/draft/7")
+    sock.recv(1)
+    sock.close()
+    assert ended.wait(0.5)
+
+
+def test_a_caller_that_leaves_before_an_answer_ends_the_work(bed):
+    ended = gevent.event.Event()
+    started = gevent.event.Event()
+
+    def script(target, sock, head):
+        started.set()
+        if not sock.recv(1):
+            ended.set()
+
+    bed.add("t1", "ledger", script)
+    sock = bed.send("/publish/7")
+    started.wait(1)
+    sock.close()
+    assert ended.wait(0.5)
+
+
+def test_a_stale_router_does_not_say_that_a_key_is_unknown(bed):
+    bed.add("t1", "ledger", answering(answer))
+    assert bed.call("/publish/7", key="k9")[0] == 401
+    assert bed.call("/nowhere/7")[0] == 404
+    bed.beliefs.max_age_ms = 0
+    assert bed.call("/publish/7", key="k9")[0] == 503
+    assert bed.call("/nowhere/7")[0] == 503
+    assert bed.call("/publish/7")[0] == 503
+    assert not bed.targets[0].seen
+
+
+def test_a_leaving_router_ends_connections_after_their_answer(bed):
+    bed.add("t1", "ledger", answering(answer))
+    bed.application.leaving = True
+    bed.refused = RequestRefused(ResultCode.ROUTER_STOPPING, "leaving", 0)
+    status, headers, _ = bed.call("/publish/7")
+    assert (status, headers["connection"]) == (503, "close")
--- /dev/null
+++ b/tests/platform/test_wire_requests.py
@@ -0,0 +1,121 @@
+"""Requests of callers, proper and malformed, and what reaches targets."""
+
+import gevent
+import pytest
+from wire_bed import HOST, KEY, GatewayBed, answer, read_answer, request
+
+from jacinthcove.platform import names
+
+PROPER = request("/publish/1")
+
+
+@pytest.fixture
+def bed():
+    bed = GatewayBed()
+    bed.start()
+    bed.target = bed.add("t1", "ledger", lambda target, sock, head: sock.sendall(answer(head)))
+    yield bed
+    bed.close()
+
+
+def head(*lines):
+    fixed = [
+        f"Host: {HOST}",
+        f"{names.ATTEMPT_ID}: q1",
+        f"{names.AUTHORIZATION}: Token {KEY}",
+    ]
+    return ("\r\n".join(["POST /publish/1 HTTP/1.1", *fixed, *lines]) + "\r\n\r\n").encode()
+
+
+SMUGGLED = request("/publish/2", id="smuggled")
+MALFORMED = {
+    "two lengths": head("Content-Length: 2", "Content-Length: 4") + b"{}",
+    "length and coding": head("Content-Length: 2", "Transfer-Encoding: chunked") + SMUGGLED,
+    "unknown coding": head("Transfer-Encoding: gzip, chunked") + SMUGGLED,
+    "coding twice": head("Transfer-Encoding: chunked", "Transfer-Encoding: chunked") + SMUGGLED,
+    "signed length": head("Content-Length: +2") + b"{}",
+    "folded header": head("X-A: 1", " Content-Length: 2") + b"{}",
+    "space before colon": head("Content-Length : 2") + b"{}",
+    "bare line end": head("X-A: 1\nTransfer-Encoding: chunked") + SMUGGLED,
+    "two hosts": head("Host: other.example", "Content-Length: 0"),
+    "no host": b"GET /status/1 HTTP/1.1\r\n\r\n",
+    "absolute target": b"GET http://x/status/1 HTTP/1.1\r\nHost: x\r\n\r\n",
+    "no version": b"GET /status/1\r\nHost: x\r\n\r\n",
+    "id twice": head(f"{names.ATTEMPT_ID}: q2", "Content-Length: 2") + b"{}",
+    "unreadable counts": head(f"{names.TOKEN_COUNTS}: many", "Content-Length: 2") + b"{}",
+    "unreadable time": head(f"{names.TIME_LEFT_MS}: soon", "Content-Length: 2") + b"{}",
+    "bad chunk": head("Transfer-Encoding: chunked") + b"zz\r\n{}\r\n0\r\n\r\n" + SMUGGLED,
+}
+
+
+@pytest.mark.parametrize("fault", sorted(MALFORMED))
+def test_a_malformed_request_reaches_no_target(bed, fault):
+    sock = bed.connect()
+    sock.sendall(MALFORMED[fault])
+    assert read_answer(sock)[0] in (0, 400)
+    gevent.sleep(0.02)
+    assert bed.target.seen == []
+
+
+def test_a_large_header_is_refused(bed):
+    assert bed.call("/publish/1", extra=f"X-Large: {'x' * 3_000}\r\n")[0] == 431
+    assert bed.target.seen == []
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_large_body_is_refused(bed, chunked):
+    body = b"x" * 5_000
+    if chunked:
+        sock = bed.connect()
+        sock.sendall(head("Transfer-Encoding: chunked") + b"1388\r\n" + body + b"\r\n0\r\n\r\n")
+        status = read_answer(sock)[0]
+    else:
+        status = bed.call("/publish/1", body)[0]
+    assert status == 413
+    assert bed.target.seen == []
+
+
+def test_a_slow_header_is_given_up(bed):
+    sock = bed.connect()
+    sock.sendall(PROPER[:30])
+    assert read_answer(sock)[0] == 408
+    assert bed.target.seen == []
+
+
+def test_a_chunked_body_reaches_the_target_whole(bed):
+    sock = bed.connect()
+    sock.sendall(head("Transfer-Encoding: chunked") + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert read_answer(sock)[0] == 200
+    assert bed.target.bodies == [b"abcde"]
+
+
+def test_a_body_that_breaks_off_reaches_no_target(bed):
+    sock = bed.connect()
+    sock.sendall(head("Content-Length: 10") + b"abc")
+    sock.close()
+    gevent.sleep(0.05)
+    assert bed.target.seen == []
+
+
+def test_a_connection_serves_many_requests(bed):
+    sock = bed.connect()
+    for number in range(3):
+        sock.sendall(request(f"/publish/{number}", id=f"q{number}"))
+        assert read_answer(sock)[0] == 200
+    sock.sendall(request("/publish/3", id="q3") + request("/publish/4", id="q4"))
+    gevent.sleep(0.05)
+    assert len(bed.target.seen) == 5
+
+
+def test_an_idle_connection_ends_after_the_limit(bed):
+    sock = bed.connect()
+    sock.settimeout(3)
+    assert sock.recv(1) == b""
+
+
+def test_requests_without_an_id_are_refused(bed):
+    lines = f"POST /publish/1 HTTP/1.1\r\nHost: {HOST}\r\n{names.AUTHORIZATION}: Token {KEY}\r\n"
+    sock = bed.connect()
+    sock.sendall(f"{lines}Content-Length: 0\r\n\r\n".encode())
+    assert read_answer(sock)[0] == 400
+    assert bed.target.seen == []
--- /dev/null
+++ b/tests/platform/wire_bed.py
@@ -0,0 +1,294 @@
+"""A gateway over real sockets with scripted targets, for tests of the wire."""
+
+import gevent
+from gevent.server import StreamServer
+
+from jacinthcove.clock import SystemClock
+from jacinthcove.gateway.admission import Admission, ColdBound, FleetSize
+from jacinthcove.gateway.application import GatewayApplication
+from jacinthcove.gateway.beliefs import Beliefs
+from jacinthcove.gateway.coldlimit import ColdLimit
+from jacinthcove.gateway.forward import Forwarder
+from jacinthcove.gateway.model import (
+    CallerLimits,
+    EngineShape,
+    GatewayService,
+    HttpRoute,
+    Repeatability,
+    RoutingConfig,
+    ServiceShare,
+)
+from jacinthcove.gateway.placement import Placement
+from jacinthcove.gateway.retrybudget import WindowedRetryBudget
+from jacinthcove.gateway.server import GatewayServer
+from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targets import TargetBook, TargetRecord
+from jacinthcove.observe.decisions import DecisionLog
+from jacinthcove.observe.metrics import Metrics
+from jacinthcove.platform import names
+from jacinthcove.platform.codec import PlatformCodec
+
+HOST = "desk.example"
+KEY = "key-of-small"
+TIMEOUT_MS = 700
+
+
+def route(name, kind, attempts=1, resumable=False, service="ledger"):
+    return HttpRoute(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        repeatability=kind,
+        timeout_ms=TIMEOUT_MS,
+        latency_goal_ms=400,
+        services=(ServiceShare(service, 1.0),),
+        max_attempts=attempts,
+        resumable=resumable,
+    )
+
+
+ROUTES = (
+    route("publish", Repeatability.UNSAFE),
+    route("publish2", Repeatability.UNSAFE, attempts=2),
+    route("status", Repeatability.SAFE, attempts=2),
+    route("draft", Repeatability.STREAM, service="models"),
+    route("ask", Repeatability.STREAM, attempts=2, resumable=True, service="models"),
+)
+
+
+class ScriptedTarget:
+    """Answers each connection by `script(target, sock, head)`; `seen` holds the request heads."""
+
+    def __init__(self, id, service, script):
+        self.id = id
+        self.service = service
+        self.script = script
+        self.seen = []
+        self.bodies = []
+        self.closed_by_peer = gevent.event.Event()
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def record(self, **fields):
+        values = {
+            "id": self.id,
+            "service": self.service,
+            "address": self.address,
+            "failure_domain": "a",
+            "version": "v1",
+            "slots": 6,
+        } | fields
+        return TargetRecord(**values)
+
+    def close(self):
+        self.server.stop(timeout=0.1)
+
+    def _serve(self, sock, _):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = sock.recv(65_536)
+            if not part:
+                return
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        text = head.decode("latin-1")
+        length = int(header(text, "Content-Length") or 0)
+        while len(body) < length:
+            body += sock.recv(65_536)
+        self.seen.append(text)
+        self.bodies.append(body)
+        self.script(self, sock, text)
+
+
+def header(head, name):
+    """Return the value of a header in a request head, or None."""
+    for line in head.split("\r\n")[1:]:
+        field, _, value = line.partition(":")
+        if field.lower() == name.lower():
+            return value.strip()
+    return None
+
+
+def answer(head, body=b"published", status="200 OK", extra="", id=None, length=None):
+    """Return a signed answer to the request with `head`."""
+    attempt = id or header(head, names.ATTEMPT_ID)
+    size = len(body) if length is None else length
+    return (
+        f"HTTP/1.1 {status}\r\n{names.ATTEMPT_ID}: {attempt}\r\n{names.SIGNATURE}: s1\r\n"
+        f"{extra}Content-Length: {size}\r\n\r\n"
+    ).encode() + body
+
+
+def not_run(head, status="503 Service Unavailable"):
+    """Return the answer of a full target."""
+    return f"HTTP/1.1 {status}\r\n{names.NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n".encode()
+
+
+def stream_head(head):
+    """Return the head of a signed event stream."""
+    return (
+        f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {header(head, names.ATTEMPT_ID)}\r\n"
+        f"{names.SIGNATURE}: s1\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data):
+    """Return one chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number):
+    """Return one event of a stream."""
+    return b"id: %d\ndata: w%d\n\n" % (number, number)
+
+
+class GatewayBed:
+    """A gateway with the routes of `ROUTES`; `add` registers a scripted target."""
+
+    def __init__(self, limits=None):
+        clock = SystemClock()
+        self.metrics = Metrics()
+        self.decisions = DecisionLog(clock, self.metrics, lines_per_s=10_000)
+        self.beliefs = Beliefs(clock, 60_000)
+        self.book = TargetBook(clock)
+        self.refused = None
+        self.attempts = []
+        self.admission = Admission(
+            clock,
+            self.book,
+            Placement("a"),
+            ShareLedger(clock, 4_000),
+            ColdLimit(clock),
+            ColdBound(1.0, 0.0),
+            lambda: FleetSize(1, 0),
+            self.decisions,
+        )
+        self.beliefs.listeners.append(self.admission.configure)
+        forwarder = Forwarder(
+            clock,
+            PlatformCodec(),
+            self.admission,
+            WindowedRetryBudget(clock, 10_000, 0.2, lambda: 50),
+            lambda request: self.beliefs.require_fresh(request.workspace),
+            lambda forwarding, attempt, step: self.attempts.append((attempt.end, step)),
+        )
+        self.application = GatewayApplication(
+            clock,
+            self.beliefs,
+            PlatformCodec(),
+            forwarder,
+            self.metrics,
+            self.decisions,
+            lambda request: self.refused,
+        )
+        self.server = GatewayServer("127.0.0.1:0", self.application)
+        self.targets = []
+        self.beliefs.apply(
+            RoutingConfig(
+                1,
+                ROUTES,
+                {
+                    "ledger": GatewayService("ledger", 10),
+                    "models": GatewayService("models", 10, engine=EngineShape(8, 100_000)),
+                },
+                limits or CallerLimits(header_timeout_ms=300, max_header_bytes=2_048,
+                                       max_body_bytes=4_096, idle_timeout_ms=1_000),
+                {KEY: "small"},
+            ),
+            1,
+        )  # fmt: skip
+        self.beliefs.confirm(clock.boot())
+
+    def start(self):
+        self.server.start()
+
+    def close(self):
+        self.server.server.stop(timeout=0.1)
+        for target in self.targets:
+            target.close()
+
+    def add(self, id, service, script, **fields):
+        target = ScriptedTarget(id, service, script)
+        self.targets.append(target)
+        self.book.put(target.record(**fields), 1)
+        return target
+
+    def connect(self):
+        sock = gevent.socket.create_connection(("127.0.0.1", self.server.server.server_port))
+        sock.settimeout(5)
+        return sock
+
+    def send(self, path, body=b"{}", method="POST", extra="", id="q1", key=KEY):
+        """Send one request on a new connection and return the connection."""
+        sock = self.connect()
+        sock.sendall(request(path, body, method, extra, id, key))
+        return sock
+
+    def call(self, *args, **fields):
+        """Return status, headers and body of the answer; body is None if it is incomplete."""
+        return read_answer(self.send(*args, **fields))
+
+
+def request(path, body=b"{}", method="POST", extra="", id="q1", key=KEY):
+    """Return the bytes of a caller's request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"{names.ATTEMPT_ID}: {id}"]
+    if key:
+        lines.append(f"{names.AUTHORIZATION}: Token {key}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n" + extra + "\r\n").encode() + body
+
+
+def read_answer(sock):
+    """Return status, headers and body of one answer; body is None if it is incomplete."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = sock.recv(65_536)
+        if not part:
+            return 0, {}, None
+        data += part
+    head, _, rest = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines[1:])
+    }
+    status = int(lines[0].split()[1])
+    if "content-length" in headers:
+        return status, headers, _read_length(sock, rest, int(headers["content-length"]))
+    return status, headers, _read_chunks(sock, rest)
+
+
+def _read_length(sock, data, length):
+    while len(data) < length:
+        part = sock.recv(65_536)
+        if not part:
+            return None
+        data += part
+    return data
+
+
+def _read_chunks(sock, data):
+    body = b""
+    while True:
+        while b"\r\n" not in data:
+            part = sock.recv(65_536)
+            if not part:
+                return None
+            data += part
+        size, _, data = data.partition(b"\r\n")
+        length = int(size, 16)
+        while len(data) < length + 2:
+            part = sock.recv(65_536)
+            if not part:
+                return None
+            data += part
+        if not length:
+            return body
+        body += data[:length]
+        data = data[length + 2 :]
