--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -65,8 +65,9 @@
 class PlatformRouter:
     """One router daemon on the platform."""
 
-    def __init__(self, settings: PlatformSettings):
+    def __init__(self, settings: PlatformSettings, metrics_port: int = METRICS_PORT):
         self.settings = settings
+        self.metrics_port = metrics_port
         self.clock = clock = SystemClock()
         self.metrics = Metrics()
         self.decisions = DecisionLog(clock, self.metrics)
@@ -127,7 +128,9 @@
         self.server.start()
         host = self.settings.caller_listen.rpartition(":")[0]
         self.endpoints.start(
-            self.settings.ready_listen, self.settings.directory_listen, f"{host}:{METRICS_PORT}"
+            self.settings.ready_listen,
+            self.settings.directory_listen,
+            f"{host}:{self.metrics_port}",
         )
         while not self._knows_all():
             gevent.sleep(FIRST_STATE_POLL_S)
@@ -147,6 +150,11 @@
         self.server.close_idle()
         gevent.sleep(POLL_S)
         log.info("router_stopped", open_requests=self.application.open_requests)
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Stop at once without finishing anything."""
+        self.server.stop_accepting()
         self.fleet.close()
         for watch in self.watches:
             watch.close()
--- a/src/jacinthcove/platform/endpoints.py
+++ b/src/jacinthcove/platform/endpoints.py
@@ -41,6 +41,11 @@
             server.start()
             self.servers.append(server)
 
+    def address(self, index: int) -> str:
+        """Return the address of one of the servers, in the order of `start`."""
+        host, port = self.servers[index].address[:2]
+        return f"{host}:{port}"
+
     def close(self) -> None:
         """Stop listening."""
         for server in self.servers:
--- /dev/null
+++ b/tests/platform/store_standin.py
@@ -0,0 +1,121 @@
+"""A small stand-in of the platform's store: kinds, revisions, watches and faults."""
+
+from urllib.parse import parse_qs
+
+import gevent
+import orjson
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from jacinthcove.platform.names import OBJECTS_PATH
+
+PAGE = 3
+
+
+class StoreStandin:
+    """Serves objects by kind and name; `fault(environ)` may answer or delay a call."""
+
+    def __init__(self):
+        self.revision = 1
+        self.objects = {}
+        self.history = []
+        self.forgotten = 0
+        self.changed = Event()
+        self.calls = []
+        self.fault = lambda environ: None
+        self.server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def start(self):
+        self.server.start()
+
+    def close(self):
+        self.server.stop(timeout=0.1)
+
+    def put(self, kind, name, spec):
+        """Write an object as the operator or a target does."""
+        old = self.objects.get((kind, name))
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision, "finalizers": [], "deleting": False}
+        metadata["created_rev"] = old["metadata"]["created_rev"] if old else self.revision
+        item = {"metadata": metadata, "spec": spec, "status": None}
+        self.objects[kind, name] = item
+        self._note(kind, item, False)
+        return item
+
+    def remove(self, kind, name):
+        """Remove an object."""
+        self.revision += 1
+        item = self.objects.pop((kind, name))
+        self._note(kind, item, True)
+
+    def forget(self):
+        """Drop the history."""
+        self.forgotten = self.revision
+        self.history.clear()
+        self._wake()
+
+    def _note(self, kind, item, deleted):
+        self.history.append((self.revision, kind, {"object": item, "deleted": deleted}))
+        self._wake()
+
+    def _wake(self):
+        event, self.changed = self.changed, Event()
+        event.set()
+
+    def _serve(self, environ, start_response):
+        self.calls.append((environ["REQUEST_METHOD"], environ["PATH_INFO"]))
+        status, body = self.fault(environ) or self._answer(environ)
+        data = b"" if body is None else orjson.dumps(body)
+        start_response(f"{status} x", [("Content-Length", str(len(data)))])
+        return [data]
+
+    def _answer(self, environ):
+        method = environ["REQUEST_METHOD"]
+        kind, _, name = environ["PATH_INFO"].removeprefix(OBJECTS_PATH).partition("/")
+        query = {key: values[0] for key, values in parse_qs(environ["QUERY_STRING"]).items()}
+        if method == "GET" and name:
+            item = self.objects.get((kind, name))
+            return (200, item) if item else (404, None)
+        if method == "GET" and "watch" in query:
+            return self._watch(kind, int(query["watch"]), int(query["wait_ms"]))
+        if method == "GET":
+            return self._list(kind, query.get("after_rev", ""))
+        body = orjson.loads(environ["wsgi.input"].read())
+        return self._write(method, kind, name, body)
+
+    def _list(self, kind, after):
+        found = sorted(name for k, name in self.objects if k == kind and name > after)
+        items = [self.objects[kind, name] for name in found[:PAGE]]
+        more = len(found) > PAGE
+        return 200, {"items": items, "has_more": more, "current_rev": self.revision}
+
+    def _watch(self, kind, revision, wait_ms):
+        if revision < self.forgotten:
+            return 410, None
+        with gevent.Timeout(wait_ms / 1000, False):
+            while True:
+                changed = self.changed
+                events = [e for at, k, e in self.history if at > revision and k == kind]
+                if events:
+                    return 200, {"events": events, "current_rev": self.revision}
+                if revision < self.forgotten:
+                    return 410, None
+                changed.wait()
+        return 200, {"events": [], "current_rev": self.revision}
+
+    def _write(self, method, kind, name, body):
+        metadata = body["metadata"]
+        if method == "POST":
+            name = metadata["name"]
+            old = self.objects.get((kind, name))
+            return (409, old) if old else (201, self.put(kind, name, body["spec"]))
+        old = self.objects.get((kind, name))
+        if old is None:
+            return 404, None
+        if metadata.get("revision", old["metadata"]["revision"]) != old["metadata"]["revision"]:
+            return 409, old
+        return 200, self.put(kind, name, body["spec"])
--- /dev/null
+++ b/tests/platform/test_platform_router.py
@@ -0,0 +1,192 @@
+"""The whole router on the platform against its stand-ins."""
+
+import socket
+
+import gevent
+import pytest
+from store_standin import StoreStandin
+from test_platform_decode import CONFIG, ENTRY, SETTINGS
+from wire_bed import KEY, ScriptedTarget, answer, read_answer, request
+
+from jacinthcove.platform.daemon import PlatformRouter
+from jacinthcove.platform.settings import decode_settings
+
+SOON_S = 5.0
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def settings_for(store, name, mesh):
+    text = SETTINGS.replace("front-1", name).replace("10.200.1.7:8781", store.address)
+    text = text.replace("seeds=10.1.0.33:8785,10.2.0.18:8785", "seeds=")
+    text = text.replace("ip=10.1.0.33", "ip=127.0.0.1").replace("7400,7415", mesh)
+    for port in ("8783", "8780", "8789"):
+        text = text.replace(f"10.1.0.33:{port}", free_address())
+    return decode_settings(text).unwrap()
+
+
+def eventually(check):
+    """Wait until `check()` holds."""
+    with gevent.Timeout(SOON_S, AssertionError("did not happen in time")):
+        while not check():
+            gevent.sleep(0.01)
+
+
+def http(address, path="/publish/1", key=KEY, raw=None):
+    """Return the answer to one request."""
+    host, _, port = address.rpartition(":")
+    with gevent.socket.create_connection((host, int(port))) as sock:
+        sock.settimeout(5)
+        sock.sendall(raw or request(path, key=key))
+        return read_answer(sock)
+
+
+def get(address, path):
+    return http(address, raw=f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+
+@pytest.fixture
+def store():
+    store = StoreStandin()
+    store.start()
+    yield store
+    store.close()
+
+
+@pytest.fixture
+def ledger(store):
+    target = ScriptedTarget("i-1", "ledger", lambda target, sock, head: sock.sendall(answer(head)))
+    store.put("servers", "i-1", ENTRY | {"service": "ledger", "address": target.address})
+    yield target
+    target.close()
+
+
+@pytest.fixture
+def operator(store):
+    """Return a function that writes a new desired state with the given keys."""
+
+    def write(version, keys=(KEY,)):
+        tenants = [{"name": "small", "api_keys": list(keys)}]
+        store.put("config", "main", {**CONFIG, "version": version, "tenants": tenants})
+
+    return write
+
+
+@pytest.fixture
+def start(store):
+    routers = []
+
+    def make(name="front-1"):
+        mesh = free_address().rpartition(":")[2]
+        router = PlatformRouter(settings_for(store, name, f"{mesh},{mesh}"), metrics_port=0)
+        routers.append(router)
+        gevent.spawn(router.start)
+        return router
+
+    yield make
+    for router in routers:
+        router.abandon()
+
+
+def test_without_a_configuration_nothing_is_served(start, store, ledger):
+    router = start()
+    gevent.sleep(0.3)
+    assert http(router.settings.caller_listen)[0] == 503
+    assert get(router.settings.ready_listen, "/-/ready")[0] == 503
+    assert not ledger.seen
+
+
+def test_a_request_is_served_end_to_end(start, operator, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    status, _, body = http(router.settings.caller_listen)
+    assert (status, body) == (200, b"published")
+    assert get(router.settings.ready_listen, "/-/ready")[0] == 200
+    assert b"jacinthcove_requests_total" in get(router.endpoints.address(-1), "/metrics")[2]
+
+
+def test_a_revoked_key_is_refused(start, operator, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    operator(8, keys=("another",))
+    eventually(lambda: http(router.settings.caller_listen)[0] == 401)
+
+
+def test_a_draining_target_gets_nothing(start, operator, store, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    store.put(
+        "servers",
+        "i-1",
+        ENTRY | {"service": "ledger", "address": ledger.address, "state": "draining"},
+    )
+    eventually(lambda: http(router.settings.caller_listen)[0] == 503)
+    seen = len(ledger.seen)
+    assert http(router.settings.caller_listen)[0] == 503
+    assert len(ledger.seen) == seen
+
+
+def test_an_evacuated_failure_domain_gets_nothing(start, operator, store, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    store.put("evacuations", "a", {})
+    eventually(lambda: http(router.settings.caller_listen)[0] == 503)
+    store.remove("evacuations", "a")
+    eventually(lambda: http(router.settings.caller_listen)[0] == 200)
+
+
+def test_without_word_from_the_store_keys_are_no_longer_honoured(start, operator, store, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    router.beliefs.max_age_ms = 2_500
+    store.fault = lambda environ: (503, None)
+    eventually(lambda: http(router.settings.caller_listen)[0] == 503)
+    assert not router.ready()
+    seen = len(ledger.seen)
+    assert http(router.settings.caller_listen)[0] == 503
+    assert len(ledger.seen) == seen
+    store.fault = lambda environ: None
+    eventually(lambda: http(router.settings.caller_listen)[0] == 200)
+
+
+def test_routers_find_each_other_and_the_directory_names_them(start, operator, ledger):
+    operator(7)
+    first, second = start("front-1"), start("front-2")
+    eventually(lambda: len(first.fleet.addresses()) == 2)
+    eventually(lambda: first.fleet.size().routers == 2 or second.fleet.size().routers == 2)
+    body = get(first.settings.directory_listen, "/-/resolve?name=x&region=r&zone=a")[2]
+    assert second.settings.caller_listen.encode() in body
+    second.stopping_at = second.clock.now()
+    second.fleet.leave()
+    eventually(lambda: len(first.fleet.addresses()) == 1)
+
+
+def test_a_leaving_router_finishes_what_it_read(start, operator, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    entered = gevent.event.Event()
+
+    def slow(target, sock, head):
+        entered.set()
+        gevent.sleep(0.6)
+        sock.sendall(answer(head))
+
+    ledger.script = slow
+    call = gevent.spawn(http, router.settings.caller_listen)
+    entered.wait(2)
+    closing = gevent.spawn(router.close)
+    gevent.sleep(0.05)
+    assert get(router.settings.ready_listen, "/-/ready")[0] == 503
+    status, headers, body = call.get(timeout=3)
+    assert (status, body, headers.get("connection")) == (200, b"published", "close")
+    closing.get(timeout=8)
