--- a/src/jacinthcove/config/settings.py
+++ b/src/jacinthcove/config/settings.py
@@ -195,7 +195,7 @@
 
 
 def settings_table(cls: type[CommonSettings]) -> str:
-    """Return the settings as a Markdown table for docs/operations.md and `--help`."""
+    """Return the settings as a Markdown table for docs/OPERATIONS.md and `--help`."""
     lines = ["| flag | variable | type | default | meaning |", "| --- | --- | --- | --- | --- |"]
     for item in dataclasses.fields(cls):
         data = item.metadata
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -7,7 +7,7 @@
 from jacinthcove.reference import TABLES, refresh
 
 DOCS = Path(__file__).parent.parent / "docs"
-PAGES = ("result-codes.md", "operations.md")
+PAGES = ("result-codes.md", "OPERATIONS.md")
 
 
 @pytest.mark.parametrize("page", PAGES)
