Routers tell each other which shared prompt parts they sent where

Cause: each router knew only its own sends, so parts were read again on engines although another engine held them; the home was presumed to hold everything, also long after it had evicted it. Change: load reports name the shared parts sent since the last one; parts count as held for 8 s; a fetch goes to whoever holds most.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -12,7 +12,7 @@
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.coldlimit import ColdLimit
 from jacinthcove.gateway.model import GatewayRequest, GatewayService, RoutingConfig
-from jacinthcove.gateway.placement import Choice, Placement, Verdict, note_parts
+from jacinthcove.gateway.placement import Choice, Placement, Verdict
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook, TargetState
 from jacinthcove.observe.decisions import DecisionLog
@@ -145,7 +145,9 @@
         # Counted for warm targets too: they may turn cold within the same second.
         self.cold.note(target.record.id)
         target.load.begin(request.id, choice.unread_tokens, choice.memory_tokens)
-        note_parts(request.prompt, target, self.clock.now())
+        shared = [part.id for part in request.prompt.parts[:-1]]
+        target.note_parts(shared)
+        target.unreported_parts.update(shared)
 
     def _log_refusal(
         self, request: GatewayRequest, service: str, verdict: Verdict, avoid: frozenset[str]
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -67,7 +67,8 @@
         message = pb.LoadShare(incarnation=self.incarnation, sequence=self.sequence)
         for state in self.book.states.values():
             running = len(state.load.own)
-            if not running and not self.reported.get(state.record.id):
+            parts, state.unreported_parts = state.unreported_parts, set()
+            if not (running or parts or self.reported.get(state.record.id)):
                 continue
             self.reported[state.record.id] = running
             message.targets.add(
@@ -75,6 +76,7 @@
                 running=running,
                 unread_tokens=state.load.own_unread_tokens,
                 memory_tokens=state.load.own_memory_tokens,
+                parts=parts,
             )
         for workspace, use in self.ledger.own.items():
             message.workspaces.add(
@@ -98,6 +100,7 @@
             if target is not None:
                 report = PeerLoad(item.running, item.memory_tokens, item.unread_tokens, now)
                 target.load.on_report(sender, report)
+                target.note_parts(item.parts)
         for use in message.workspaces:
             self.ledger.on_report(sender, use.workspace, use.asked_tokens, use.admitted_tokens)
 
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -26,8 +26,9 @@
 FILL_WEIGHT_MS = 60.0
 ERROR_WEIGHT_MS = 1_500.0
 OTHER_DOMAIN_MS = 2.0
-# Shared parts that a target read this long ago may have been evicted.
-PART_LIFETIME_MS = 20_000
+# Parts that were not used for this long may have been evicted: the prompts that an engine reads in
+# that time fill the memory which requests under way leave.
+PART_LIFETIME_MS = 8_000
 # A target that fails this part of its requests is the last choice.
 FAILING_RATE = 0.4
 
@@ -84,25 +85,28 @@
     return prompt.parts[-2].id if len(prompt.parts) >= 2 else ""
 
 
-def unread_tokens(prompt: PromptShape, target: TargetState, home: bool, now: int) -> int:
-    """Return the prompt tokens that a target probably has to read."""
+def held_tokens(prompt: PromptShape, target: TargetState, now: int) -> int:
+    """Return the tokens of shared parts that a target probably holds, from the first part on."""
     held = 0
     for part in prompt.parts[:-1]:
         seen_at = target.recent_parts.get(part.id)
-        known = seen_at is not None and now - seen_at < PART_LIFETIME_MS
-        if not known and not home:
+        if seen_at is None or now - seen_at >= PART_LIFETIME_MS:
             break
         held += part.tokens
-    return max(0, prompt.input_tokens - held)
+    return held
 
 
-def note_parts(prompt: PromptShape, target: TargetState, now: int) -> None:
-    """Remember the shared parts that a target reads for a request."""
-    for part in prompt.parts[:-1]:
-        target.recent_parts.pop(part.id, None)
-        target.recent_parts[part.id] = now
-    while len(target.recent_parts) > 4_096:
-        del target.recent_parts[next(iter(target.recent_parts))]
+def home_of(prompt: PromptShape, targets: list[TargetState]) -> TargetState | None:
+    """Return the target at which a prompt's shared parts should be read first.
+
+    It is the first in rendezvous order of the last shared part, so that all routers send to the
+    same one.
+    """
+    key = shared_key(prompt)
+    if not key:
+        return None
+    sound = [item for item in targets if item.error_rate < FAILING_RATE] or targets
+    return max(sound, key=lambda item: _weight(key, item.record.id))
 
 
 class Placement:
@@ -123,34 +127,31 @@
         """Return the engine with the least cost among those with room, or why there is none."""
         if not targets:
             return Verdict.NO_TARGET
-        holder = self._holder(request.prompt, targets, now)
-        choices = [self._choice(request.prompt, item, holder, now) for item in targets]
+        prompt = request.prompt
+        held = {item.record.id: held_tokens(prompt, item, now) for item in targets}
+        home = home_of(prompt, targets)
+        holder = max(targets, key=lambda item: (held[item.record.id], item is home))
+        # If nobody is known to hold the first part, the home reads it once for all.
+        source = holder if held[holder.record.id] else home
+        choices = [self._choice(prompt, item, source, held) for item in targets]
         room = ROOM[standing]
         fitting = [item for item in choices if fits(item, shape, least_goal_ms, room)]
         if not fitting:
             return Verdict.FULL
         return min(fitting, key=lambda item: self._cost(item, shape.slots))
 
-    def _holder(
-        self, prompt: PromptShape, targets: list[TargetState], now: int
-    ) -> TargetState | None:
-        """Return the target that should hold the prompt's shared parts.
-
-        It is the first in rendezvous order of the last shared part, so that all routers send to
-        the same one.
-        """
-        key = shared_key(prompt)
-        if not key:
-            return None
-        sound = [item for item in targets if item.error_rate < FAILING_RATE] or targets
-        return max(sound, key=lambda item: _weight(key, item.record.id))
-
     def _choice(
-        self, prompt: PromptShape, target: TargetState, holder: TargetState | None, now: int
+        self,
+        prompt: PromptShape,
+        target: TargetState,
+        source: TargetState | None,
+        held: dict[str, int],
     ) -> Choice:
         own = prompt.own_tokens
-        missing = unread_tokens(prompt, target, target is holder, now) - own
-        fetch = holder is not None and target is not holder and missing > 0
+        missing = prompt.input_tokens - own - held[target.record.id]
+        if target is source and not held[target.record.id]:
+            missing = 0
+        fetch = source is not None and target is not source and missing > 0
         return Choice(
             target,
             own + (0 if fetch else missing),
@@ -158,7 +159,7 @@
             target.load.wait_ms(),
             target.load.running,
             missing,
-            holder.record.address if holder is not None and fetch else "",
+            source.record.address if source is not None and fetch else "",
         )
 
     def choose_plain(self, targets: list[TargetState]) -> Choice | Verdict:
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -18,6 +18,7 @@
 UNREACHABLE_MAX_PAUSE_MS = 2_000
 # Weight of one answer in the moving error rate of a target.
 ERROR_WEIGHT = 0.1
+MAX_PARTS = 4_096
 
 
 @dataclass(frozen=True)
@@ -48,7 +49,19 @@
     unreachable_count: int = 0
     error_rate: float = 0.0
     heard_at: int = 0
+    # Shared prompt parts that the target has read, by the time of their last use.
     recent_parts: dict[str, int] = field(default_factory=dict)
+    # Parts that this router sent there and has not told the others yet.
+    unreported_parts: set[str] = field(default_factory=set)
+
+    def note_parts(self, parts: Iterable[str]) -> None:
+        """Remember parts that a request has read there."""
+        now = self.load.clock.now()
+        for part in parts:
+            self.recent_parts.pop(part, None)
+            self.recent_parts[part] = now
+        while len(self.recent_parts) > MAX_PARTS:
+            del self.recent_parts[next(iter(self.recent_parts))]
 
     def note_answer(self, failed: bool, now: int) -> None:
         """Take the result of a request that reached the target."""
--- a/tests/gateway/test_gateway_placement.py
+++ b/tests/gateway/test_gateway_placement.py
@@ -3,7 +3,7 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
-from jacinthcove.gateway.placement import Choice, Placement, Verdict, note_parts
+from jacinthcove.gateway.placement import PART_LIFETIME_MS, Choice, Placement, Verdict
 from jacinthcove.gateway.shares import Standing
 from tests.gateway.samples import GOAL_MS, SHAPE, prompt, request, target
 
@@ -59,12 +59,33 @@
     targets = [target(clock, f"t{number}") for number in range(3)]
     home = choose(placement, clock, targets).target
     other = next(item for item in targets if item is not home)
-    note_parts(prompt(), other, clock.now())
+    other.note_parts(["doc"])
     busy(home, 250)
     choice = choose(placement, clock, targets)
     assert (choice.target, choice.fetch_from) == (other, "")
 
 
+def test_parts_are_fetched_from_whoever_holds_them(placement, clock):
+    targets = [target(clock, f"t{n}", address=f"10.0.0.{n}:80") for n in range(4)]
+    home = choose(placement, clock, targets).target
+    holder, *others = [item for item in targets if item is not home]
+    holder.note_parts(["doc"])
+    busy(home, 300)
+    busy(holder, 300)
+    choice = choose(placement, clock, targets)
+    assert choice.target in others
+    assert choice.fetch_from == holder.record.address
+
+
+def test_parts_that_may_be_evicted_are_not_counted_on(placement, clock):
+    only = target(clock)
+    only.note_parts(["doc"])
+    clock.advance(PART_LIFETIME_MS)
+    other = target(clock, "t2")
+    other.note_parts(["doc"])
+    assert choose(placement, clock, [only, other]).target is other
+
+
 @pytest.mark.parametrize(
     ("standing", "wait_ms", "admitted"),
     [
