Refuse streams at once that cannot end within their time limit

Change: the pace of whole streams is learned for each engine; a stream that would need over 1.1 of the time left is refused at once.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -95,7 +95,7 @@
                 if not avoid:
                     self.ledger.admit(request.workspace, tokens)
                 return verdict
-            if self.clock.now() + WAIT_STEP_MS >= give_up_at:
+            if verdict is Verdict.TOO_SLOW or self.clock.now() + WAIT_STEP_MS >= give_up_at:
                 break
             gevent.sleep(WAIT_STEP_MS / 1000)
         self._log_refusal(request, service, verdict, avoid)
@@ -180,6 +180,9 @@
         if verdict is Verdict.NO_TARGET:
             message = "no target of the service takes work"
             return RequestRefused(ResultCode.NO_TARGET, message, NO_TARGET_RETRY_MS)
+        if verdict is Verdict.TOO_SLOW:
+            message = "the answer would not end within the time limit"
+            return RequestRefused(ResultCode.NO_CAPACITY, message, RETRY_MAX_MS)
         after = random.randint(RETRY_MIN_MS, RETRY_MAX_MS)
         message = "no target can start the request in time"
         return RequestRefused(ResultCode.NO_CAPACITY, message, after)
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -210,7 +210,10 @@
         if not self.sink.begun:
             self.sink.begin(head.status, head.reason, head.headers)
         attempt.end = AttemptEnd.COMPLETE
-        attempt.choice.target.note_answer(False, self.clock.now())
+        now = self.clock.now()
+        attempt.choice.target.note_answer(False, now)
+        if len(self.attempts) == 1 and not first:
+            load.stream_end(self.request.prompt.output_tokens, now - self.first_event_at)
 
 
 class Forwarder:
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -29,6 +29,9 @@
 # Parts that were not used for this long may have been evicted: the prompts that an engine reads in
 # that time fill the memory which requests under way leave.
 PART_LIFETIME_MS = 8_000
+# A stream is begun only if this much of its time limit is expected to be needed at most; the pace
+# varies while it runs.
+RUN_PART = 1.1
 # A target that fails this part of its requests is the last choice.
 FAILING_RATE = 0.4
 
@@ -58,6 +61,8 @@
 
     NO_TARGET = "no_target"
     FULL = "full"
+    # Every target with room would need longer than the caller waits.
+    TOO_SLOW = "too_slow"
 
 
 @dataclass(frozen=True)
@@ -138,6 +143,10 @@
         fitting = [item for item in choices if fits(item, shape, least_goal_ms, room)]
         if not fitting:
             return Verdict.FULL
+        left_ms = request.deadline - now
+        fitting = [item for item in fitting if ends_in_time(item, prompt, left_ms)]
+        if not fitting:
+            return Verdict.TOO_SLOW
         return min(fitting, key=lambda item: self._cost(item, shape.slots))
 
     def _choice(
@@ -194,6 +203,16 @@
         return domain + ERROR_WEIGHT_MS * target.error_rate
 
 
+def ends_in_time(choice: Choice, prompt: PromptShape, left_ms: int) -> bool:
+    """Return whether an engine is expected to end the answer within the caller's time limit.
+
+    An idle engine is always tried, because its pace is known from busier times.
+    """
+    load = choice.target.load
+    total = choice.wait_ms + load.read_ms(choice.unread_tokens) + load.run_ms(prompt.output_tokens)
+    return choice.running == 0 or total <= RUN_PART * left_ms
+
+
 def fits(choice: Choice, shape: EngineShape, least_goal_ms: int, room: Room) -> bool:
     """Return whether an engine can start the request in time and has room for it."""
     load = choice.target.load
