--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,13 @@
 	$(BIN)/python -m benchmarks
 
 lint: setup
-	$(BIN)/black --check --quiet src tests features benchmarks scripts testbed
-	$(BIN)/ruff check src tests features benchmarks scripts testbed
+	$(BIN)/black --check --quiet src tests features benchmarks scripts testbed deploy
+	$(BIN)/ruff check src tests features benchmarks scripts testbed deploy
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/black --quiet src tests features benchmarks scripts testbed
-	$(BIN)/ruff check --fix --quiet src tests features benchmarks scripts testbed
+	$(BIN)/black --quiet src tests features benchmarks scripts testbed deploy
+	$(BIN)/ruff check --fix --quiet src tests features benchmarks scripts testbed deploy
 
 proto: setup
 	PATH=$(abspath $(BIN)):$$PATH $(BIN)/python -m grpc_tools.protoc -I src --python_out=src --pyi_out=src \
--- a/src/jacinthcove/gateway/codec.py
+++ b/src/jacinthcove/gateway/codec.py
@@ -37,8 +37,6 @@
     reason: str
     headers: Headers
     execution: Execution
-    event_stream: bool
-    cold_left_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/gateway/exchange.py
+++ b/src/jacinthcove/gateway/exchange.py
@@ -4,8 +4,7 @@
 request is never sent on a connection that may already be closed.
 """
 
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Iterator
 from typing import Any
 
 from geventhttpclient.response import HTTPParseError
@@ -16,9 +15,11 @@
     StallingSocket,
     TargetResponse,
     connect,
+    ignore_idle,
 )
 
 EVENT_END = b"\n\n"
+EVENT_ID = b"id:"
 MAX_EVENT_BYTES = 1_000_000
 # Time limits are those of the request; this one only bounds the socket helper.
 NO_STALL_MS = 24 * 3_600_000
@@ -27,11 +28,9 @@
 class Exchange:
     """A connection to a target that carries one request."""
 
-    def __init__(self, address: str, on_idle: Callable[[], None]):
+    def __init__(self, address: str):
         self.address = address
-        self.on_idle = on_idle
         self.sock: Any = None
-        self.sent = False
 
     def open(self) -> None:
         """Connect; raises `TargetUnreachable`, then nothing was sent."""
@@ -39,10 +38,9 @@
 
     def send(self, head: bytes, body: bytes, method: str) -> TargetResponse:
         """Send the request and read the answer's head; raises `TargetFailed`."""
-        self.sent = True
         try:
             self.sock.sendall(head + body)
-            self.sock = StallingSocket(self.sock, NO_STALL_MS, self.on_idle)
+            self.sock = StallingSocket(self.sock, NO_STALL_MS, ignore_idle)
             return TargetResponse(self.sock, block_size=RECEIVE_BYTES, method=method)
         except (OSError, HTTPParseError) as error:
             raise TargetFailed(f"{self.address} broke off: {error or type(error)}") from error
@@ -86,17 +84,9 @@
             self.sock = None
 
 
-@dataclass(frozen=True)
-class EventCheck:
-    """The event ids of a piece of a stream, first and last, empty if it has none."""
-
-    first: str
-    last: str
-
-
-def event_ids(piece: bytes) -> EventCheck:
-    """Return the ids of the events in `piece`."""
-    ids = [
-        line[3:].strip().decode("latin-1") for line in piece.split(b"\n") if line.startswith(b"id:")
-    ]
-    return EventCheck(ids[0], ids[-1]) if ids else EventCheck("", "")
+def last_event_id(piece: bytes) -> str:
+    """Return the id of the last event in `piece` that has one, or the empty text."""
+    for line in reversed(piece.split(b"\n")):
+        if line.startswith(EVENT_ID):
+            return line[len(EVENT_ID) :].strip().decode("latin-1")
+    return ""
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -13,11 +13,12 @@
 from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.codec import AnswerHead, Execution, GatewayCodec, Headers
 from jacinthcove.gateway.decisions import AttemptEnd, Progress, Step, next_step, without_budget
-from jacinthcove.gateway.exchange import Exchange, event_ids
+from jacinthcove.gateway.exchange import Exchange, last_event_id
 from jacinthcove.gateway.model import GatewayRequest, Repeatability
 from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.routes import choose_service
+from jacinthcove.gateway.targets import TargetState
 from jacinthcove.targets.client import TargetResponse, TargetUnreachable
 
 log = structlog.get_logger()
@@ -76,10 +77,8 @@
         self.unreachable = 0
         self.avoid: set[str] = set()
         self.last_event_id = request.last_event_id
-        self.started_at = self.clock.now()
         self.first_event_at = 0
         self.attempts: list[Attempt] = []
-        self.sending = False
 
     def run(self) -> ResultCode:
         """Deliver the answer; raises `RequestRefused` or `AnswerAborted`."""
@@ -102,7 +101,6 @@
             try:
                 self._attempt(attempt)
             finally:
-                self.sending = False
                 self.forwarder.admission.release(self.request, choice.target)
             step = self._step(attempt)
             self.forwarder.log_attempt(self, attempt, step)
@@ -143,12 +141,11 @@
 
     def _attempt(self, attempt: Attempt) -> None:
         target = attempt.choice.target
-        exchange = Exchange(target.record.address, lambda: None)
+        exchange = Exchange(target.record.address)
         try:
             exchange.open()
             self.forwarder.check_send(self.request, target)
             self.sends += 1
-            self.sending = True
             left_ms = max(1, self.request.deadline - self.clock.now())
             head = self.forwarder.codec.encode(
                 self.request, attempt.choice, left_ms, self.last_event_id
@@ -205,8 +202,7 @@
             if not self.sink.begun:
                 self.sink.begin(head.status, head.reason, head.headers)
             self.sink.write(piece)
-            ids = event_ids(piece)
-            self.last_event_id = ids.last or self.last_event_id
+            self.last_event_id = last_event_id(piece) or self.last_event_id
         if not self.sink.begun:
             self.sink.begin(head.status, head.reason, head.headers)
         attempt.end = AttemptEnd.COMPLETE
@@ -219,8 +215,8 @@
 class Forwarder:
     """What all requests of a router share.
 
-    `check_send` raises `RequestRefused` when the router may no longer send a request, because what
-    it believes has become too old.
+    `check_fresh` raises `RequestRefused` when what the router believes has become too old to send a
+    request; `log_attempt` is told of every attempt and of the step that follows it.
     """
 
     def __init__(
@@ -243,8 +239,11 @@
         """Deliver the answer of one request; raises `RequestRefused` or `AnswerAborted`."""
         return Forwarding(self, request, sink).run()
 
-    def check_send(self, request: GatewayRequest, target: object) -> None:
-        """Check once more, after the connection is open, that the request may be sent."""
+    def check_send(self, request: GatewayRequest, target: TargetState) -> None:
+        """Check once more, after the connection is open, that the request may be sent.
+
+        Raises `RequestRefused` or `TargetUnreachable`.
+        """
         self.check_fresh(request)
-        if not self.admission.book.may_send(target):  # type: ignore[arg-type]
+        if not self.admission.book.may_send(target):
             raise TargetUnreachable("the target began to leave")
--- a/src/jacinthcove/gateway/model.py
+++ b/src/jacinthcove/gateway/model.py
@@ -34,12 +34,9 @@
     timeout_ms: int
     latency_goal_ms: int
     services: tuple[ServiceShare, ...]
-    priority: int = 0
     max_attempts: int = 1
     anonymous: bool = False
-    prefix_affinity: bool = False
     resumable: bool = False
-    pause_goal_ms: int = 0
 
     @property
     def idempotent(self) -> bool:
@@ -62,8 +59,6 @@
     """A service behind the gateway; `engine` is None for a plain service."""
 
     name: str
-    max_connections: int
-    cold_ms: int = 0
     cold_requests_per_s: float = 0.0
     engine: EngineShape | None = None
 
@@ -88,7 +83,6 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     # None means that requests carry no keys at all.
     workspace_by_key: dict[str, str] | None = None
-    priority_by_workspace: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -11,7 +11,6 @@
 import gevent.socket
 from gevent.pywsgi import WSGIServer
 
-from jacinthcove.codes import ResultCode, http_status
 from jacinthcove.errors import JacinthcoveError
 from jacinthcove.gateway.codec import Headers, RawRequest
 from jacinthcove.gateway.model import CallerLimits
@@ -268,8 +267,3 @@
         fields.append(("Content-Length", str(len(body))))
         self.start_response(f"{status} {reason}", fields)
         self.result = [body]
-
-
-def status_of(code: ResultCode) -> int:
-    """Return the HTTP status of a result code."""
-    return http_status(code)
--- a/src/jacinthcove/platform/codec.py
+++ b/src/jacinthcove/platform/codec.py
@@ -115,7 +115,6 @@
         """Classify a target's answer by its head."""
         status = response.status_code
         echoed = response.get(names.ATTEMPT_ID)
-        content_type = str(response.get("Content-Type", ""))
         headers = tuple(
             (name, value) for name, value in response.items() if name.lower() not in HOP_HEADERS
         )
@@ -124,7 +123,6 @@
             reason=str(response.status_message or "OK"),
             headers=headers,
             execution=_execution(status, response, echoed not in (None, request.id)),
-            event_stream=content_type.startswith("text/event-stream"),
         )
 
     def refusal(self, refusal: RequestRefused) -> RefusalAnswer:
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -53,11 +53,6 @@
         services={item["name"]: _service(item) for item in spec.get("services") or ()},
         limits=_limits(limits),
         workspace_by_key=keys,
-        priority_by_workspace={
-            item["name"]: int(item["priority"])
-            for item in tenants or ()
-            if item.get("priority") is not None
-        },
     )
 
 
@@ -76,12 +71,9 @@
         timeout_ms=int(item["timeout_ms"]),
         latency_goal_ms=int(item.get("target_latency_ms") or item["timeout_ms"]),
         services=shares,
-        priority=int(item.get("priority") or 0),
         max_attempts=max(1, int(item.get("max_attempts") or 1)),
         anonymous=bool(item.get("anonymous")),
-        prefix_affinity=bool(item.get("sticky")),
         resumable=bool(item.get("can_resume")),
-        pause_goal_ms=int(item.get("gap_aim_ms") or 0),
     )
 
 
@@ -92,8 +84,6 @@
         shape = EngineShape(int(engine["slots"]), int(engine["kv_tokens"]))
     return GatewayService(
         name=item["name"],
-        max_connections=int(item.get("max_conns") or 0),
-        cold_ms=round(float(item.get("cold_s") or 0) * 1_000),
         cold_requests_per_s=float(item.get("cold_per_s") or 0),
         engine=shape,
     )
--- a/src/jacinthcove/platform/names.py
+++ b/src/jacinthcove/platform/names.py
@@ -18,7 +18,6 @@
 FETCH_MEMORY_FROM = "Kv-Fetch"
 NOT_RUN = "X-Not-Executed"
 RETRY_AFTER = "Retry-After"
-COLD_LEFT_MS = "X-Cold-Ms"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "token"
 
--- a/src/jacinthcove/targets/client.py
+++ b/src/jacinthcove/targets/client.py
@@ -35,8 +35,8 @@
     """The target sent nothing for the stall timeout."""
 
 
-def _ignore_idle() -> None:
-    return
+def ignore_idle() -> None:
+    """Do nothing in a pause of the target."""
 
 
 class TargetResponse(HTTPSocketResponse):
@@ -168,7 +168,7 @@
     path: str
     body: bytes = b""
     stall_ms: int = 5_000
-    on_idle: Callable[[], None] = _ignore_idle
+    on_idle: Callable[[], None] = ignore_idle
 
 
 def connect(address: str) -> Any:
--- a/tests/gateway/samples.py
+++ b/tests/gateway/samples.py
@@ -68,8 +68,8 @@
 
 def config(version=1, routes=None, **fields):
     services = {
-        "models": GatewayService("models", 100, 3_000, 14.0, SHAPE),
-        "ledger": GatewayService("ledger", 100),
+        "models": GatewayService("models", 14.0, SHAPE),
+        "ledger": GatewayService("ledger"),
     }
     values = {"services": services, "workspace_by_key": {"k1": "small"}} | fields
     return RoutingConfig(version, routes or (route(),), **values)
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -10,6 +10,14 @@
 from jacinthcove.platform.names import OBJECTS_PATH
 
 PAGE = 3
+SOON_S = 5.0
+
+
+def eventually(check):
+    """Wait until `check()` holds."""
+    with gevent.Timeout(SOON_S, AssertionError("did not happen in time")):
+        while not check():
+            gevent.sleep(0.01)
 
 
 class StoreStandin:
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -4,15 +4,13 @@
 
 import gevent
 import pytest
-from store_standin import StoreStandin
+from store_standin import StoreStandin, eventually
 from test_platform_decode import CONFIG, ENTRY, SETTINGS
 from wire_bed import KEY, ScriptedTarget, answer, read_answer, request
 
 from jacinthcove.platform.daemon import PlatformRouter
 from jacinthcove.platform.settings import decode_settings
 
-SOON_S = 5.0
-
 
 def free_address():
     with socket.socket() as sock:
@@ -29,13 +27,6 @@
     return decode_settings(text).unwrap()
 
 
-def eventually(check):
-    """Wait until `check()` holds."""
-    with gevent.Timeout(SOON_S, AssertionError("did not happen in time")):
-        while not check():
-            gevent.sleep(0.01)
-
-
 def http(address, path="/publish/1", key=KEY, raw=None):
     """Return the answer to one request."""
     host, _, port = address.rpartition(":")
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from store_standin import StoreStandin
+from store_standin import StoreStandin, eventually
 
 from jacinthcove.clock import SystemClock
 from jacinthcove.errors import Conflict, StoreUnavailable
@@ -10,7 +10,6 @@
 from jacinthcove.platform.objects import HistoryGone, PlatformObjects
 
 WAIT_MS = 150
-SOON_S = 3.0
 
 
 class Recorder:
@@ -61,13 +60,6 @@
     watch.close()
 
 
-def eventually(check):
-    """Wait until `check()` holds."""
-    with gevent.Timeout(SOON_S, AssertionError("did not happen in time")):
-        while not check():
-            gevent.sleep(0.005)
-
-
 def test_lists_are_read_page_by_page(store, objects):
     for number in range(8):
         store.put("things", f"n{number}", number)
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -193,8 +193,8 @@
                 1,
                 ROUTES,
                 {
-                    "ledger": GatewayService("ledger", 10),
-                    "models": GatewayService("models", 10, engine=EngineShape(8, 100_000)),
+                    "ledger": GatewayService("ledger"),
+                    "models": GatewayService("models", engine=EngineShape(8, 100_000)),
                 },
                 limits or CallerLimits(header_timeout_ms=300, max_header_bytes=2_048,
                                        max_body_bytes=4_096, idle_timeout_ms=1_000),
