--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -103,13 +103,20 @@
         except RequestRefused as refusal:
             code = refusal.code
             if sink.begun:
+                self._note_aborted(request_id, refusal.message)
                 raise AnswerAborted(refusal.message) from refusal
             self._refuse(request_id, self._honest(refusal), sink, received_at)
         except AnswerAborted as aborted:
-            self.decisions.note(
-                "answer_aborted", request_id=request_id, reason=str(aborted), outcome="aborted"
-            )
+            self._note_aborted(request_id, str(aborted))
             raise
+        except CallerGone:
+            raise
+        except Exception as error:
+            log.exception("request_failed", request_id=request_id)
+            if sink.begun:
+                raise AnswerAborted("the router failed") from error
+            failure = RequestRefused(ResultCode.INTERNAL, "the router failed")
+            self._refuse(request_id, failure, sink, received_at)
         self.metrics.counter("requests_total", code=code.name.lower()).add()
         self.metrics.histogram("request_ms").observe(self.clock.now() - received_at)
 
@@ -143,6 +150,12 @@
         answer = self.codec.refusal(refusal)
         sink.whole(answer.status, "Refused", answer.headers, answer.body)
 
+    def _note_aborted(self, request_id: str, reason: str) -> None:
+        self.metrics.counter("answers_aborted_total").add()
+        self.decisions.note(
+            "answer_aborted", request_id=request_id, reason=reason, outcome="aborted"
+        )
+
     def _note_gone(self, connection: GatewayHandler, gone: CallerGone) -> None:
         self.metrics.counter("callers_gone_total").add()
         request_id = self.codec.request_id(connection.raw_headers)
--- a/src/jacinthcove/gateway/coldlimit.py
+++ b/src/jacinthcove/gateway/coldlimit.py
@@ -11,6 +11,8 @@
 
 # A request may arrive later than it was sent, so the window is a little longer than a second.
 WINDOW_MS = 1_150
+# Above this number, targets without a request in the window are dropped.
+MAX_TARGETS = 1_024
 
 
 class ColdLimit:
@@ -33,12 +35,17 @@
         start = self.clock.now() - WINDOW_MS
         while times and times[0] <= start:
             times.popleft()
+        if not times:
+            del self.sent[target]
         return len(times) < limit
 
     def note(self, target: str) -> None:
         """Count a request that is being sent."""
-        self.sent.setdefault(target, deque()).append(self.clock.now())
-
-    def forget(self, target: str) -> None:
-        """Drop a target that is gone."""
-        self.sent.pop(target, None)
+        now = self.clock.now()
+        self.sent.setdefault(target, deque()).append(now)
+        if len(self.sent) > MAX_TARGETS:
+            self._drop_quiet(now)
+
+    def _drop_quiet(self, now: int) -> None:
+        start = now - WINDOW_MS
+        self.sent = {name: times for name, times in self.sent.items() if times[-1] > start}
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -46,6 +46,7 @@
         self.sequence = 0
         self.known: dict[str, tuple[int, int]] = {}
         self.reported: dict[str, int] = {}
+        self.told: dict[str, tuple[int, int]] = {}
         self.greenlets: list[Any] = []
         peers.register(LOAD_SHARE, self.take)
 
@@ -79,6 +80,10 @@
                 parts=parts,
             )
         for workspace, use in self.ledger.own.items():
+            counts = (use.asked, use.admitted)
+            if self.told.get(workspace) == counts:
+                continue
+            self.told[workspace] = counts
             message.workspaces.add(
                 workspace=workspace, asked_tokens=use.asked, admitted_tokens=use.admitted
             )
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -87,18 +87,18 @@
 
     def read_requestline(self) -> str:
         """Wait for the next request within the idle limit and read its whole head."""
+        return self._read_head() if self._arrives() else ""
+
+    def _arrives(self) -> bool:
         self.idle = True
         try:
             with gevent.Timeout(self.limits.idle_timeout_ms / 1000, False):
-                if not self.rfile.peek(1):
-                    return ""
-                return self._read_head()
+                return bool(self.rfile.peek(1))
         finally:
             self.idle = False
-        return ""
+        return False
 
     def _read_head(self) -> str:
-        self.idle = False
         with gevent.Timeout(
             self.limits.header_timeout_ms / 1000,
             MalformedRequest(408, "the header did not arrive in time"),
@@ -157,8 +157,10 @@
         if self.content_length is not None and self.content_length > limit:
             raise MalformedRequest(413, "the body is too large")
         expected = self.content_length
+        slow = MalformedRequest(408, "the body did not arrive in time")
         try:
-            body: bytes = self.wsgi_input.read(limit + 1)
+            with gevent.Timeout(self.limits.idle_timeout_ms / 1000, slow):
+                body: bytes = self.wsgi_input.read(limit + 1)
         except OSError as error:
             raise CallerGone(str(error)) from error
         if len(body) > limit:
--- a/src/jacinthcove/platform/follow.py
+++ b/src/jacinthcove/platform/follow.py
@@ -12,6 +12,8 @@
 
 log = structlog.get_logger()
 
+# Changes that come soon after another are taken together, as each answer of a watch costs a call.
+CHANGE_PAUSE_MS = 250
 FIRST_PAUSE_MS = 40
 MAX_PAUSE_MS = 600
 # Entries lapse only in an outage that is longer than this, and are registered again within the
@@ -51,6 +53,7 @@
         self.follower = follower
         self.revision: int | None = None
         self.listed = False
+        self.paused = False
         self.lost_at: int | None = None
         self.outage_ended_at: int | None = None
         self.failures = 0
@@ -87,7 +90,11 @@
             self.revision = listing.revision
             self.listed = True
         else:
+            if self.paused:
+                gevent.sleep(CHANGE_PAUSE_MS / 1000)
+                sent_at = self.clock.boot()
             changes, self.revision = self.objects.watch(self.kind, self.revision, self.wait_ms)
+            self.paused = bool(changes)
             for change in changes:
                 self.follower.on_change(change, self._entries_may_lapse())
             if not changes:
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -113,6 +113,16 @@
     assert recorder.lists == [False]
 
 
+def test_a_storm_of_changes_costs_few_calls(store, watch, recorder):
+    eventually(lambda: watch.listed)
+    before = len(store.calls)
+    for number in range(40):
+        store.put("things", f"n{number}", 1)
+        gevent.sleep(0.01)
+    eventually(lambda: len(recorder.names) == 40)
+    assert len(store.calls) - before <= 6
+
+
 def test_a_quiet_watch_confirms_what_is_known(watch, recorder):
     eventually(lambda: watch.listed)
     first = recorder.confirmed
--- a/tests/platform/test_wire_requests.py
+++ b/tests/platform/test_wire_requests.py
@@ -82,6 +82,22 @@
     assert bed.target.seen == []
 
 
+def test_a_slow_body_is_given_up(bed):
+    sock = bed.connect()
+    sock.sendall(head("Content-Length: 10") + b"abc")
+    assert read_answer(sock)[0] == 408
+    assert bed.target.seen == []
+
+
+def test_a_request_near_the_end_of_the_idle_time_is_served(bed):
+    sock = bed.connect()
+    gevent.sleep(0.9)
+    sock.sendall(PROPER[:30])
+    gevent.sleep(0.2)
+    sock.sendall(PROPER[30:])
+    assert read_answer(sock)[0] == 200
+
+
 def test_a_chunked_body_reaches_the_target_whole(bed):
     sock = bed.connect()
     sock.sendall(head("Transfer-Encoding: chunked") + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
