--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -101,11 +101,6 @@
         self._log_refusal(request, service, verdict, avoid)
         raise self._refusal(verdict)
 
-    def event_tokens(self, service: str) -> int:
-        """Return the tokens in one event of a service's streams."""
-        known = self.services.get(service)
-        return known.engine.event_tokens if known is not None and known.engine is not None else 1
-
     def release(self, request: GatewayRequest, target: TargetState) -> None:
         """Count the end of a request at its target."""
         target.load.end(request.id)
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -13,7 +13,7 @@
 from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.codec import AnswerHead, Execution, GatewayCodec, Headers
 from jacinthcove.gateway.decisions import AttemptEnd, Progress, Step, next_step, without_budget
-from jacinthcove.gateway.exchange import EVENT_END, Exchange, last_event_id
+from jacinthcove.gateway.exchange import Exchange, last_event_id
 from jacinthcove.gateway.model import GatewayRequest, Repeatability
 from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
@@ -193,16 +193,12 @@
         head = attempt.head
         assert head is not None
         load = attempt.choice.target.load
-        event_tokens = self.forwarder.admission.event_tokens(self.service)
-        previous_at = 0
+        first = True
         for piece in exchange.read_events(response):
-            now = self.clock.now()
-            if previous_at:
-                load.progress(piece.count(EVENT_END) * event_tokens, now - previous_at)
-            else:
+            if first:
+                first = False
                 load.first_event(self.request.id)
-                self.first_event_at = self.first_event_at or now
-            previous_at = now
+                self.first_event_at = self.first_event_at or self.clock.now()
             if not self.sink.begun:
                 self.sink.begin(head.status, head.reason, head.headers)
             self.sink.write(piece)
@@ -210,7 +206,10 @@
         if not self.sink.begun:
             self.sink.begin(head.status, head.reason, head.headers)
         attempt.end = AttemptEnd.COMPLETE
-        attempt.choice.target.note_answer(False, self.clock.now())
+        now = self.clock.now()
+        attempt.choice.target.note_answer(False, now)
+        if len(self.attempts) == 1 and not first:
+            load.stream_end(self.request.prompt.output_tokens, now - self.first_event_at)
 
 
 class Forwarder:
--- a/src/jacinthcove/gateway/load.py
+++ b/src/jacinthcove/gateway/load.py
@@ -19,8 +19,8 @@
 SPEED_WEIGHT = 0.05
 SPEED_MIN_MS = 40.0
 SPEED_MAX_ERROR = 4.0
-# Weight of one event in the learned time per generated token.
-PACE_WEIGHT = 0.01
+# Weight of one whole stream in the learned time per generated token.
+PACE_WEIGHT = 0.15
 # A report this old says nothing about what runs now.
 REPORT_LIFETIME_MS = 1_500
 
@@ -53,7 +53,7 @@
         self.own: dict[str, Reservation] = {}
         self.peers: dict[str, PeerLoad] = {}
         self.tokens_per_ms = INITIAL_TOKENS_PER_MS
-        # Time per generated token at the present load, 0 until a stream has told it.
+        # Time per generated token at the present load, 0 until a stream has ended here.
         self.token_ms = 0.0
 
     @property
@@ -105,11 +105,15 @@
             speed = self.tokens_per_ms * ratio**SPEED_WEIGHT
             self.tokens_per_ms = min(MAX_TOKENS_PER_MS, max(MIN_TOKENS_PER_MS, speed))
 
-    def progress(self, tokens: int, took_ms: float) -> None:
-        """Learn the pace from `tokens` that a stream generated in `took_ms`."""
-        if tokens > 0:
+    def stream_end(self, output_tokens: int, ran_ms: float) -> None:
+        """Learn the pace from a whole stream that ran `ran_ms` after its first event.
+
+        The pace of single events follows every short burst, in which streams that would end in
+        time look too slow.
+        """
+        if output_tokens > 0:
             weight = PACE_WEIGHT if self.token_ms else 1.0
-            self.token_ms += weight * (took_ms / tokens - self.token_ms)
+            self.token_ms += weight * (ran_ms / output_tokens - self.token_ms)
 
     def run_ms(self, output_tokens: int) -> float:
         """Return the expected time from the first event to the end of a stream."""
--- a/src/jacinthcove/gateway/model.py
+++ b/src/jacinthcove/gateway/model.py
@@ -48,14 +48,10 @@
 
 @dataclass(frozen=True)
 class EngineShape:
-    """What a model engine can hold: requests at once and tokens of memory.
-
-    `event_tokens` is the number of tokens in one event of a stream.
-    """
+    """What a model engine can hold: requests at once and tokens of memory."""
 
     slots: int
     memory_tokens: int
-    event_tokens: int = 1
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -81,8 +81,7 @@
     engine = item.get("engine")
     shape = None
     if engine:
-        stride = max(1, int(engine.get("stride") or 1))
-        shape = EngineShape(int(engine["slots"]), int(engine["kv_tokens"]), stride)
+        shape = EngineShape(int(engine["slots"]), int(engine["kv_tokens"]))
     return GatewayService(
         name=item["name"],
         cold_requests_per_s=float(item.get("cold_per_s") or 0),
--- a/tests/gateway/test_gateway_placement.py
+++ b/tests/gateway/test_gateway_placement.py
@@ -115,7 +115,7 @@
 def test_a_stream_that_cannot_end_in_time_is_known_at_once(placement, clock):
     only = target(clock)
     busy(only, 10)
-    only.load.progress(100, 2_000)
+    only.load.stream_end(100, 2_000)
     assert isinstance(choose(placement, clock, [only], prompt=prompt(output=200)), Choice)
     slow = choose(placement, clock, [only], prompt=prompt(output=400))
     assert slow is Verdict.TOO_SLOW
--- a/tests/gateway/test_load.py
+++ b/tests/gateway/test_load.py
@@ -61,11 +61,11 @@
     assert load.tokens_per_ms == pytest.approx(INITIAL_TOKENS_PER_MS / 2, rel=0.1)
 
 
-def test_the_pace_follows_the_events_of_streams(load):
-    load.progress(6, 60)
+def test_the_pace_follows_whole_streams(load):
+    load.stream_end(100, 1_000)
     assert load.run_ms(300) == 3_000
-    for _ in range(1_000):
-        load.progress(6, 240)
+    for _ in range(40):
+        load.stream_end(100, 4_000)
     assert load.run_ms(100) == pytest.approx(4_000, rel=0.01)
 
 
