Do not refuse a request as not run after an attempt that may have run

Cause: an idempotent request whose first attempt broke off and that then found no target was answered 503, which promises that it never ran. Change: such a refusal becomes 502. The new test failed with 503 before.

--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -8,7 +8,7 @@
 import structlog
 
 from jacinthcove.clock import Clock
-from jacinthcove.codes import ResultCode
+from jacinthcove.codes import ResultClass, ResultCode, result_class
 from jacinthcove.errors import JacinthcoveError, RequestRefused, TargetFailed
 from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.codec import AnswerHead, Execution, GatewayCodec, Headers
@@ -75,6 +75,7 @@
         self.service = choose_service(request.route)
         self.sends = 0
         self.unreachable = 0
+        self.may_have_run = False
         self.avoid: set[str] = set()
         self.last_event_id = request.last_event_id
         self.first_event_at = 0
@@ -89,6 +90,11 @@
                 return self._attempts()
         except DeadlinePassed:
             raise self._late() from None
+        except RequestRefused as refusal:
+            if self.may_have_run and result_class(refusal.code) is ResultClass.NOT_RUN:
+                reason = f"an earlier attempt may have run; then: {refusal.message}"
+                raise RequestRefused(ResultCode.TARGET_FAILED, reason) from refusal
+            raise
 
     def _attempts(self) -> ResultCode:
         self.forwarder.budget.request(self.service)
@@ -102,6 +108,7 @@
                 self._attempt(attempt)
             finally:
                 self.forwarder.admission.release(self.request, choice.target)
+            self.may_have_run = self.may_have_run or not attempt.end.not_run
             step = self._step(attempt)
             self.forwarder.log_attempt(self, attempt, step)
             if step in (Step.RETRY, Step.RESUME):
--- a/tests/platform/test_wire_answers.py
+++ b/tests/platform/test_wire_answers.py
@@ -138,6 +138,16 @@
     assert SEAL not in headers
 
 
+def test_what_may_have_run_is_not_refused_as_not_run(bed):
+    """A safe request that broke off at one target finds no other that takes it."""
+    bed.add("t1", "ledger", answering(BROKEN["cut"]))
+    assert bed.call("/status/7", b"", "GET")[0] == 502
+    bed.add("t2", "ledger", answering(not_run))
+    seen = [bed.call("/status/7", b"", "GET", id=f"q{number}")[0] for number in range(8)]
+    first_broke = [ends for ends in bed.attempts if ends[0].value == "broken_before"]
+    assert seen.count(502) == len(first_broke) - 1
+
+
 def test_a_targets_own_failure_is_delivered(bed):
     make = answering(lambda head: answer(head, b"no", "500 Internal Server Error"))
     bed.add("t1", "ledger", make)
