--- a/src/jacinthcove/control/daemon.py
+++ b/src/jacinthcove/control/daemon.py
@@ -5,6 +5,7 @@
 import gevent
 from gevent.pywsgi import WSGIServer
 
+from jacinthcove.address import split_address
 from jacinthcove.clock import SystemClock
 from jacinthcove.config.settings import ControllerSettings
 from jacinthcove.control.acceptance import Acceptance
@@ -46,8 +47,9 @@
             settings.bootstrap_key_hash,
             self.view.request_rate,
         )
-        host, _, port = settings.admin_listen.rpartition(":")
-        self.server = WSGIServer((host, int(port)), self.api, log=None, error_log=None)
+        self.server = WSGIServer(
+            split_address(settings.admin_listen), self.api, log=None, error_log=None
+        )
         self.task: gevent.Greenlet | None = None
 
     def start(self) -> None:
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -11,6 +11,7 @@
 import gevent.socket
 from gevent.pywsgi import WSGIServer
 
+from jacinthcove.address import split_address
 from jacinthcove.errors import JacinthcoveError
 from jacinthcove.gateway.codec import Headers, RawRequest
 from jacinthcove.gateway.model import CallerLimits
@@ -210,10 +211,9 @@
     """Listens for callers; `application` has the members that `GatewayHandler` uses."""
 
     def __init__(self, listen: str, application: Any):
-        host, _, port = listen.rpartition(":")
         self.application = application
         self.server = WSGIServer(
-            (host, int(port)),
+            split_address(listen),
             application,
             handler_class=GatewayHandler,
             log=None,
--- a/src/jacinthcove/load/callers.py
+++ b/src/jacinthcove/load/callers.py
@@ -14,6 +14,7 @@
 from geventhttpclient.response import HTTPParseError
 from hdrh.histogram import HdrHistogram
 
+from jacinthcove.address import split_address
 from jacinthcove.clock import Clock, SystemClock
 from jacinthcove.codes import CODES, ResultClass, ResultCode
 from jacinthcove.load.events import read_events
@@ -96,11 +97,9 @@
                 clients.pop().close()
 
     def _open(self, address: str, whole: bool) -> HTTPClient:
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         timeout = (self.whole_silence_ms if whole else self.silence_ms) / 1000
-        return HTTPClient(
-            host, int(port), connection_timeout=CONNECT_TIMEOUT_S, network_timeout=timeout
-        )
+        return HTTPClient(host, port, connection_timeout=CONNECT_TIMEOUT_S, network_timeout=timeout)
 
 
 def gap_histogram() -> HdrHistogram:
--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -12,11 +12,12 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
+from jacinthcove.address import split_address
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.events import CallsFailed, Outgoing, PeerLost, Received, StreamNote
 from jacinthcove.mesh.kinds import HEARTBEAT
 from jacinthcove.mesh.mesh_grpc import MeshBase, MeshStub
-from jacinthcove.mesh.transport import FleetKey, TlsOptions, split_address
+from jacinthcove.mesh.transport import FleetKey, TlsOptions
 
 HEARTBEAT_S = 0.9
 # With the tick below a silent stream is replaced within the 3 s that the design allows.
--- a/src/jacinthcove/mesh/transport.py
+++ b/src/jacinthcove/mesh/transport.py
@@ -15,6 +15,8 @@
 
 import gevent
 
+from jacinthcove.address import split_address
+
 # Shortens the wait of the asyncio thread for the interpreter lock while the gevent thread is busy;
 # with the default of 5 ms a round trip takes 4.0 ms instead of 2.4 ms.
 SWITCH_INTERVAL_S = 0.0005
@@ -142,12 +144,6 @@
         return hmac.new(self.key, "\n".join(parts).encode(), hashlib.sha256).hexdigest()[:32]
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of `ip:port`."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def open_listener(address: str) -> socket.socket:
     """Bind and listen at `ip:port`; port 0 takes a free one."""
     host, port = split_address(address)
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -5,6 +5,7 @@
 import gevent
 import structlog
 
+from jacinthcove.address import split_address
 from jacinthcove.clock import SystemClock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
@@ -126,7 +127,7 @@
         for watch in self.watches:
             watch.start()
         self.server.start()
-        host = self.settings.caller_listen.rpartition(":")[0]
+        host, _ = split_address(self.settings.caller_listen)
         self.endpoints.start(
             self.settings.ready_listen,
             self.settings.directory_listen,
--- a/src/jacinthcove/platform/endpoints.py
+++ b/src/jacinthcove/platform/endpoints.py
@@ -7,6 +7,7 @@
 import orjson
 from gevent.pywsgi import WSGIServer
 
+from jacinthcove.address import split_address
 from jacinthcove.observe.metrics import Metrics
 from jacinthcove.platform.names import DIRECTORY_PATH, READY_PATH
 
@@ -36,8 +37,7 @@
     def start(self, *listen: str) -> None:
         """Listen at each of the addresses."""
         for address in dict.fromkeys(listen):
-            host, _, port = address.rpartition(":")
-            server = WSGIServer((host, int(port)), self, log=None, error_log=None)
+            server = WSGIServer(split_address(address), self, log=None, error_log=None)
             server.start()
             self.servers.append(server)
 
--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -11,6 +11,7 @@
 import structlog
 from gevent.pywsgi import WSGIServer
 
+from jacinthcove.address import split_address
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode, http_status
 from jacinthcove.config.model import ServiceKind, Workspace
@@ -91,9 +92,8 @@
         self.metrics = metrics
         self.limits = limits
         self.max_requests = max_requests
-        host, _, port = listen.rpartition(":")
         self.server = WSGIServer(
-            (host, int(port)), self, handler_class=CallerHandler, log=None, error_log=None
+            split_address(listen), self, handler_class=CallerHandler, log=None, error_log=None
         )
         self.open_requests = 0
         self.last_request_at = clock.now()
--- a/src/jacinthcove/standins/server.py
+++ b/src/jacinthcove/standins/server.py
@@ -12,6 +12,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from jacinthcove.address import split_address
 from jacinthcove.clock import Clock, SystemClock
 
 MAX_CONNECTIONS = 20_000
@@ -72,11 +73,10 @@
     """Serves an application on one address; closing it breaks its open connections."""
 
     def __init__(self, address: str, application: Application):
-        host, _, port = address.rpartition(":")
         self.application = application
         self.pool = Pool(MAX_CONNECTIONS)
         self.server = WSGIServer(
-            (host, int(port)),
+            split_address(address),
             self._answer,
             spawn=self.pool,
             log=None,
--- a/src/jacinthcove/store/connections.py
+++ b/src/jacinthcove/store/connections.py
@@ -7,6 +7,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from jacinthcove.address import split_address
 from jacinthcove.errors import JacinthcoveError
 
 
@@ -35,10 +36,8 @@
     """
 
     def __init__(self, address: str, timeout_ms: int, max_idle: int = 4):
-        host, _, port = address.rpartition(":")
         self.address = address
-        self.host = host.strip("[]")
-        self.port = int(port)
+        self.host, self.port = split_address(address)
         self.timeout_ms = timeout_ms
         self.max_idle = max_idle
         self.idle: list[HTTPClient] = []
--- a/src/jacinthcove/targets/client.py
+++ b/src/jacinthcove/targets/client.py
@@ -15,6 +15,7 @@
 from gevent.hub import Waiter
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
+from jacinthcove.address import split_address
 from jacinthcove.errors import NotAdmitted, TargetFailed
 
 CONNECT_TIMEOUT_MS = 1_000
@@ -173,11 +174,10 @@
 
 def connect(address: str) -> Any:
     """Open a connection; raises `TargetUnreachable`."""
-    host, _, port = address.rpartition(":")
     sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
     try:
         sock.settimeout(CONNECT_TIMEOUT_MS / 1000)
-        sock.connect((host, int(port)))
+        sock.connect(split_address(address))
         sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
         sock.setsockopt(
             gevent.socket.IPPROTO_TCP, gevent.socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
--- a/src/jacinthcove/targets/reports.py
+++ b/src/jacinthcove/targets/reports.py
@@ -7,6 +7,7 @@
 import orjson
 from geventhttpclient import HTTPClient
 
+from jacinthcove.address import split_address
 from jacinthcove.targets.cacheevents import CacheEventFollower
 from jacinthcove.targets.state import LoadReport, TargetState
 
@@ -96,10 +97,10 @@
 
     def _get(self, path: str) -> bytes:
         if self._client is None:
-            host, _, port = self.state.target.address.rpartition(":")
+            host, port = split_address(self.state.target.address)
             self._client = HTTPClient(
                 host,
-                int(port),
+                port,
                 concurrency=1,
                 connection_timeout=CONNECT_TIMEOUT_S,
                 network_timeout=READ_TIMEOUT_S,
--- a/tests/mesh/test_links.py
+++ b/tests/mesh/test_links.py
@@ -8,6 +8,7 @@
 from gevent import socket as gsocket
 from gevent.server import StreamServer
 
+from jacinthcove.address import split_address
 from jacinthcove.clock import SystemClock
 from jacinthcove.errors import PeerUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
@@ -16,7 +17,7 @@
 from jacinthcove.mesh.members import Membership
 from jacinthcove.mesh.peers import Member, MemberState
 from jacinthcove.mesh.probing import Probing
-from jacinthcove.mesh.transport import listener_address, open_listener, split_address
+from jacinthcove.mesh.transport import listener_address, open_listener
 
 LIMIT_S = 30
 
--- a/tests/mesh/test_transport.py
+++ b/tests/mesh/test_transport.py
@@ -3,7 +3,8 @@
 import asyncio
 import socket
 
-from jacinthcove.mesh.transport import listener_address, open_listener, split_address
+from jacinthcove.address import split_address
+from jacinthcove.mesh.transport import listener_address, open_listener
 
 
 def test_accepted_connections_send_small_messages_at_once():
