--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -167,7 +167,7 @@
             midway = self.sink.begun
             attempt.end = AttemptEnd.BROKEN_MIDWAY if midway else AttemptEnd.BROKEN_BEFORE
             attempt.reason = str(error)
-            target.note_answer(True, self.clock.now())
+            target.note_answer(True)
         finally:
             exchange.close()
 
@@ -194,7 +194,7 @@
             else:
                 attempt.end = AttemptEnd.ANSWERED_FAILURE
                 attempt.reason = f"the target answered {head.status}"
-        target.note_answer(attempt.end is AttemptEnd.ANSWERED_FAILURE, self.clock.now())
+        target.note_answer(attempt.end is AttemptEnd.ANSWERED_FAILURE)
 
     def _relay(self, attempt: Attempt, exchange: Exchange, response: TargetResponse) -> None:
         head = attempt.head
@@ -213,10 +213,9 @@
         if not self.sink.begun:
             self.sink.begin(head.status, head.reason, head.headers)
         attempt.end = AttemptEnd.COMPLETE
-        now = self.clock.now()
-        attempt.choice.target.note_answer(False, now)
         if len(self.attempts) == 1 and not first:
-            load.stream_end(self.request.prompt.output_tokens, now - self.first_event_at)
+            ran_ms = self.clock.now() - self.first_event_at
+            load.stream_end(self.request.prompt.output_tokens, ran_ms)
 
 
 class Forwarder:
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -32,7 +32,7 @@
     version: str
     slots: int
     leaving: bool = False
-    cold_left_ms: int = 0
+    cold_for_ms: int = 0
     started_at: int = 0
 
 
@@ -48,7 +48,6 @@
     unreachable_until: int = 0
     unreachable_count: int = 0
     error_rate: float = 0.0
-    heard_at: int = 0
     # Shared prompt parts that the target has read, by the time of their last use.
     recent_parts: dict[str, int] = field(default_factory=dict)
     # Those that this router sent there, the last one last.
@@ -73,10 +72,9 @@
             found.append(part)
         return found
 
-    def note_answer(self, failed: bool, now: int) -> None:
+    def note_answer(self, failed: bool) -> None:
         """Take the result of a request that reached the target."""
         self.error_rate += ERROR_WEIGHT * (float(failed) - self.error_rate)
-        self.heard_at = now
         self.unreachable_count = 0
         self.unreachable_until = 0
 
@@ -126,8 +124,8 @@
         if record.leaving and not state.record.leaving:
             log.info("target_leaving", target=record.id, revision=revision)
         state.record, state.revision, state.lapsed_at = record, revision, None
-        if record.cold_left_ms > 0:
-            state.cold_until = max(state.cold_until, now + record.cold_left_ms)
+        if record.cold_for_ms > 0:
+            state.cold_until = max(state.cold_until, now + record.cold_for_ms)
         self._index()
 
     def delete(self, target_id: str, store_was_away: bool) -> None:
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -35,7 +35,7 @@
         version=_text(spec, "version"),
         slots=_count(spec, "slots"),
         leaving=_STATES[state],
-        cold_left_ms=round(_number(spec, "cold_left_ms", 0)),
+        cold_for_ms=round(_number(spec, "cold_left_ms", 0)),
         started_at=round(_number(spec, "born", 0)),
     )
 
--- a/tests/gateway/test_gateway_placement.py
+++ b/tests/gateway/test_gateway_placement.py
@@ -134,7 +134,7 @@
     targets = [target(clock, f"t{number}") for number in range(3)]
     home = choose(placement, clock, targets).target
     for _ in range(20):
-        home.note_answer(True, clock.now())
+        home.note_answer(True)
     assert choose(placement, clock, targets).target is not home
 
 
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -79,7 +79,7 @@
 
 def test_a_restart_under_the_same_id_starts_anew(book):
     book.states["t1"].recent_parts["doc"] = 1
-    book.put(record("t1", started_at=77, cold_left_ms=3_000), 7)
+    book.put(record("t1", started_at=77, cold_for_ms=3_000), 7)
     state = book.states["t1"]
     assert state.recent_parts == {}
     assert state.cold_until > book.clock.now()
@@ -92,5 +92,5 @@
     for _ in range(9):
         state.note_unreachable(clock.now())
     assert state.unreachable_until - clock.now() == UNREACHABLE_MAX_PAUSE_MS
-    state.note_answer(False, clock.now())
+    state.note_answer(False)
     assert state.unreachable_until == 0
