Index targets once a list and only after a change; drop fields that nothing reads

Found on reading the change again: a list of targets rebuilt the index for every entry and each tick rebuilt it without a change; the choice between grace and removal stood twice; the service was looked up for each target of each placement; TargetBook.cold_ms and DrainFollower.clock were never read; a weight had no name.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -111,12 +111,12 @@
         now = self.clock.now()
         usable = [t for t in self.book.usable(service) if t.record.id not in avoid]
         reachable = [t for t in usable if t.unreachable_until <= now] or usable
-        targets = [t for t in reachable if self._cold_allows(service, t, now)]
-        if usable and not targets:
-            return Verdict.FULL
         known = self.services.get(service)
         if known is None:
             return Verdict.NO_TARGET
+        targets = [t for t in reachable if self._cold_allows(known, t, now)]
+        if usable and not targets:
+            return Verdict.FULL
         if known.engine is None:
             return self.placement.choose_plain(targets)
         return self.placement.choose_engine(
@@ -128,11 +128,10 @@
             now,
         )
 
-    def _cold_allows(self, service: str, target: TargetState, now: int) -> bool:
-        known = self.services.get(service)
-        if known is None or known.cold_requests_per_s <= 0 or target.cold_until <= now:
+    def _cold_allows(self, service: GatewayService, target: TargetState, now: int) -> bool:
+        if service.cold_requests_per_s <= 0 or target.cold_until <= now:
             return True
-        return self.cold.allows(target.record.id, self.cold_part(known))
+        return self.cold.allows(target.record.id, self.cold_part(service))
 
     def cold_part(self, service: GatewayService) -> int:
         """Return this router's requests per second to one cold target of a service."""
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -25,6 +25,7 @@
 FETCH_WEIGHT = 0.35
 # Weight of a target's fill in ms, which spreads requests that have no shared parts.
 FILL_WEIGHT_MS = 60.0
+PLAIN_FILL_WEIGHT_MS = 40.0
 ERROR_WEIGHT_MS = 1_500.0
 OTHER_DOMAIN_MS = 2.0
 # What is known of other failure domains is older in large fleets, which makes a choice there worse.
@@ -188,7 +189,7 @@
             slots = max(1, target.record.slots)
             if running >= slots + PLAIN_QUEUE:
                 continue
-            cost = 40.0 * running / slots + self._penalty(target)
+            cost = PLAIN_FILL_WEIGHT_MS * running / slots + self._penalty(target)
             if best is None or cost < best[0]:
                 best = (cost, Choice(target, 0, 0, 0.0, running))
         return best[1] if best is not None else Verdict.FULL
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -93,24 +93,23 @@
         self.states: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
         self.drained_domains: frozenset[str] = frozenset()
-        self.cold_ms: dict[str, int] = {}
 
     def replace_all(self, records: Iterable[TargetRecord], revision: int, after_gap: bool) -> None:
         """Take a complete list; after an outage of the store missing targets keep a grace."""
         seen = set()
         for record in records:
             seen.add(record.id)
-            self.put(record, revision)
+            self._put(record, revision)
         for target_id in self.states.keys() - seen:
-            state = self.states[target_id]
-            if after_gap and not state.record.leaving:
-                self._lapse(state)
-            else:
-                self._remove(target_id, "not listed")
+            self._drop(self.states[target_id], after_gap, "not listed")
         self._index()
 
     def put(self, record: TargetRecord, revision: int) -> None:
         """Take one entry."""
+        self._put(record, revision)
+        self._index()
+
+    def _put(self, record: TargetRecord, revision: int) -> None:
         now = self.clock.now()
         state = self.states.get(record.id)
         if state is None or state.record.address != record.address:
@@ -126,18 +125,13 @@
         state.record, state.revision, state.lapsed_at = record, revision, None
         if record.cold_for_ms > 0:
             state.cold_until = max(state.cold_until, now + record.cold_for_ms)
-        self._index()
 
     def delete(self, target_id: str, store_was_away: bool) -> None:
         """Take the removal of an entry; one that lapsed in an outage keeps a grace."""
         state = self.states.get(target_id)
-        if state is None:
-            return
-        if store_was_away and not state.record.leaving:
-            self._lapse(state)
-        else:
-            self._remove(target_id, "removed")
-        self._index()
+        if state is not None:
+            self._drop(state, store_was_away, "removed")
+            self._index()
 
     def set_drained(self, domains: frozenset[str]) -> None:
         """Take the failure domains that get no new work."""
@@ -163,10 +157,22 @@
     def expire(self) -> None:
         """Remove targets whose grace is over."""
         now = self.clock.now()
-        for target_id, state in list(self.states.items()):
-            if state.lapsed_at is not None and now - state.lapsed_at >= LAPSED_GRACE_MS:
-                self._remove(target_id, "lapsed")
-        self._index()
+        over = [
+            target_id
+            for target_id, state in self.states.items()
+            if state.lapsed_at is not None and now - state.lapsed_at >= LAPSED_GRACE_MS
+        ]
+        for target_id in over:
+            self._remove(target_id, "lapsed")
+        if over:
+            self._index()
+
+    def _drop(self, state: TargetState, store_was_away: bool, reason: str) -> None:
+        """Let a target without an entry go, at once or after the grace."""
+        if store_was_away and not state.record.leaving:
+            self._lapse(state)
+        else:
+            self._remove(state.record.id, reason)
 
     def _lapse(self, state: TargetState) -> None:
         if state.lapsed_at is None:
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -118,7 +118,7 @@
             KindWatch(self.objects, clock, TARGETS_KIND, TARGETS_WAIT_MS,
                       TargetFollower(self.book)),
             KindWatch(self.objects, clock, DRAINED_DOMAINS_KIND, DRAINED_WAIT_MS,
-                      DrainFollower(clock, self.book)),
+                      DrainFollower(self.book)),
         ]  # fmt: skip
 
     def start(self) -> None:
--- a/src/jacinthcove/platform/followers.py
+++ b/src/jacinthcove/platform/followers.py
@@ -2,7 +2,6 @@
 
 import structlog
 
-from jacinthcove.clock import Clock
 from jacinthcove.gateway.beliefs import Beliefs
 from jacinthcove.gateway.targets import TargetBook, TargetRecord
 from jacinthcove.platform.decode import decode_config, decode_target
@@ -82,8 +81,7 @@
 class DrainFollower:
     """Keeps the failure domains that get no new work; an object stands for each."""
 
-    def __init__(self, clock: Clock, book: TargetBook):
-        self.clock = clock
+    def __init__(self, book: TargetBook):
         self.book = book
         self.domains: frozenset[str] = frozenset()
 
