Heed what targets say about further requests: leaving, and refusing for a while

A target that stops says so in every answer, at times before or without any word of the store, and one that is full names a time for which it wants nothing. The router read neither, so it went on sending until the store's entry changed, and asked a full target again with every request.

Change: AnswerHead carries leaving and retry_after_ms, decoded in platform/codec.py (seconds with fractions; negative, dates, anything else is logged and ignored; cut at 60 s). TargetBook remembers by id and start which targets said they leave, beyond the life of the entry, as an entry may lapse and come back and the store's newer revisions may be older than the answer; a new start ends it. Load reports carry it to the other routers, repeated until the entry goes. A target that refuses has no room until then; if all do, a request is refused at once with a time that includes the wait.

Ruled out: forgetting at any newer revision of the entry, because a change written before the target began to leave can arrive after its answer.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -99,11 +99,15 @@
                 if not avoid:
                     self.ledger.admit(request.workspace, tokens)
                 return verdict
-            if verdict is Verdict.TOO_SLOW or self.clock.now() + WAIT_STEP_MS >= give_up_at:
+            if verdict is Verdict.TOO_SLOW or self._free_at(service) >= give_up_at:
                 break
             gevent.sleep(WAIT_STEP_MS / 1000)
         self._log_refusal(request, service, verdict, avoid)
-        raise self._refusal(verdict)
+        raise self._refusal(verdict, service)
+
+    def _free_at(self, service: str) -> int:
+        """Return when a target may have room at the earliest."""
+        return self.clock.now() + max(WAIT_STEP_MS, self.book.refused_for_ms(service))
 
     def release(self, request: GatewayRequest, target: TargetState) -> None:
         """Count the end of a request at its target."""
@@ -129,7 +133,8 @@
         self, request: GatewayRequest, known: GatewayService, usable: list[TargetState]
     ) -> Choice | Verdict:
         now = self.clock.now()
-        reachable = [t for t in usable if t.unreachable_until <= now] or usable
+        willing = [t for t in usable if t.refuses_until <= now]
+        reachable = [t for t in willing if t.unreachable_until <= now] or willing
         targets = [t for t in reachable if self._cold_allows(known, t, now)]
         if usable and not targets:
             return Verdict.FULL
@@ -189,7 +194,7 @@
             outcome=verdict.value,
         )
 
-    def _refusal(self, verdict: Verdict) -> RequestRefused:
+    def _refusal(self, verdict: Verdict, service: str) -> RequestRefused:
         if verdict is Verdict.NO_TARGET:
             message = "no target of the service takes work"
             return RequestRefused(ResultCode.NO_TARGET, message, NO_TARGET_RETRY_MS)
@@ -197,5 +202,6 @@
             message = "the answer would not end within the time limit"
             return RequestRefused(ResultCode.NO_CAPACITY, message, RETRY_MAX_MS)
         after = random.randint(RETRY_MIN_MS, RETRY_MAX_MS)
+        after += self.book.refused_for_ms(service)
         message = "no target can start the request in time"
         return RequestRefused(ResultCode.NO_CAPACITY, message, after)
--- a/src/jacinthcove/gateway/codec.py
+++ b/src/jacinthcove/gateway/codec.py
@@ -31,12 +31,18 @@
 
 @dataclass(frozen=True)
 class AnswerHead:
-    """Status and headers of a target's answer; `headers` are those that go to the caller."""
+    """Status and headers of a target's answer; `headers` are those that go to the caller.
+
+    `leaving` means that the target is about to stop. `retry_after_ms` is the time for which it
+    wants nothing from this router, 0 if it says nothing of the kind.
+    """
 
     status: int
     reason: str
     headers: Headers
     execution: Execution
+    leaving: bool = False
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -142,7 +142,8 @@
             self.sink.whole(head.status, head.reason, head.headers, attempt.body)
             return ResultCode.TARGET_REJECTED
         if step is Step.REFUSE and not self.sink.begun:
-            raise RequestRefused(ResultCode.NOT_ADMITTED, attempt.reason, RETRY_AFTER_MS)
+            after_ms = RETRY_AFTER_MS + self.forwarder.admission.book.refused_for_ms(self.service)
+            raise RequestRefused(ResultCode.NOT_ADMITTED, attempt.reason, after_ms)
         if self.sink.begun:
             raise AnswerAborted(attempt.reason)
         raise RequestRefused(ResultCode.TARGET_FAILED, attempt.reason)
@@ -185,6 +186,8 @@
         head = attempt.head = self.forwarder.codec.answer_head(self.request, response)
         if head.execution is Execution.FOREIGN:
             raise TargetFailed("the answer belongs to another request or has no signature")
+        if head.execution is not Execution.OTHER_TARGET:
+            self._note_wishes(target, head)
         if head.execution in (Execution.NOT_RUN, Execution.OTHER_TARGET):
             other = head.execution is Execution.OTHER_TARGET
             attempt.end = AttemptEnd.OTHER_TARGET if other else AttemptEnd.REJECTED
@@ -205,6 +208,14 @@
                 attempt.reason = f"the target answered {head.status}"
         target.note_answer(attempt.end is AttemptEnd.ANSWERED_FAILURE)
 
+    def _note_wishes(self, target: TargetState, head: AnswerHead) -> None:
+        """Take what the target says about further requests."""
+        if head.leaving:
+            book = self.forwarder.admission.book
+            book.note_leaving(target.record.id, target.record.started_at)
+        if head.retry_after_ms:
+            target.note_refusal(self.clock.now(), head.retry_after_ms)
+
     def _relay(self, attempt: Attempt, exchange: Exchange, response: TargetResponse) -> None:
         head = attempt.head
         assert head is not None
@@ -262,4 +273,4 @@
         """
         self.check_fresh(request)
         if not self.admission.book.may_send(target):
-            raise TargetUnreachable("the target began to leave")
+            raise TargetUnreachable("the target takes no more requests")
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -137,6 +137,8 @@
         self.known[sender] = (message.incarnation, message.sequence)
         self.open_by_router[sender] = (message.open_requests, now)
         for item in message.targets:
+            if item.leaving:
+                self.book.note_leaving(item.target_id, item.started_at)
             target = self.book.states.get(item.target_id)
             if target is not None:
                 report = PeerLoad(item.running, item.memory_tokens, item.unread_tokens, now)
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -6,7 +6,7 @@
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.load import PeerLoad, TargetLoad
 from jacinthcove.gateway.shares import ShareLedger
-from jacinthcove.gateway.targets import TargetBook
+from jacinthcove.gateway.targets import TargetBook, TargetRecord
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member, Members
 
@@ -22,6 +22,7 @@
     running: int
     unread_tokens: int
     memory_tokens: int
+    leaving: bool
     at: int
 
 
@@ -34,15 +35,22 @@
         self.told_at = -1
 
     def add_load(
-        self, message: pb.LoadShare, target: str, load: PeerLoad, parts: list[str], now: int
+        self,
+        message: pb.LoadShare,
+        record: TargetRecord,
+        load: PeerLoad,
+        leaving: bool,
+        parts: list[str],
+        now: int,
     ) -> None:
         """Add the load of a target unless the audience knows it."""
+        target = record.id
         known = self.loads.get(target)
-        values = (load.running, load.unread_tokens, load.memory_tokens)
+        values = (load.running, load.unread_tokens, load.memory_tokens, leaving)
         if known is None:
             changed = any(values)
         else:
-            before = (known.running, known.unread_tokens, known.memory_tokens)
+            before = (known.running, known.unread_tokens, known.memory_tokens, known.leaving)
             changed = before != values or (any(values) and now - known.at >= REFRESH_MS)
         if not changed and not parts:
             return
@@ -56,6 +64,8 @@
             unread_tokens=load.unread_tokens,
             memory_tokens=load.memory_tokens,
             parts=parts,
+            leaving=leaving,
+            started_at=record.started_at if leaving else 0,
         )
 
     def add_use(self, message: pb.LoadShare, workspace: str, asked: int, admitted: int) -> None:
@@ -106,7 +116,9 @@
         message.open_requests = self.open_requests()
         for state in self.book.states.values():
             load = own_load(state.load, now)
-            audience.add_load(message, state.record.id, load, state.parts_sent_since(since), now)
+            parts = state.parts_sent_since(since)
+            leaving = state.record.id in self.book.leaving_starts
+            audience.add_load(message, state.record, load, leaving, parts, now)
         for workspace, use in self.ledger.own.items():
             audience.add_use(message, workspace, use.asked, use.admitted)
         return message
@@ -122,7 +134,9 @@
         for state in self.book.states.values():
             sent = [*parts.get(state.record.id, ()), *state.parts_sent_since(since)]
             load = state.load.sum_with(others)
-            audience.add_load(message, state.record.id, load, list(dict.fromkeys(sent)), now)
+            leaving = state.record.id in self.book.leaving_starts
+            known = list(dict.fromkeys(sent))
+            audience.add_load(message, state.record, load, leaving, known, now)
         for workspace, use in self.ledger.sum_with(others).items():
             audience.add_use(message, workspace, use.asked, use.admitted)
         return message
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -19,6 +19,8 @@
 # Weight of one answer in the moving error rate of a target.
 ERROR_WEIGHT = 0.1
 MAX_PARTS = 4_096
+# Targets that said they leave are remembered beyond their entries, up to this number.
+MAX_LEAVING = 4_096
 
 
 @dataclass(frozen=True)
@@ -47,6 +49,8 @@
     lapsed_at: int | None = None
     unreachable_until: int = 0
     unreachable_count: int = 0
+    # The target asked this router to send nothing until then.
+    refuses_until: int = 0
     error_rate: float = 0.0
     # Shared prompt parts that the target has read, by the time of their last use.
     recent_parts: dict[str, int] = field(default_factory=dict)
@@ -84,6 +88,11 @@
         self.unreachable_count = min(self.unreachable_count + 1, 8)
         self.unreachable_until = now + pause
 
+    def note_refusal(self, now: int, retry_after_ms: int) -> None:
+        """Take the target's wish to get nothing from this router for some time."""
+        self.refuses_until = max(self.refuses_until, now + retry_after_ms)
+        log.info("target_refuses", target=self.record.id, retry_after_ms=retry_after_ms)
+
 
 class TargetBook:
     """The targets of all services; fed by complete lists and by single changes of the store."""
@@ -93,6 +102,9 @@
         self.states: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
         self.drained_domains: frozenset[str] = frozenset()
+        # Starts of targets, by id, that said in an answer that they leave. The store may be late or
+        # may never say so, and an entry can come back, so this outlives the state of a target.
+        self.leaving_starts: dict[str, int] = {}
 
     def replace_all(self, records: Iterable[TargetRecord], revision: int, after_gap: bool) -> None:
         """Take a complete list; after an outage of the store missing targets keep a grace."""
@@ -120,8 +132,10 @@
             log.info("target_restarted", target=record.id, revision=revision)
             state.load = TargetLoad(self.clock)
             state.recent_parts.clear()
+            state.refuses_until = 0
         if record.leaving and not state.record.leaving:
             log.info("target_leaving", target=record.id, revision=revision)
+        self._forget_leaving(state.record, record)
         state.record, state.revision, state.lapsed_at = record, revision, None
         if record.cold_for_ms > 0:
             state.cold_until = max(state.cold_until, now + record.cold_for_ms)
@@ -133,6 +147,27 @@
             self._drop(state, store_was_away, "removed")
             self._index()
 
+    def note_leaving(self, target_id: str, started_at: int) -> None:
+        """Note that a target said it leaves; this is final for that start of the target."""
+        if self.leaving_starts.get(target_id) == started_at:
+            return
+        state = self.states.get(target_id)
+        if state is not None and state.record.started_at != started_at:
+            return
+        self.leaving_starts[target_id] = started_at
+        if len(self.leaving_starts) > MAX_LEAVING:
+            del self.leaving_starts[next(iter(self.leaving_starts))]
+        log.info("target_said_leaving", target=target_id, started_at=started_at)
+
+    def _forget_leaving(self, before: TargetRecord, record: TargetRecord) -> None:
+        """Forget that a target leaves once its entry shows another start of it."""
+        started_at = self.leaving_starts.get(record.id)
+        if started_at is None:
+            return
+        returned = before.leaving and not record.leaving
+        if returned or record.started_at != started_at:
+            del self.leaving_starts[record.id]
+
     def set_drained(self, domains: frozenset[str]) -> None:
         """Take the failure domains that get no new work."""
         if domains != self.drained_domains:
@@ -146,14 +181,23 @@
             state
             for state in self.by_service.get(service, ())
             if not state.record.leaving
+            and state.record.id not in self.leaving_starts
             and state.record.failure_domain not in self.drained_domains
             and (state.lapsed_at is None or now - state.lapsed_at < LAPSED_GRACE_MS)
         ]
 
     def may_send(self, state: TargetState) -> bool:
         """Return whether a target chosen earlier may still be sent to."""
+        if state.refuses_until > self.clock.now():
+            return False
         return state in self.usable(state.record.service)
 
+    def refused_for_ms(self, service: str) -> int:
+        """Return the time until a target of the service takes work, 0 if one does now."""
+        now = self.clock.now()
+        usable = self.usable(service)
+        return max(0, min((state.refuses_until for state in usable), default=now) - now)
+
     def expire(self) -> None:
         """Remove targets whose grace is over."""
         now = self.clock.now()
--- a/src/jacinthcove/platform/codec.py
+++ b/src/jacinthcove/platform/codec.py
@@ -1,8 +1,11 @@
 """Requests and answers on the wire, to and from the types of the gateway."""
 
+import math
+import re
 from collections.abc import Iterable
 
 import orjson
+import structlog
 
 from jacinthcove.codes import ResultCode, http_status
 from jacinthcove.errors import RequestRefused
@@ -13,6 +16,8 @@
 from jacinthcove.platform import names
 from jacinthcove.targets.client import TargetResponse
 
+log = structlog.get_logger()
+
 # Headers that concern one connection only.
 HOP_HEADERS = frozenset(
     ("connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
@@ -24,6 +29,10 @@
     for name in (names.ATTEMPT_ID, names.TIME_LEFT_MS, names.PROMPT_PARTS, names.TOKEN_COUNTS,
                  names.MODEL, names.AUTHORIZATION, names.LAST_EVENT_ID)
 )  # fmt: skip
+# Longer wishes of a target to get nothing are cut to this.
+MAX_RETRY_AFTER_MS = 60_000
+MAX_LOGGED_CHARS = 40
+_SECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
 # Methods whose requests have a length even without a body.
 _BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 
@@ -123,6 +132,8 @@
             reason=str(response.status_message or "OK"),
             headers=headers,
             execution=_execution(status, response, echoed not in (None, request.id)),
+            leaving=response.get(names.LEAVING) == names.LEAVING_YES,
+            retry_after_ms=decode_retry_after(response) if status == 503 else 0,
         )
 
     def refusal(self, refusal: RequestRefused) -> RefusalAnswer:
@@ -134,6 +145,18 @@
         return RefusalAnswer(http_status(refusal.code), tuple(headers), body)
 
 
+def decode_retry_after(response: TargetResponse) -> int:
+    """Return the ms for which a target wants nothing, 0 without a usable figure in seconds."""
+    value = response.get(names.RETRY_AFTER)
+    if value is None:
+        return 0
+    text = str(value).strip()
+    if not _SECONDS.fullmatch(text):
+        log.warning("retry_after_unusable", value=text[:MAX_LOGGED_CHARS])
+        return 0
+    return min(MAX_RETRY_AFTER_MS, math.ceil(float(text) * 1_000))
+
+
 def _execution(status: int, response: TargetResponse, foreign: bool) -> Execution:
     if foreign:
         return Execution.FOREIGN
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -85,6 +85,32 @@
     assert state.cold_until > book.clock.now()
 
 
+def test_a_target_that_said_it_leaves_is_not_used_until_it_starts_anew(book):
+    book.note_leaving("t1", 0)
+    book.put(record("t1", cold_for_ms=5), 7)
+    assert usable(book) == ["t2"]
+    book.put(record("t1", leaving=True), 8)
+    book.put(record("t1"), 9)
+    assert usable(book) == ["t1", "t2"]
+
+
+def test_a_lapsed_entry_that_returns_is_still_leaving(book):
+    book.note_leaving("t1", 0)
+    book.delete("t1", False)
+    book.put(record("t1"), 9)
+    assert usable(book) == ["t2"]
+
+
+def test_the_time_for_which_a_service_refuses_is_that_of_its_first_target(book, clock):
+    book.states["t1"].note_refusal(clock.now(), 900)
+    assert book.refused_for_ms("models") == 0
+    assert not book.may_send(book.states["t1"])
+    book.states["t2"].note_refusal(clock.now(), 400)
+    assert book.refused_for_ms("models") == 400
+    clock.advance(400)
+    assert book.may_send(book.states["t2"])
+
+
 def test_failed_connections_pause_a_target_for_longer_each_time(clock):
     state = target(clock)
     state.note_unreachable(clock.now())
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -124,16 +124,16 @@
     ).encode() + body
 
 
-def not_run(head, status="503 Service Unavailable"):
+def not_run(head, status="503 Service Unavailable", extra=""):
     """Return the answer of a full target."""
-    return f"HTTP/1.1 {status}\r\n{names.NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n".encode()
+    return (f"HTTP/1.1 {status}\r\n{names.NOT_RUN}: 1\r\n{extra}Content-Length: 0\r\n\r\n").encode()
 
 
-def stream_head(head):
+def stream_head(head, extra=""):
     """Return the head of a signed event stream."""
     return (
         f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {header(head, names.ATTEMPT_ID)}\r\n"
-        f"{names.SIGNATURE}: s1\r\nContent-Type: text/event-stream\r\n"
+        f"{names.SIGNATURE}: s1\r\n{extra}Content-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\n\r\n"
     ).encode()
 
