Give up answers of targets whose bytes never end

Cause: the parser of answers takes heads, interim answers, chunk lines, chunk extensions and trailers of any length, so a faulty target could keep a request until its time limit and fill the memory of the router; a body without end did the same. An event that never ended was searched from its start with each read, which took the square of its length in processor time.

Change: an answer may have 32 KB and 16 bytes a byte of body beside its body; 8 MB of body may wait; beyond that it is broken off like a malformed one. Events are collected in a bytearray and only new bytes are searched.

Ruled out: a bound on time only, as a fast target fills the memory before it.

--- a/src/jacinthcove/gateway/exchange.py
+++ b/src/jacinthcove/gateway/exchange.py
@@ -57,7 +57,7 @@
 
     def read_events(self, response: TargetResponse) -> Iterator[bytes]:
         """Yield bytes that end at the end of an event; raises `TargetFailed` on a break."""
-        rest = b""
+        rest = bytearray()
         while True:
             try:
                 data = response.receive()
@@ -65,17 +65,19 @@
                 raise TargetFailed(f"{self.address} broke off: {error}") from error
             if not data:
                 break
+            # The end of an event may have begun with the last byte before.
+            begin = max(0, len(rest) - 1)
             rest += data
-            end = rest.rfind(EVENT_END)
+            end = rest.rfind(EVENT_END, begin)
             if end >= 0:
-                yield rest[: end + len(EVENT_END)]
-                rest = rest[end + len(EVENT_END) :]
+                yield bytes(rest[: end + len(EVENT_END)])
+                del rest[: end + len(EVENT_END)]
             if len(rest) > MAX_EVENT_BYTES:
                 raise TargetFailed(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         if not response.message_complete:
             raise TargetFailed(f"{self.address} broke off before the end of its stream")
         if rest:
-            yield rest
+            yield bytes(rest)
 
     def close(self) -> None:
         """Close the connection, which also ends the work of most targets."""
--- a/src/jacinthcove/targets/client.py
+++ b/src/jacinthcove/targets/client.py
@@ -22,6 +22,12 @@
 IDLE_INTERVAL_MS = 1_000
 READ_EVENT = 1
 RECEIVE_BYTES = 65_536
+# Bytes of an answer that are not its body: the head with interim ones, chunk lines, trailers.
+MAX_FRAMING_BYTES = 32_768
+# Short chunks have more framing than body.
+MAX_FRAMING_PER_BODY_BYTE = 16
+# Body bytes that wait to be taken; a whole answer is taken at its end.
+MAX_WAITING_BODY_BYTES = 8 * 1024 * 1024
 # An event is one token; a target that sends more without a blank line does not speak the protocol.
 MAX_EVENT_BYTES = 1_000_000
 # The kernel drops a connection whose sent data stays unacknowledged for this long.
@@ -46,23 +52,41 @@
     The library only reads lines or fixed lengths, which costs a search and a copy per token. It
     also takes bytes after a complete response for the start of the next one and then forgets the
     first; here they are dropped and noted in `extra`.
+
+    What a faulty target sends without end is bounded: the bytes that are not body, and the body
+    bytes that wait to be taken.
     """
 
     final_status = 0
     extra = False
+    fed_bytes = 0
+    body_bytes = 0
 
     def get_code(self) -> int:
         """Return the status of the response, not that of bytes after it."""
         return self.final_status or super().get_code()
 
     def feed(self, data: str | bytes) -> None:
-        """Parse received bytes; raises `HTTPParseError` before the response is complete."""
+        """Parse received bytes.
+
+        Raises `HTTPParseError` before the response is complete, also when it exceeds a bound.
+        """
+        self.fed_bytes += len(data)
         try:
             super().feed(data)
         except HTTPParseError:
             if not self._ended():
                 raise
             self.extra = True
+        if not self._ended():
+            self._check_bounds()
+
+    def _check_bounds(self) -> None:
+        framing = self.fed_bytes - self.body_bytes
+        if framing > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.body_bytes:
+            raise HTTPParseError(f"the answer has {framing} bytes beside its body")
+        if len(self._body_buffer) > MAX_WAITING_BODY_BYTES:
+            raise HTTPParseError(f"the answer is longer than {MAX_WAITING_BODY_BYTES} bytes")
 
     def _ended(self) -> bool:
         return bool(self.final_status) and self.message_complete
@@ -90,6 +114,7 @@
 
     def _on_body(self, buf: bytearray) -> None:
         if not self.extra:
+            self.body_bytes += len(buf)
             super()._on_body(buf)
 
     def receive(self) -> bytes:
--- a/tests/platform/test_wire_answers.py
+++ b/tests/platform/test_wire_answers.py
@@ -252,3 +252,31 @@
     bed.refused = RequestRefused(ResultCode.ROUTER_STOPPING, "leaving", 0)
     status, headers, _ = bed.call("/publish/7")
     assert (status, headers["connection"]) == (503, "close")
+
+
+ENDLESS = {
+    "head": (b"HTTP/1.1 200 OK\r\n", b"Note: v\r\n" * 1_000),
+    "interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 300),
+    "chunk size": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0" * 9_000),
+    "no answer": (b"", b"\x00\x17" * 4_000),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_bytes_without_end_are_cut_off(bed, kind):
+    closed = gevent.event.Event()
+
+    def script(target, sock, head):
+        once, again = ENDLESS[kind]
+        sock.sendall(once)
+        try:
+            while True:
+                sock.sendall(again)
+        except OSError:
+            closed.set()
+
+    bed.add("t1", "ledger", script)
+    started = gevent.get_hub().loop.now()
+    assert bed.call("/publish/7")[0] == 502
+    assert gevent.get_hub().loop.now() - started < TIMEOUT_MS / 1000 / 2
+    assert closed.wait(1)
--- /dev/null
+++ b/tests/targets/test_endless_answers.py
@@ -0,0 +1,102 @@
+"""Bytes that are no answer and come without end, in a head or in a body."""
+
+import itertools
+import tracemalloc
+
+import pytest
+from geventhttpclient.response import HTTPParseError
+
+from jacinthcove.errors import TargetFailed
+from jacinthcove.gateway import exchange
+from jacinthcove.gateway.exchange import Exchange
+from jacinthcove.targets.client import (
+    MAX_FRAMING_BYTES,
+    MAX_WAITING_BODY_BYTES,
+    RECEIVE_BYTES,
+    TargetResponse,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# What comes once, and what comes again and again.
+FRAMING = {
+    "status line": (b"HTTP/1.1 200 ", b"O"),
+    "header name": (HEAD, b"n"),
+    "header value": (HEAD + b"Note: ", b"v"),
+    "headers": (HEAD, b"Note: v\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"5;note=", b"x"),
+    "trailers": (CHUNKED + b"2\r\nok\r\n0\r\n", b"Note: v\r\n"),
+    "trailer value": (CHUNKED + b"2\r\nok\r\n0\r\nNote: ", b"v"),
+    "extension of each chunk": (CHUNKED, b"1;" + b"x" * 500 + b"\r\no\r\n"),
+}
+BODIES = {
+    "until the end of the connection": (HEAD + b"\r\n", b"b"),
+    "a length that never comes": (HEAD + b"Content-Length: 999999999999\r\n\r\n", b"b"),
+    "chunks": (CHUNKED, b"400\r\n" + b"b" * 1_024 + b"\r\n"),
+}
+SPEEDS = {"byte by byte": 1, "at full speed": RECEIVE_BYTES}
+
+
+class EndlessSocket:
+    """Returns `once` and then `again` for ever, `size` bytes at a time at most."""
+
+    def __init__(self, once, again, size):
+        self.size = size
+        self.sent = 0
+        repeats = max(1, size // len(again))
+        self.parts = itertools.chain([once] if once else [], itertools.repeat(again * repeats))
+        self.waiting = b""
+
+    def recv(self, size):
+        if not self.waiting:
+            self.waiting = next(self.parts)
+        size = min(size, self.size)
+        data, self.waiting = self.waiting[:size], self.waiting[size:]
+        self.sent += len(data)
+        return data
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize("speed", SPEEDS)
+@pytest.mark.parametrize("kind", FRAMING)
+def test_framing_without_end_is_given_up(kind, speed):
+    sock = EndlessSocket(*FRAMING[kind], SPEEDS[speed])
+    with pytest.raises(HTTPParseError):
+        TargetResponse(sock, block_size=RECEIVE_BYTES).read()
+    assert sock.sent <= 2 * MAX_FRAMING_BYTES + RECEIVE_BYTES
+
+
+@pytest.mark.parametrize("kind", BODIES)
+def test_a_body_without_end_is_given_up_before_it_fills_the_memory(kind):
+    sock = EndlessSocket(*BODIES[kind], RECEIVE_BYTES)
+    tracemalloc.start()
+    try:
+        with pytest.raises(HTTPParseError):
+            TargetResponse(sock, block_size=RECEIVE_BYTES).read()
+        assert tracemalloc.get_traced_memory()[1] < 3 * MAX_WAITING_BODY_BYTES
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("speed", SPEEDS)
+def test_an_event_without_end_is_given_up(monkeypatch, speed):
+    monkeypatch.setattr(exchange, "MAX_EVENT_BYTES", 100_000)
+    sock = EndlessSocket(HEAD + b"\r\n", b"data: x\n", SPEEDS[speed])
+    response = TargetResponse(sock, block_size=RECEIVE_BYTES)
+    with pytest.raises(TargetFailed):
+        list(Exchange("10.0.0.1:80").read_events(response))
+    assert sock.sent <= 100_000 + 2 * RECEIVE_BYTES
+
+
+def test_sound_events_in_single_bytes_pass(monkeypatch):
+    events = b"".join(b"id: %d\ndata: w\n\n" % number for number in range(20))
+    body = b"".join(b"1\r\n%c\r\n" % byte for byte in events) + b"0\r\n\r\n"
+    sock = EndlessSocket(CHUNKED + body, b"x", 1)
+    response = TargetResponse(sock, block_size=RECEIVE_BYTES)
+    pieces = list(Exchange("10.0.0.1:80").read_events(response))
+    assert len(pieces) == 20
+    assert b"".join(pieces) == events
