Send callers to routers of their own failure domain; give what crosses domains a price

Callers entered anywhere, and prompts' parts were first read wherever rendezvous hashing put them, so two of three bodies of 17 KB crossed on their way to an engine.

Change: the directory takes the failure domain that the caller names and answers with its routers while there are enough of them and they are not crowded (gateway/directory.py). A crossing costs a wait of 1 ms a KB of body and expected answer beside the 2 ms before, and parts that nobody holds are read in the router's own domain.

Ruled out: keeping the memory of long prompts in each domain.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -139,7 +139,7 @@
         if usable and not targets:
             return Verdict.FULL
         if known.engine is None:
-            return self.placement.choose_plain(targets)
+            return self.placement.choose_plain(request, targets)
         return self.placement.choose_engine(
             request,
             targets,
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -147,15 +147,19 @@
         for use in message.workspaces:
             self.ledger.on_report(sender, use.workspace, use.asked_tokens, use.admitted_tokens)
 
-    def crowded(self) -> frozenset[str]:
-        """Return the routers that new callers should not come to."""
+    def open_requests(self) -> dict[str, int]:
+        """Return the open requests of the routers with a recent report, and of this one."""
         since = self.clock.now() - REPORT_LIFETIME_MS
         known = {
             router: count
             for router, (count, at) in self.open_by_router.items()
             if at >= since and self.members.get(router) is not None
         }
-        return crowded(known | {self.members.me.id: self.reporter.open_requests()})
+        return known | {self.members.me.id: self.reporter.open_requests()}
+
+    def crowded(self) -> frozenset[str]:
+        """Return the routers that new callers should not come to."""
+        return crowded(self.open_requests())
 
     def bundle(self) -> pb.LoadBundle:
         """Return what was collected for this failure domain, with this router's own report."""
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -28,6 +28,10 @@
 PLAIN_FILL_WEIGHT_MS = 40.0
 ERROR_WEIGHT_MS = 1_500.0
 OTHER_DOMAIN_MS = 2.0
+# Price of what crosses failure domains, on the scale of a wait: the body, and of the answer about
+# this many bytes for each token.
+CROSSING_MS_PER_KB = 1.0
+ANSWER_BYTES_PER_TOKEN = 16
 # What is known of other failure domains is older in large fleets, which makes a choice there worse.
 STALE_WEIGHT = 0.1
 # Parts that were not used for this long may have been evicted: the prompts that an engine reads in
@@ -101,16 +105,25 @@
     return held
 
 
-def home_of(prompt: PromptShape, targets: list[TargetState]) -> TargetState | None:
+def crossing_ms(request: GatewayRequest) -> float:
+    """Return the price of sending a request to another failure domain, in ms of waiting."""
+    answer = ANSWER_BYTES_PER_TOKEN * request.prompt.output_tokens
+    return OTHER_DOMAIN_MS + CROSSING_MS_PER_KB * (len(request.body) + answer) / 1_024
+
+
+def home_of(
+    prompt: PromptShape, targets: list[TargetState], failure_domain: str
+) -> TargetState | None:
     """Return the target at which a prompt's shared parts should be read first.
 
-    It is the first in rendezvous order of the last shared part, so that all routers send to the
-    same one.
+    It is the first in rendezvous order of the last shared part, so that all routers of a failure
+    domain send to the same one, which is there if any is.
     """
     key = shared_key(prompt)
     if not key:
         return None
     sound = [item for item in targets if item.error_rate < FAILING_RATE] or targets
+    sound = [item for item in sound if item.record.failure_domain == failure_domain] or sound
     owner = rendezvous.owner(key, [item.record.id for item in sound])
     return next((item for item in sound if item.record.id == owner), None)
 
@@ -139,7 +152,7 @@
             return Verdict.NO_TARGET
         prompt = request.prompt
         held = {item.record.id: held_tokens(prompt, item, now) for item in targets}
-        home = home_of(prompt, targets)
+        home = home_of(prompt, targets, self.failure_domain)
         holder = max(targets, key=lambda item: (held[item.record.id], item is home))
         # If nobody is known to hold the first part, the home reads it once for all.
         source = holder if held[holder.record.id] else home
@@ -152,7 +165,8 @@
         fitting = [item for item in fitting if ends_in_time(item, prompt, left_ms)]
         if not fitting:
             return Verdict.TOO_SLOW
-        return min(fitting, key=lambda item: self._cost(item, shape.slots))
+        crossing = crossing_ms(request)
+        return min(fitting, key=lambda item: self._cost(item, shape.slots, crossing))
 
     def _choice(
         self,
@@ -176,22 +190,23 @@
             source.record.address if source is not None and fetch else "",
         )
 
-    def choose_plain(self, targets: list[TargetState]) -> Choice | Verdict:
+    def choose_plain(self, request: GatewayRequest, targets: list[TargetState]) -> Choice | Verdict:
         """Return the plain target with the fewest requests per slot, or why there is none."""
         if not targets:
             return Verdict.NO_TARGET
+        crossing = crossing_ms(request)
         best: tuple[float, Choice] | None = None
         for target in targets:
             running = target.load.running
             slots = max(1, target.record.slots)
             if running >= slots + PLAIN_QUEUE:
                 continue
-            cost = PLAIN_FILL_WEIGHT_MS * running / slots + self._penalty(target)
+            cost = PLAIN_FILL_WEIGHT_MS * running / slots + self._penalty(target, crossing)
             if best is None or cost < best[0]:
                 best = (cost, Choice(target, 0, 0, 0.0, running))
         return best[1] if best is not None else Verdict.FULL
 
-    def _cost(self, choice: Choice, slots: int) -> float:
+    def _cost(self, choice: Choice, slots: int, crossing: float) -> float:
         target = choice.target
         weight = FETCH_WEIGHT if choice.fetch_from else REREAD_WEIGHT
         missing = weight * target.load.read_ms(choice.missing_tokens)
@@ -200,13 +215,13 @@
             + target.load.read_ms(choice.unread_tokens)
             + missing
             + FILL_WEIGHT_MS * choice.running / max(1, slots)
-            + self._penalty(target)
+            + self._penalty(target, crossing)
         )
 
-    def _penalty(self, target: TargetState) -> float:
+    def _penalty(self, target: TargetState, crossing: float) -> float:
         domain = 0.0
         if target.record.failure_domain != self.failure_domain:
-            domain = OTHER_DOMAIN_MS + STALE_WEIGHT * self.far_age_ms()
+            domain = crossing + STALE_WEIGHT * self.far_age_ms()
         return domain + ERROR_WEIGHT_MS * target.error_rate
 
 
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -14,6 +14,7 @@
 from jacinthcove.gateway.beliefs import Beliefs
 from jacinthcove.gateway.coldlimit import ColdLimit
 from jacinthcove.gateway.decisions import Step
+from jacinthcove.gateway.directory import routers_for
 from jacinthcove.gateway.forward import Attempt, Forwarder, Forwarding
 from jacinthcove.gateway.model import GatewayRequest, Repeatability
 from jacinthcove.gateway.placement import Placement
@@ -214,12 +215,12 @@
         left = now - self.stopping_at >= LOOKUP_LEAVE_MS
         return left and quiet and not self.application.open_requests
 
-    def _addresses(self) -> list[str]:
-        addresses = self.fleet.addresses()
-        own = self.settings.caller_listen
-        if self.ready() and self.settings.id not in self.fleet.crowded():
-            return addresses if own in addresses else [*addresses, own]
-        return [address for address in addresses if address != own]
+    def _addresses(self, domain: str) -> list[str]:
+        candidates = self.fleet.candidates()
+        if not self.ready():
+            own = self.settings.caller_listen
+            candidates = [item for item in candidates if item.address != own]
+        return [item.address for item in routers_for(domain, candidates)]
 
     def _retry_slack(self) -> int:
         slack = self.settings.bounds.retry_slack * RETRY_SLACK_PART
--- a/src/jacinthcove/platform/endpoints.py
+++ b/src/jacinthcove/platform/endpoints.py
@@ -3,13 +3,14 @@
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
+from urllib.parse import parse_qs
 
 import orjson
 from gevent.pywsgi import WSGIServer
 
 from jacinthcove.address import split_address
 from jacinthcove.observe.metrics import Metrics
-from jacinthcove.platform.names import DIRECTORY_PATH, READY_PATH
+from jacinthcove.platform.names import DIRECTORY_DOMAIN, DIRECTORY_PATH, READY_PATH
 
 # The directory names at most this many routers.
 MAX_ADDRESSES = 64
@@ -19,12 +20,15 @@
 
 
 class Endpoints:
-    """Answers the platform's questions; `ready` and `addresses` are asked each time."""
+    """Answers the platform's questions; `ready` and `addresses` are asked each time.
+
+    `addresses` takes the failure domain of the caller, or the empty text.
+    """
 
     def __init__(
         self,
         ready: Callable[[], bool],
-        addresses: Callable[[], list[str]],
+        addresses: Callable[[str], list[str]],
         metrics: Metrics,
         lifetime_max_ms: int,
     ):
@@ -58,14 +62,15 @@
             ready = self.ready()
             return _answer(start_response, "200 OK" if ready else "503 Not Ready", b"")
         if path == DIRECTORY_PATH:
-            return self._directory(start_response)
+            return self._directory(environ, start_response)
         if path == "/metrics":
             body = self.metrics.render().encode()
             return _answer(start_response, "200 OK", body, "text/plain")
         return _answer(start_response, "404 Not Found", b"")
 
-    def _directory(self, start_response: StartResponse) -> Iterable[bytes]:
-        addresses = self.addresses()
+    def _directory(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        query = parse_qs(environ.get("QUERY_STRING", ""))
+        addresses = self.addresses(query.get(DIRECTORY_DOMAIN, [""])[0])
         if not addresses:
             return _answer(start_response, "503 No Routers", b"")
         if len(addresses) > MAX_ADDRESSES:
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -11,6 +11,7 @@
 from jacinthcove.clock import Clock
 from jacinthcove.errors import Conflict, StoreUnavailable
 from jacinthcove.gateway.admission import FleetSize
+from jacinthcove.gateway.directory import Candidate
 from jacinthcove.gateway.loadexchange import LoadExchange
 from jacinthcove.gateway.loadreports import PERIOD_MS
 from jacinthcove.gateway.rolloutdriver import RolloutDriver
@@ -103,11 +104,15 @@
         """Return how much older than usual reports from other failure domains may be."""
         return self.exchange.far_period_ms - PERIOD_MS if self.exchange is not None else 0.0
 
-    def addresses(self) -> list[str]:
-        """Return the caller addresses of the routers that callers should come to."""
+    def candidates(self) -> list[Candidate]:
+        """Return the routers that callers may come to, this one included."""
         crowded = self.crowded()
-        alive = [m for m in self.members.alive() if m.state is MemberState.ALIVE]
-        return [member.caller_address for member in alive if member.id not in crowded]
+        loads = self.exchange.open_requests() if self.exchange is not None else {}
+        return [
+            Candidate(member.caller_address, member.failure_domain, loads.get(member.id))
+            for member in self.members.alive()
+            if member.state is MemberState.ALIVE and member.id not in crowded
+        ]
 
     def crowded(self) -> frozenset[str]:
         """Return the routers that have far more callers than the others."""
--- a/src/jacinthcove/platform/names.py
+++ b/src/jacinthcove/platform/names.py
@@ -45,6 +45,8 @@
 # Calls that arrive at the system.
 READY_PATH = "/-/ready"
 DIRECTORY_PATH = "/-/resolve"
+# In its query: the failure domain of the caller.
+DIRECTORY_DOMAIN = "zone"
 
 # The store.
 OBJECTS_PATH = "/-/objects/"
--- a/tests/gateway/test_gateway_placement.py
+++ b/tests/gateway/test_gateway_placement.py
@@ -141,9 +141,39 @@
 def test_plain_requests_go_where_the_fewest_are_and_stop_at_the_slots(placement, clock):
     first, second = target(clock, "t1", slots=2), target(clock, "t2", slots=2)
     first.load.begin("q1", 0, 0)
-    assert placement.choose_plain([first, second]).target is second
+    assert placement.choose_plain(request(clock), [first, second]).target is second
     for number in range(4):
         first.load.begin(f"a{number}", 0, 0)
         second.load.begin(f"b{number}", 0, 0)
-    assert placement.choose_plain([first, second]) is Verdict.FULL
-    assert placement.choose_plain([]) is Verdict.NO_TARGET
+    assert placement.choose_plain(request(clock), [first, second]) is Verdict.FULL
+    assert placement.choose_plain(request(clock), []) is Verdict.NO_TARGET
+
+
+def in_domains(clock, domains):
+    return [target(clock, f"t{n}", failure_domain=d) for n, d in enumerate(domains)]
+
+
+def test_parts_that_nobody_holds_are_read_in_the_own_failure_domain(placement, clock):
+    targets = in_domains(clock, "aabbcc")
+    chosen = {
+        choose(placement, clock, targets, prompt=prompt(key=f"doc{n}")).target.record.failure_domain
+        for n in range(40)
+    }
+    assert chosen == {"a"}
+
+
+def test_what_crosses_failure_domains_has_a_price_by_its_bytes(placement, clock):
+    near, far = in_domains(clock, "ab")
+    busy(near, 12)
+    small = choose(placement, clock, [near, far], prompt=prompt(shared=0, output=10), body=b"")
+    large = choose(placement, clock, [near, far], prompt=prompt(shared=0), body=b"b" * 17_000)
+    assert (small.target, large.target) == (far, near)
+
+
+def test_a_holder_far_away_is_used_rather_than_moving_the_memory_of_a_long_prompt(placement, clock):
+    near, far = in_domains(clock, "ab")
+    far.note_parts(["doc"])
+    long = choose(placement, clock, [near, far], prompt=prompt(shared=13_300), body=b"b" * 17_000)
+    assert long.target is far
+    short = choose(placement, clock, [near, far], prompt=prompt(shared=200), body=b"b" * 17_000)
+    assert (short.target, short.fetch_from) == (near, far.record.address)
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -152,13 +152,13 @@
 def test_routers_find_each_other_and_the_directory_names_them(start, operator, ledger):
     operator(7)
     first, second = start("front-1"), start("front-2")
-    eventually(lambda: len(first.fleet.addresses()) == 2)
+    eventually(lambda: len(first.fleet.candidates()) == 2)
     eventually(lambda: first.fleet.size().routers == 2 or second.fleet.size().routers == 2)
     body = get(first.settings.directory_listen, "/-/resolve?name=x&region=r&zone=a")[2]
     assert second.settings.caller_listen.encode() in body
     second.stopping_at = second.clock.now()
     second.fleet.leave()
-    eventually(lambda: len(first.fleet.addresses()) == 1)
+    eventually(lambda: len(first.fleet.candidates()) == 1)
 
 
 def test_a_leaving_router_finishes_what_it_read(start, operator, ledger):
