Serve the connections that wait to be accepted when a router stops

Cause: a stopping router closed its listening socket, and the kernel reset all connections in its backlog, with their requests already sent; 50 ms later the process ended, whoever was being read.

Change: the server accepts what waits before it closes the socket, and the router waits up to 400 ms of its exit margin for requests that were begun.

Ruled out: waiting longer before the socket is closed; callers keep addresses and come until the end.

--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -18,6 +18,7 @@
 from jacinthcove.router.connection import CallerHandler
 
 READ_EVENT = 1
+BACKLOG = 1_024
 # Empty lines before a request line are skipped up to this number.
 MAX_EMPTY_LINES = 2
 _TOKEN = re.compile(rb"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$")
@@ -218,7 +219,7 @@
             handler_class=GatewayHandler,
             log=None,
             error_log=None,
-            backlog=1_024,
+            backlog=BACKLOG,
         )
 
     def start(self) -> None:
@@ -226,9 +227,23 @@
         self.server.start()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; open connections go on."""
+        """Close the listening socket; open connections go on.
+
+        Connections that wait to be accepted would be reset with the socket, so they are served.
+        """
+        if self.server.closed:
+            return
+        for _ in range(BACKLOG):
+            accepted = self.server.do_read()
+            if accepted is None:
+                break
+            self.server.do_handle(*accepted)
         self.server.close()
 
+    def busy(self) -> bool:
+        """Return whether a connection has a request that was begun and not answered."""
+        return any(not connection.idle for connection in self.application.connections)
+
     def close_idle(self) -> None:
         """End connections on which no request is under way."""
         for connection in list(self.application.connections):
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -66,6 +66,8 @@
 # Callers keep an address that long after the directory dropped it.
 LOOKUP_LEAVE_MS = 3_000
 EXIT_MARGIN_MS = 900
+# Part of it for answers to requests that were accepted at the end.
+LAST_ANSWERS_MS = 400
 QUIET_MS = 600
 POLL_S = 0.05
 # Open requests of one router; each takes two descriptors and about 30 KB.
@@ -179,11 +181,20 @@
         while self.clock.now() < ends_at and not self._done():
             gevent.sleep(POLL_S)
         self.server.stop_accepting()
-        self.server.close_idle()
-        gevent.sleep(POLL_S)
+        self._answer_the_last()
         log.info("router_stopped", open_requests=self.application.open_requests)
         self.abandon()
 
+    def _answer_the_last(self) -> None:
+        """Let connections that were accepted at the end get their answers."""
+        ends_at = self.clock.now() + LAST_ANSWERS_MS
+        # What has been sent arrives first, and then ends connections that wait for nothing.
+        gevent.sleep(POLL_S)
+        self.server.close_idle()
+        gevent.sleep(POLL_S)
+        while self.server.busy() and self.clock.now() < ends_at:
+            gevent.sleep(POLL_S)
+
     def abandon(self) -> None:
         """Stop at once without finishing anything."""
         self.server.stop_accepting()
--- /dev/null
+++ b/tests/platform/test_planned_stop.py
@@ -0,0 +1,89 @@
+"""A planned stop under load: whoever is accepted gets an answer."""
+
+import socket
+import threading
+from dataclasses import replace
+
+import gevent
+import pytest
+from test_platform_router import http, ledger, operator, start, store  # noqa: F401
+from store_standin import eventually
+from wire_bed import answer, read_answer, request
+
+CALLERS = 24
+GRACE_MS = 2_400
+WORK_S = 0.05
+JOIN_S = 5
+
+
+@pytest.fixture
+def busy_router(start, operator, ledger):  # noqa: F811
+    """Return a router with a short grace whose target needs a while for each request."""
+
+    def work(target, sock, head):
+        gevent.sleep(WORK_S)
+        sock.sendall(answer(head))
+
+    operator(7)
+    ledger.script = work
+    router = start()
+    eventually(router.ready)
+    bounds = replace(router.settings.bounds, grace_ms=GRACE_MS)
+    router.settings = replace(router.settings, bounds=bounds)
+    return router
+
+
+class Caller:
+    """Sends requests until its connections are refused; `cut` holds those without an answer."""
+
+    def __init__(self, address, number, keeps):
+        self.address = address
+        self.number = number
+        self.keeps = keeps
+        self.statuses = []
+        self.cut = []
+
+    def run(self):
+        while True:
+            try:
+                sock = self.connect()
+            except OSError:
+                return
+            self.use(sock)
+            sock.close()
+
+    def connect(self):
+        host, _, port = self.address.rpartition(":")
+        return socket.create_connection((host, int(port)), timeout=5)
+
+    def use(self, sock):
+        while True:
+            id = f"q{self.number}-{len(self.statuses)}-{len(self.cut)}"
+            try:
+                sock.sendall(request("/publish/1", id=id))
+                status, headers, body = read_answer(sock)
+            except OSError as error:
+                status, headers, body = 0, {}, None
+                self.cut.append(f"{id}: {error}")
+                return
+            if body is None:
+                self.cut.append(f"{id}: ended")
+                return
+            self.statuses.append(status)
+            if not self.keeps or headers.get("connection") == "close":
+                return
+
+
+def test_a_stop_under_load_cuts_nobody(busy_router):
+    address = busy_router.settings.caller_listen
+    callers = [Caller(address, number, number % 4 == 0) for number in range(CALLERS)]
+    # Threads of their own, so that connections arrive at any moment of the router's work.
+    threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
+    for thread in threads:
+        thread.start()
+    gevent.sleep(0.3)
+    busy_router.close()
+    for thread in threads:
+        gevent.get_hub().threadpool.apply(thread.join, (JOIN_S,))
+    assert sum(status == 200 for caller in callers for status in caller.statuses) > CALLERS
+    assert not [line for caller in callers for line in caller.cut]
