Give up streams that send bytes without progress; bound whole answers of targets

Cause: on our own interface the stall timeout of a stream began anew with every byte, and the caller's deadline is checked when tokens come or nothing does. A target that sends a byte, a comment or an old token now and then was read for ever. The same held for whole answers.

Change: the relay says what is progress, a token that is next in order; the stall timeout and the idle notes, which check the deadline, count from there. A whole answer has its time limit as a whole. Bytes that wait after a pause of this process are read before the stream is given up.

A slow stream whose tokens come in time goes on.

Ruled out: counting any bytes as progress up to a total, which cuts sound streams that are long.

--- a/src/jacinthcove/targets/client.py
+++ b/src/jacinthcove/targets/client.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import socket
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -117,6 +119,11 @@
             self.body_bytes += len(buf)
             super()._on_body(buf)
 
+    def note_progress(self) -> None:
+        """Count time without progress from now on, whatever bytes arrive meanwhile."""
+        if isinstance(self._sock, StallingSocket):
+            self._sock.note_progress()
+
     def receive(self) -> bytes:
         """Return the body bytes that are there, waiting for the first; empty at the end."""
         buffer = self._body_buffer
@@ -132,6 +139,9 @@
 class StallingSocket:
     """A socket whose `recv` reports idle intervals and gives up after the stall timeout.
 
+    Bytes count as progress until `note_progress` is called. From then on only its calls do, so that
+    a target which sends a byte now and then stalls like a silent one.
+
     One timer serves all reads, and each read waits first, because the next token is hardly ever
     there yet. A gevent socket with a timeout instead tries to read, fails and makes a `Timeout`
     per token.
@@ -146,10 +156,18 @@
         self.interval_ms = min(IDLE_INTERVAL_MS, stall_ms)
         self.readable = self.hub.loop.io(sock.fileno(), READ_EVENT)
         self.timer = self.hub.loop.timer(self.interval_ms / 1000, self.interval_ms / 1000)
+        self.progress_at: float | None = None
+        self.idle_at = 0.0
         self.closed = False
 
+    def note_progress(self) -> None:
+        """Note that what arrived brought the answer forward."""
+        self.progress_at = self.idle_at = time.monotonic()
+
     def recv(self, size: int) -> bytes:
         """Receive bytes; raises `TargetStalled` when none arrive for `stall_ms`."""
+        if self.progress_at is not None:
+            self._check_progress(self.progress_at)
         waited_ms = 0
         while True:
             ready = self._wait()
@@ -164,6 +182,21 @@
                 raise TargetStalled(f"no data for {self.stall_ms} ms")
             self.on_idle()
 
+    def _check_progress(self, progress_at: float) -> None:
+        now = time.monotonic()
+        if (now - self.idle_at) * 1_000 >= self.interval_ms:
+            self.idle_at = now
+            self.on_idle()
+        # Bytes that wait came while this process was paused and may hold the progress.
+        if (now - progress_at) * 1_000 >= self.stall_ms and not self._has_bytes():
+            raise TargetStalled(f"no progress for {self.stall_ms} ms")
+
+    def _has_bytes(self) -> bool:
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
+
     def _wait(self) -> bool:
         """Wait until bytes can be read (True) or the idle interval is over (False)."""
         waiter = Waiter(self.hub)
@@ -267,8 +300,12 @@
 
 
 def fetch(request: TargetRequest) -> WholeAnswer:
-    """Send `request` and read the whole answer; raises as `open_response` does."""
-    with open_response(request) as response:
+    """Send `request` and read the whole answer; raises as `open_response` does.
+
+    The whole answer has to arrive within `stall_ms`, as it is of no use before.
+    """
+    late = TargetStalled(f"no whole answer within {request.stall_ms} ms")
+    with gevent.Timeout(request.stall_ms / 1000, late), open_response(request) as response:
         try:
             body = response.read()
         except (OSError, HTTPParseError) as error:
--- a/tests/delivery/test_relay.py
+++ b/tests/delivery/test_relay.py
@@ -110,6 +110,9 @@
     def get(self, name, default):
         return "s1"
 
+    def note_progress(self):
+        pass
+
     def receive(self):
         self.before_piece()
         return self.pieces.pop(0) if self.pieces else b""
--- a/tests/delivery/test_relay_fuzz.py
+++ b/tests/delivery/test_relay_fuzz.py
@@ -47,6 +47,9 @@
     def get(self, name, default):
         return "s1"
 
+    def note_progress(self):
+        pass
+
     def receive(self):
         if self.pieces:
             return self.pieces.pop(0)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -6,8 +6,8 @@
 
 import gevent
 import pytest
-from test_platform_router import http, ledger, operator, start, store  # noqa: F401
 from store_standin import eventually
+from test_platform_router import http, ledger, operator, start, store  # noqa: F401
 from wire_bed import answer, read_answer, request
 
 CALLERS = 24
