Count suspended time where a permission runs out; serve only when all lists are known; one kind a store connection

The grace of a lapsed target, the window of the retry budget and the time of a stopping router used a clock that stops with the VM. A restarted router served as soon as it had the configuration and targets, though the list of drained failure domains could be missing while the store refused it. A second copy of the store's answer on a kept connection was taken for the answer of another kind, or for newer news.

Change: the boot clock in those three places; requests are refused as not run until every kind has been listed; connections of their own for each kind, and news that are older than what is known, or objects of another name, count as no answer.

--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -8,7 +8,7 @@
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
-from jacinthcove.gateway.beliefs import Beliefs
+from jacinthcove.gateway.beliefs import RETRY_ELSEWHERE_MS, Beliefs
 from jacinthcove.gateway.codec import GatewayCodec
 from jacinthcove.gateway.forward import AnswerAborted, Forwarder
 from jacinthcove.gateway.model import CallerLimits, GatewayRequest
@@ -24,7 +24,6 @@
 
 log = structlog.get_logger()
 
-RETRY_ELSEWHERE_MS = 50
 _UNKNOWN = (ResultCode.UNKNOWN_ROUTE, ResultCode.UNAUTHENTICATED)
 
 
--- a/src/jacinthcove/gateway/retrybudget.py
+++ b/src/jacinthcove/gateway/retrybudget.py
@@ -10,7 +10,7 @@
     """Allows repeats up to a ratio of the service's requests in a sliding window plus a slack.
 
     `slack` is this router's part; the ratio needs no division because each router counts its own
-    requests.
+    requests. The window counts suspended time, in which other routers may have used it up.
     """
 
     def __init__(self, clock: Clock, window_ms: int, ratio: float, slack: Callable[[], int]):
@@ -23,7 +23,7 @@
 
     def request(self, service: str) -> None:
         """Count the first send of a request."""
-        self._recent(self.requests, service).append(self.clock.now())
+        self._recent(self.requests, service).append(self.clock.boot())
 
     def take(self, service: str) -> bool:
         """Take one repeat from the budget; False when none is left."""
@@ -31,12 +31,12 @@
         repeats = self._recent(self.repeats, service)
         if len(repeats) >= int(self.ratio * len(requests)) + self.slack():
             return False
-        repeats.append(self.clock.now())
+        repeats.append(self.clock.boot())
         return True
 
     def _recent(self, table: dict[str, deque[int]], service: str) -> deque[int]:
         times = table.setdefault(service, deque())
-        start = self.clock.now() - self.window_ms
+        start = self.clock.boot() - self.window_ms
         while times and times[0] <= start:
             times.popleft()
         return times
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -40,7 +40,7 @@
 
 @dataclass
 class TargetState:
-    """A target as this router sees it; times are monotonic milliseconds."""
+    """A target as this router sees it; times are monotonic milliseconds, `lapsed_at` is boot."""
 
     record: TargetRecord
     revision: int
@@ -176,7 +176,7 @@
 
     def usable(self, service: str) -> list[TargetState]:
         """Return the targets of a service to which new work may be sent."""
-        now = self.clock.now()
+        now = self.clock.boot()
         return [
             state
             for state in self.by_service.get(service, ())
@@ -200,7 +200,7 @@
 
     def expire(self) -> None:
         """Remove targets whose grace is over."""
-        now = self.clock.now()
+        now = self.clock.boot()
         over = [
             target_id
             for target_id, state in self.states.items()
@@ -220,7 +220,7 @@
 
     def _lapse(self, state: TargetState) -> None:
         if state.lapsed_at is None:
-            state.lapsed_at = self.clock.now()
+            state.lapsed_at = self.clock.boot()
             log.info("target_lapsed", target=state.record.id)
 
     def _remove(self, target_id: str, reason: str) -> None:
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -11,7 +11,7 @@
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.admission import Admission, ColdBound
 from jacinthcove.gateway.application import GatewayApplication
-from jacinthcove.gateway.beliefs import Beliefs
+from jacinthcove.gateway.beliefs import RETRY_ELSEWHERE_MS, Beliefs
 from jacinthcove.gateway.coldlimit import ColdLimit
 from jacinthcove.gateway.decisions import Step
 from jacinthcove.gateway.directory import routers_for
@@ -139,6 +139,7 @@
         self.endpoints = Endpoints(
             self.ready, self._addresses, self.metrics, bounds.lookup_lifetime_max_ms
         )
+        # Boot ms, as the platform's grace goes on while the VM is suspended.
         self.stopping_at: int | None = None
         self.logs: dict[str, ChangeLog] = {}
         self.source = RelayedSource(clock, self.objects, self.logs)
@@ -173,12 +174,12 @@
 
     def close(self) -> None:
         """Leave, finish what is under way, and stop before the platform's grace is over."""
-        self.stopping_at = self.clock.now()
+        self.stopping_at = self.clock.boot()
         self.application.leaving = True
         log.info("router_leaving", open_requests=self.application.open_requests)
         self.fleet.leave()
         ends_at = self.stopping_at + self.settings.bounds.grace_ms - EXIT_MARGIN_MS
-        while self.clock.now() < ends_at and not self._done():
+        while self.clock.boot() < ends_at and not self._done():
             gevent.sleep(POLL_S)
         self.server.stop_accepting()
         self._answer_the_last()
@@ -223,7 +224,7 @@
         assert self.stopping_at is not None
         now = self.clock.now()
         quiet = now - self.application.last_request_at >= QUIET_MS
-        left = now - self.stopping_at >= LOOKUP_LEAVE_MS
+        left = self.clock.boot() - self.stopping_at >= LOOKUP_LEAVE_MS
         return left and quiet and not self.application.open_requests
 
     def _addresses(self, domain: str) -> list[str]:
@@ -241,9 +242,13 @@
         if self.application.open_requests > MAX_OPEN_REQUESTS:
             message = "the router has too many open requests"
             return RequestRefused(ResultCode.OVERLOADED, message, OVERLOADED_RETRY_MS)
+        if not self._knows_all():
+            # What was drained before this process started may be unknown yet.
+            message = "not all is known yet"
+            return RequestRefused(ResultCode.CONFIGURATION_STALE, message, RETRY_ELSEWHERE_MS)
         if self.stopping_at is None:
             return None
-        elapsed = self.clock.now() - self.stopping_at
+        elapsed = self.clock.boot() - self.stopping_at
         stream = request.route.repeatability is Repeatability.STREAM
         if stream and elapsed < STREAM_LEAVE_MS:
             return None
--- a/src/jacinthcove/platform/objects.py
+++ b/src/jacinthcove/platform/objects.py
@@ -29,20 +29,22 @@
 class PlatformObjects:
     """Calls of the store; each raises `StoreUnavailable` when no usable answer arrives.
 
-    The effect of a write without an answer is unknown. `calls` counts calls by kind.
+    The effect of a write without an answer is unknown. `calls` counts calls by kind. Each kind is
+    read on connections of its own, so that an answer which comes twice is never taken for that of
+    another kind.
     """
 
     def __init__(self, address: str, timeout_ms: int):
         self.timeout_ms = timeout_ms
+        self.address = address
         self.connections = Connections(address, timeout_ms)
-        # A watch occupies its connection, so watches have connections of their own.
-        self.watches = Connections(address, timeout_ms, max_idle=4)
+        self.reads: dict[str, Connections] = {}
         self.calls: Counter[str] = Counter()
 
     def close(self) -> None:
         """Close the idle connections."""
-        self.connections.close()
-        self.watches.close()
+        for connections in (self.connections, *self.reads.values()):
+            connections.close()
 
     def list_all(self, kind: str) -> Listing:
         """Return all objects of `kind`."""
@@ -69,14 +71,22 @@
             changes = [
                 Change(_object(event["object"]), bool(event["deleted"])) for event in data["events"]
             ]
-            return News(changes, int(data["current_rev"]), 0 if changes else wait_ms)
+            current = int(data["current_rev"])
         except (KeyError, TypeError, ValueError) as error:
             raise StoreUnavailable(f"the changes of {kind} are malformed: {error!r}") from error
+        if current < revision:
+            raise StoreUnavailable(f"news of {kind} at {current} are older than {revision}")
+        return News(changes, current, 0 if changes else wait_ms)
 
     def get(self, kind: str, name: str) -> KindObject | None:
         """Return one object, or None."""
         reply = self._call("get", "GET", f"{OBJECTS_PATH}{kind}/{quote(name, safe='')}")
-        return None if reply.status == 404 else _object(self._decoded(reply))
+        if reply.status == 404:
+            return None
+        found = _object(self._decoded(reply))
+        if found.name != name:
+            raise StoreUnavailable(f"the answer about {kind}/{name} is about {found.name}")
+        return found
 
     def ensure(self, kind: str, name: str, spec: Any) -> KindObject:
         """Create an object unless it exists; returns the stored one."""
@@ -107,20 +117,27 @@
     def _read(self, kind: str, query: list[str], wait_ms: int = 0) -> Any:
         path = f"{OBJECTS_PATH}{kind}" + (f"?{'&'.join(query)}" if query else "")
         call = "watch" if wait_ms else "list"
-        reply = self._call(call, "GET", path, wait_ms=wait_ms)
+        if kind not in self.reads:
+            self.reads[kind] = Connections(self.address, self.timeout_ms, max_idle=1)
+        timeout_ms = wait_ms + WATCH_SLACK_MS if wait_ms else self.timeout_ms
+        reply = self._call(call, "GET", path, pool=self.reads[kind], timeout_ms=timeout_ms)
         if reply.status == 410:
             raise HistoryGone(f"the history of {kind} is gone")
         return self._decoded(reply)
 
     def _call(
-        self, call: str, method: str, path: str, body: bytes = b"", wait_ms: int = 0
+        self,
+        call: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        pool: Connections | None = None,
+        timeout_ms: int | None = None,
     ) -> Reply:
         self.calls[call] += 1
-        pool = self.watches if wait_ms else self.connections
-        timeout_ms = wait_ms + WATCH_SLACK_MS if wait_ms else self.timeout_ms
         headers = {"Content-Type": "application/json"} if body else None
         try:
-            return pool.request(method, path, body, headers, timeout_ms)
+            return (pool or self.connections).request(method, path, body, headers, timeout_ms)
         except NoReply as error:
             raise StoreUnavailable(str(error)) from error
 
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -58,6 +58,12 @@
     assert "t1" not in book.states
 
 
+def test_a_grace_runs_out_while_the_vm_is_suspended(book, clock):
+    book.replace_all([record("t2", failure_domain="b")], 9, True)
+    clock.suspend(LAPSED_GRACE_MS)
+    assert usable(book) == ["t2"]
+
+
 def test_an_entry_that_comes_back_ends_the_grace(book, clock):
     book.replace_all([], 9, True)
     book.put(record("t1"), 10)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -49,6 +49,15 @@
     assert limit.allows("t1", 3)
 
 
+def test_requests_before_a_suspension_earn_no_repeats_after_it(clock):
+    budget = WindowedRetryBudget(clock, 10_000, 0.2, lambda: 0)
+    for _ in range(50):
+        budget.request("models")
+    assert budget.take("models")
+    clock.suspend(10_000)
+    assert not budget.take("models")
+
+
 def test_retry_budget_is_a_ratio_of_the_window_plus_a_slack(clock):
     budget = WindowedRetryBudget(clock, 10_000, 0.2, lambda: 5)
     for _ in range(50):
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -149,6 +149,37 @@
     eventually(lambda: http(router.settings.caller_listen)[0] == 200)
 
 
+def test_a_restarted_router_serves_nothing_before_it_knows_all(start, operator, store, ledger):
+    """What was drained before the restart is not used while its list is still out."""
+    operator(7)
+    store.put("evacuations", "a", {})
+    drains = "/evacuations"
+    store.fault = lambda environ: (503, None) if environ["PATH_INFO"].endswith(drains) else None
+    router = start()
+    eventually(lambda: router.beliefs.table is not None and router.book.states)
+    assert http(router.settings.caller_listen)[0] == 503
+    assert not ledger.seen
+    store.fault = lambda environ: None
+    eventually(router.ready)
+    assert http(router.settings.caller_listen)[0] == 503
+    assert not ledger.seen
+
+
+def test_what_left_while_a_router_restarted_is_not_used(start, operator, store, ledger):
+    operator(7, keys=(KEY, "withdrawn"))
+    first = start()
+    eventually(first.ready)
+    assert http(first.settings.caller_listen, key="withdrawn")[0] == 200
+    first.abandon()
+    operator(8)
+    store.remove("servers", "i-1")
+    second = start()
+    eventually(second.ready)
+    assert http(second.settings.caller_listen, key="withdrawn")[0] == 401
+    assert http(second.settings.caller_listen)[0] == 503
+    assert len(ledger.seen) == 1
+
+
 def test_routers_find_each_other_and_the_directory_names_them(start, operator, ledger):
     operator(7)
     first, second = start("front-1"), start("front-2")
@@ -156,7 +187,7 @@
     eventually(lambda: first.fleet.size().routers == 2 or second.fleet.size().routers == 2)
     body = get(first.settings.directory_listen, "/-/resolve?name=x&region=r&zone=a")[2]
     assert second.settings.caller_listen.encode() in body
-    second.stopping_at = second.clock.now()
+    second.stopping_at = second.clock.boot()
     second.fleet.leave()
     eventually(lambda: len(first.fleet.candidates()) == 1)
 
--- a/tests/platform/test_wire_answers.py
+++ b/tests/platform/test_wire_answers.py
@@ -16,6 +16,7 @@
 
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
+from jacinthcove.gateway.exchange import Exchange
 from jacinthcove.platform import names
 
 SEAL = names.SIGNATURE.lower()
@@ -280,3 +281,73 @@
     assert bed.call("/publish/7")[0] == 502
     assert gevent.get_hub().loop.now() - started < TIMEOUT_MS / 1000 / 2
     assert closed.wait(1)
+
+
+def paused_stream(target, sock, head):
+    """Send the first event, stay silent for a while, then the rest."""
+    sock.sendall(stream_head(head) + chunk(event(1)))
+    gevent.sleep(0.25)
+    sock.sendall(chunk(event(2)) + b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("word", ["lapsed", "removed", "leaving", "drained"])
+def test_running_work_of_a_target_without_word_is_neither_given_up_nor_begun_again(bed, word):
+    first = bed.add("t1", "models", paused_stream)
+    call = gevent.spawn(bed.call, "/ask/7")
+    gevent.sleep(0.1)
+    second = bed.add("t2", "models", paused_stream)
+    if word == "drained":
+        bed.book.set_drained(frozenset(("a",)))
+    elif word == "leaving":
+        bed.book.put(first.record(leaving=True), 2)
+    else:
+        bed.book.delete("t1", word == "lapsed")
+    assert call.get(timeout=2)[2] == event(1) + event(2)
+    assert (len(first.seen), len(second.seen)) == (1, 0)
+
+
+def test_a_silent_target_keeps_an_unsafe_request_until_the_time_limit(bed):
+    first = bed.add("t1", "ledger", lambda target, sock, head: gevent.sleep(5))
+    second = bed.add("t2", "ledger", lambda target, sock, head: gevent.sleep(5))
+    assert bed.call("/publish2/7")[0] == 504
+    assert len(first.seen) + len(second.seen) == 1
+
+
+def test_a_stream_of_bytes_without_events_ends_at_the_time_limit(bed):
+    def script(target, sock, head):
+        sock.sendall(stream_head(head))
+        while True:
+            sock.sendall(chunk(b"x"))
+            gevent.sleep(0.02)
+
+    bed.add("t1", "models", script)
+    started = gevent.get_hub().loop.now()
+    status, _, _ = bed.call("/draft/7")
+    assert status == 504
+    assert gevent.get_hub().loop.now() - started < (TIMEOUT_MS + 400) / 1000
+
+
+def test_a_slow_stream_goes_on_as_long_as_its_events_come(bed):
+    def script(target, sock, head):
+        sock.sendall(stream_head(head))
+        for number in range(1, 7):
+            gevent.sleep(0.09)
+            sock.sendall(chunk(event(number)))
+        sock.sendall(b"0\r\n\r\n")
+
+    bed.add("t1", "models", script)
+    assert bed.call("/draft/7")[2] == b"".join(event(n) for n in range(1, 7))
+
+
+def test_a_process_that_was_suspended_after_its_check_sends_nothing(bed, monkeypatch):
+    """The permission to use a key runs out while the connection to the target opens."""
+    target = bed.add("t1", "ledger", answering(answer))
+    open_connection = Exchange.open
+
+    def open_late(exchange):
+        open_connection(exchange)
+        bed.beliefs.max_age_ms = 0
+
+    monkeypatch.setattr(Exchange, "open", open_late)
+    assert bed.call("/publish/7")[0] == 503
+    assert not target.seen
