One digest a failure domain in place of lists; probe along a ring; fewer timers

Cause: in a large fleet the collector of a failure domain passed the reports of all members one by one to all members, so each router decoded every other's load and kept it by name; each router asked the store's follower four questions a second or more; each probe went to another member and opened a new stream for it, which took about half of the mesh's time at 195 routers; timers of 0.1 and 0.2 s ran though nothing waited for them.

Change: the collector passes on the sum of its domain, as changes, with the sequence of each report that went in; a receiver takes its own part, as it was in that report, out of the sum (gateway/digests.py). Digests say what the collector, which follows the store as well, knows of each kind and how long ago; as a digest that contains a router's report was made after it, this proves freshness, and a router asks only for what is newer. In fleets above 24 a router probes those 1, 2, 4, ... places after it on a hashed ring (mesh/ring.py). Suspects are looked for ten times a second only while there are some, urgent news have a timer of their own, streams are checked each 0.4 s.

Ruled out: distances on the hash space, where some routers are probed by one other only and a loss is found late.

--- /dev/null
+++ b/src/jacinthcove/gateway/digests.py
@@ -0,0 +1,96 @@
+"""The digest of a failure domain as one of its routers uses it, without that router's own part.
+
+Answers the size of the fleet: what a router decodes and adds up depends on the targets whose load
+changed, not on the number of routers.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from jacinthcove.gateway.load import PeerLoad
+from jacinthcove.gateway.shares import ShareLedger, Use
+from jacinthcove.gateway.targets import TargetBook
+from jacinthcove.mesh import mesh_pb2 as pb
+
+# Reports that may be under way to the collector or on their way back in a digest.
+KEPT_REPORTS = 16
+
+
+@dataclass(frozen=True)
+class OwnPart:
+    """What this router had at the targets when it sent a report; `sent_at` is boot ms."""
+
+    sequence: int = 0
+    sent_at: int = 0
+    loads: dict[str, PeerLoad] = field(default_factory=dict)
+    uses: dict[str, Use] = field(default_factory=dict)
+
+
+NOTHING = OwnPart()
+
+
+class OwnHistory:
+    """The own parts of recent reports."""
+
+    def __init__(self) -> None:
+        self.parts: deque[OwnPart] = deque(maxlen=KEPT_REPORTS)
+
+    def add(self, part: OwnPart) -> None:
+        """Keep the own part of a report that is being sent."""
+        self.parts.append(part)
+
+    def find(self, sequence: int) -> OwnPart:
+        """Return the own part of a report, nothing if it is no longer kept."""
+        return next((part for part in self.parts if part.sequence == sequence), NOTHING)
+
+
+class DigestView:
+    """Keeps the sums of the collector's digests and tells what the other routers have."""
+
+    def __init__(self, book: TargetBook, ledger: ShareLedger):
+        self.book = book
+        self.ledger = ledger
+        self.source = ""
+        self.sums: dict[str, PeerLoad] = {}
+        self.own = NOTHING
+
+    def take(self, source: str, digest: pb.LoadShare, own: OwnPart, now: int) -> None:
+        """Take a digest of `source` that contains `own` as this router's part."""
+        if source != self.source:
+            self.forget()
+            self.source = source
+        changed = self.own.loads.keys() | own.loads.keys()
+        for item in digest.targets:
+            self.sums[item.target_id] = PeerLoad(
+                item.running, item.memory_tokens, item.unread_tokens, now
+            )
+            changed |= {item.target_id}
+        self.own = own
+        for target_id in changed:
+            self._apply(target_id, now)
+        for use in digest.workspaces:
+            mine = own.uses.get(use.workspace, Use())
+            asked, admitted = use.asked_tokens - mine.asked, use.admitted_tokens - mine.admitted
+            self.ledger.on_report(source, use.workspace, asked, admitted)
+
+    def forget(self) -> None:
+        """Drop what the digests told."""
+        for state in self.book.states.values():
+            state.load.forget(self.source)
+        self.ledger.forget(self.source)
+        self.sums.clear()
+        self.own = NOTHING
+        self.source = ""
+
+    def _apply(self, target_id: str, now: int) -> None:
+        state, total = self.book.states.get(target_id), self.sums.get(target_id)
+        if state is None or total is None:
+            return
+        mine = self.own.loads.get(target_id, PeerLoad(0, 0, 0, now))
+        others = PeerLoad(
+            max(0, total.running - mine.running),
+            max(0, total.memory_tokens - mine.memory_tokens),
+            max(0, total.unread_tokens - mine.unread_tokens),
+            now,
+        )
+        state.load.on_report(self.source, others)
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -1,22 +1,25 @@
 """Routers tell each other what they have at the targets and what workspaces asked for.
 
 In small fleets each router tells all others. In large ones, where that would take most of the
-processor time, one router of each failure domain collects the reports of its domain and passes them
-on together; other domains get their sum. A router that hears nothing from the one that collects
-tells the others itself.
+processor time, one router of each failure domain collects the reports of its domain and passes on
+their sum, with the reports that went in, so that each receiver takes its own part out. Routers
+without news are silent for a while. A router that hears nothing from the one that collects tells
+the others itself.
 """
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
 
 import gevent
 import structlog
 
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.crowding import crowded
+from jacinthcove.gateway.digests import NOTHING, DigestView, OwnHistory
 from jacinthcove.gateway.load import REPORT_LIFETIME_MS, PeerLoad
 from jacinthcove.gateway.loadreports import (
     PERIOD_MS,
+    REFRESH_MS,
     Audience,
     DirectAudience,
     LoadReporter,
@@ -36,10 +39,33 @@
 FAR_MESSAGES_PER_S = 60
 # Up to this size every router tells all others.
 DIRECT_ROUTERS = 24
-BUNDLE_PERIOD_MS = 150
+BUNDLE_PERIOD_MS = 200
 FAR_BUNDLE_PERIOD_MS = 300
+# Between looks of the other routers whether they collect now.
+ROLE_PERIOD_MS = 1_000
 # Without a bundle for this long a router tells the others itself.
-SILENCE_MS = 600
+SILENCE_MS = 1_200
+
+
+class KindNewsBoard(Protocol):
+    """What digests say of the store beside the load."""
+
+    def kind_news(self) -> Iterable[pb.KindNews]:
+        """Return what this router knows as a follower of the store."""
+
+    def note_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
+        """Take what a router knew at boot time `asked_at` or later."""
+
+
+class NoNews:
+    """Stands for the board where routers do not follow the store for each other."""
+
+    def kind_news(self) -> Iterable[pb.KindNews]:
+        """Return nothing."""
+        return ()
+
+    def note_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
+        """Take nothing."""
 
 
 class LoadExchange:
@@ -73,8 +99,21 @@
         self.known: dict[str, tuple[int, int]] = {}
         # Open requests of other routers and when they were told.
         self.open_by_router: dict[str, tuple[int, int]] = {}
+        # Sums of other failure domains that the next bundle passes on.
         self.collected: list[pb.SourcedShare] = []
-        self.fresh_parts: dict[str, list[str]] = {}
+        # Reports of this domain since the last bundle, and the parts in them for both audiences.
+        self.included: dict[str, pb.IncludedReport] = {}
+        self.near_parts: dict[str, list[str]] = {}
+        self.far_parts: dict[str, list[str]] = {}
+        self.near_audience = Audience()
+        self.history = OwnHistory()
+        self.digests = DigestView(book, ledger)
+        # Routers whose own reports came last, not those of the collector.
+        self.direct: set[str] = set()
+        self.told_collector_at = 0
+        self.told_open_requests = 0
+        self.bundled_at = 0
+        self.news: KindNewsBoard = NoNews()
         self.collector_id: str | None = None
         self.heard_at = clock.now()
         self.greenlets: list[Any] = []
@@ -96,7 +135,8 @@
         if len(alive) <= DIRECT_ROUTERS:
             return None
         ids = [member.id for member in alive if member.failure_domain == domain]
-        return rendezvous.owner(f"load {domain}", ids)
+        # The same router follows the store for its failure domain (store/relay.py).
+        return rendezvous.owner(domain, ids)
 
     def collector_in_use(self) -> str | None:
         """Return the router that collects for this one, or None while it is silent."""
@@ -111,42 +151,78 @@
     def on_share(self, sender: str, message: pb.LoadShare) -> None:
         """Take another router's report, and pass it on if this router collects."""
         self.take(sender, message)
+        self.direct.add(sender)
         if self._collects() and self._is_near(sender):
-            self._collect(pb.SourcedShare(source=sender, share=message))
+            self._collect(sender, message)
 
     def on_bundle(self, sender: str, bundle: pb.LoadBundle) -> None:
         """Take the reports that another router collected."""
         for item in bundle.shares:
-            if item.source != self.members.me.id:
-                self.take(item.source, item.share)
+            self.take(item.source, item.share)
         if sender == self.collector_id:
             self.heard_at = self.clock.now()
+            if bundle.HasField("digest"):
+                self._take_digest(sender, bundle)
         elif self._collects() and not self._is_near(sender):
             self.collected += bundle.shares
 
     def take(self, sender: str, message: pb.LoadShare) -> None:
         """Take a report about `sender`; old ones are dropped."""
-        known = self.known.get(sender)
-        if known is not None and known[0] != message.incarnation:
-            self.ledger.forget(sender)
-            for state in self.book.states.values():
-                state.load.forget(sender)
-        elif known is not None and message.sequence <= known[1]:
+        if not self._is_new(sender, message):
             return
         now = self.clock.now()
-        self.known[sender] = (message.incarnation, message.sequence)
         self.open_by_router[sender] = (message.open_requests, now)
+        self._note_targets(message)
         for item in message.targets:
-            if item.leaving:
-                self.book.note_leaving(item.target_id, item.started_at)
             target = self.book.states.get(item.target_id)
             if target is not None:
                 report = PeerLoad(item.running, item.memory_tokens, item.unread_tokens, now)
                 target.load.on_report(sender, report)
-                target.note_parts(item.parts)
         for use in message.workspaces:
             self.ledger.on_report(sender, use.workspace, use.asked_tokens, use.admitted_tokens)
 
+    def _is_new(self, source: str, message: pb.LoadShare) -> bool:
+        """Return whether a report is newer than what is known of its source."""
+        known = self.known.get(source)
+        if known is not None and known[0] != message.incarnation:
+            self._forget(source)
+        elif known is not None and message.sequence <= known[1]:
+            return False
+        self.known[source] = (message.incarnation, message.sequence)
+        return True
+
+    def _note_targets(self, message: pb.LoadShare) -> None:
+        for item in message.targets:
+            if item.leaving:
+                self.book.note_leaving(item.target_id, item.started_at)
+            target = self.book.states.get(item.target_id)
+            if target is not None:
+                target.note_parts(item.parts)
+
+    def _forget(self, source: str) -> None:
+        self.direct.discard(source)
+        self.ledger.forget(source)
+        for state in self.book.states.values():
+            state.load.forget(source)
+
+    def _take_digest(self, sender: str, bundle: pb.LoadBundle) -> None:
+        """Take the sum of this failure domain from its collector."""
+        source = f"{self.members.me.failure_domain}@{sender}"
+        if not self._is_new(source, bundle.digest):
+            return
+        now = self.clock.now()
+        own = self.digests.own if source == self.digests.source else NOTHING
+        for report in bundle.included:
+            self.open_by_router[report.router] = (report.open_requests, now)
+            if report.router == self.members.me.id:
+                own = self.history.find(report.sequence)
+            elif report.router in self.direct:
+                self._forget(report.router)
+        self._note_targets(bundle.digest)
+        self.digests.take(source, bundle.digest, own, now)
+        if own is not NOTHING:
+            self.news.note_news(sender, bundle.news, own.sent_at)
+
     def open_requests(self) -> dict[str, int]:
         """Return the open requests of the routers with a recent report, and of this one."""
         since = self.clock.now() - REPORT_LIFETIME_MS
@@ -162,18 +238,25 @@
         return crowded(self.open_requests())
 
     def bundle(self) -> pb.LoadBundle:
-        """Return what was collected for this failure domain, with this router's own report."""
+        """Return the sum of this failure domain and those of the others that came in."""
         shares, self.collected = self.collected, []
-        own = self.reporter.own(self.collector)
-        me = self.members.me.id
-        return pb.LoadBundle(shares=[*shares, pb.SourcedShare(source=me, share=own)])
+        included, self.included = self.included, {}
+        parts, self.near_parts = self.near_parts, {}
+        digest = self.reporter.domain(self.near_audience, self._near_ids(), parts)
+        open_requests = self.reporter.open_requests()
+        me = pb.IncludedReport(router=self.members.me.id, open_requests=open_requests)
+        return pb.LoadBundle(
+            shares=shares,
+            digest=digest,
+            included=[*included.values(), me],
+            news=self.news.kind_news(),
+        )
 
     def domain_bundle(self) -> pb.LoadBundle:
         """Return the sum of this failure domain for the other ones."""
         me = self.members.me
-        others = frozenset(member.id for member in self.near.peers())
-        parts, self.fresh_parts = self.fresh_parts, {}
-        share = self.reporter.domain(self.other_domains, others, parts)
+        parts, self.far_parts = self.far_parts, {}
+        share = self.reporter.domain(self.other_domains, self._near_ids(), parts)
         # The sums of a collector that takes over do not continue those of the one before.
         source = f"{me.failure_domain}@{me.id}"
         return pb.LoadBundle(shares=[pb.SourcedShare(source=source, share=share)])
@@ -185,11 +268,29 @@
         member = self.members.get(member_id)
         return member is not None and member.failure_domain == self.members.me.failure_domain
 
-    def _collect(self, item: pb.SourcedShare) -> None:
-        self.collected.append(item)
-        for target in item.share.targets:
+    def _near_ids(self) -> frozenset[str]:
+        return frozenset(member.id for member in self.near.peers())
+
+    def _collect(self, sender: str, share: pb.LoadShare) -> None:
+        self.included[sender] = pb.IncludedReport(
+            router=sender, sequence=share.sequence, open_requests=share.open_requests
+        )
+        for target in share.targets:
             if target.parts:
-                self.fresh_parts.setdefault(target.target_id, []).extend(target.parts)
+                self.near_parts.setdefault(target.target_id, []).extend(target.parts)
+                self.far_parts.setdefault(target.target_id, []).extend(target.parts)
+
+    def report(self) -> pb.LoadShare | None:
+        """Return the report to the collector; None if there is nothing new to tell yet."""
+        share = self.reporter.own(self.collector)
+        now = self.clock.now()
+        same = share.open_requests == self.told_open_requests
+        recent = now - self.told_collector_at < REFRESH_MS
+        if same and recent and not share.targets and not share.workspaces:
+            return None
+        self.told_open_requests, self.told_collector_at = share.open_requests, now
+        self.history.add(self.reporter.own_part())
+        return share
 
     def _tell_near(self) -> None:
         while True:
@@ -199,9 +300,9 @@
             if collector is None:
                 self._tell(self.near)
             elif collector == self.members.me.id:
-                self._send_bundle(self.bundle(), [member.id for member in self.near.peers()])
-            else:
-                self.peers.send(collector, LOAD_SHARE, self.reporter.own(self.collector))
+                self._send_bundle(self.bundle(), sorted(self._near_ids()))
+            elif (share := self.report()) is not None:
+                self.peers.send(collector, LOAD_SHARE, share)
 
     def _tell_far(self) -> None:
         while True:
@@ -210,7 +311,8 @@
                 self.far_period_ms = self.far.period_ms()
             else:
                 self.far_period_ms = FAR_BUNDLE_PERIOD_MS
-            gevent.sleep(self.far_period_ms / 1000)
+            others_turn = collector is not None and collector != self.members.me.id
+            gevent.sleep((ROLE_PERIOD_MS if others_turn else self.far_period_ms) / 1000)
             if collector is None:
                 self._tell(self.far)
             elif collector == self.members.me.id:
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.digests import OwnPart
 from jacinthcove.gateway.load import PeerLoad, TargetLoad
-from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.shares import ShareLedger, Use
 from jacinthcove.gateway.targets import TargetBook, TargetRecord
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member, Members
@@ -123,6 +124,17 @@
             audience.add_use(message, workspace, use.asked, use.admitted)
         return message
 
+    def own_part(self) -> OwnPart:
+        """Return what this router has, to be kept with the report that was built last."""
+        now = self.clock.now()
+        loads = {
+            state.record.id: own_load(state.load, now)
+            for state in self.book.states.values()
+            if state.load.own
+        }
+        uses = {name: Use(use.asked, use.admitted) for name, use in self.ledger.own.items()}
+        return OwnPart(self.sequence, self.clock.boot(), loads, uses)
+
     def domain(
         self, audience: Audience, others: frozenset[str], parts: dict[str, list[str]]
     ) -> pb.LoadShare:
--- a/src/jacinthcove/mesh/probing.py
+++ b/src/jacinthcove/mesh/probing.py
@@ -12,6 +12,7 @@
 from jacinthcove.mesh.kinds import PROBE, PROBE_REQUEST
 from jacinthcove.mesh.members import Membership, from_record, to_record
 from jacinthcove.mesh.peers import Handler, Member, MemberState
+from jacinthcove.mesh.ring import partners
 
 PROBE_PERIOD_S = 1.0
 # Below this size one probe a second per router leaves a dead one unprobed for more than a second
@@ -22,6 +23,8 @@
 INDIRECT_TIMEOUT_MS = 900
 INDIRECT_PROBES = 3
 EXPIRY_PERIOD_S = 0.1
+# Without a suspect there is nothing to expire soon.
+CALM_EXPIRY_PERIOD_S = 1.0
 REJOIN_PERIOD_S = 5.0
 JOIN_TIMEOUT_MS = 2_000
 JOIN_ATTEMPT_PERIOD_S = 0.5
@@ -31,7 +34,7 @@
 MIN_EXCHANGE_PERIOD_S = 10.0
 RECORD_BYTES = 90
 URGENT_PROBES = 3
-# Only what a router finds itself is urgent, and at this rate; urgent probes for every update
+# Only what a router finds itself is urgent, after this time; urgent probes for every update
 # overloaded a fleet of 64 members that started together.
 URGENT_PERIOD_S = 0.2
 URGENT_PAUSE_MS = 1_000
@@ -84,7 +87,7 @@
         self.documents = documents
         self.rng = rng or random.Random()
         self.round: list[str] = []
-        self.urgent = False
+        self.flushing: gevent.Greenlet | None = None
         self.next_urgent_ms = 0
         self.lost_probes = 0
         self.greenlets: list[gevent.Greenlet] = []
@@ -98,16 +101,15 @@
         """Start the probing loops; they find the seeds by themselves."""
         loops: list[tuple[Callable[[], Any], Callable[[], float]]] = [
             (self.probe_next, self.period_s),
-            (self.members.expire, lambda: EXPIRY_PERIOD_S),
+            (self.members.expire, self.expiry_period_s),
             (self.contact_unreachable, lambda: REJOIN_PERIOD_S),
             (self.exchange_tables, self.exchange_period_s),
-            (self._flush_urgent, lambda: URGENT_PERIOD_S),
         ]
         self.greenlets = [gevent.spawn(self._repeat, *loop) for loop in loops]
 
     def close(self) -> None:
         """Stop probing without announcing anything."""
-        gevent.killall(self.greenlets)
+        gevent.killall([*self.greenlets, *([self.flushing] if self.flushing else [])])
         self.greenlets = []
 
     def join(self, timeout_s: float) -> bool:
@@ -141,6 +143,11 @@
         share = len(self.members.table) / FULL_PERIOD_MEMBERS
         return max(SHORTEST_PERIOD_S, min(PROBE_PERIOD_S, PROBE_PERIOD_S * share))
 
+    def expiry_period_s(self) -> float:
+        """Return the time between looks for suspects whose time is over."""
+        suspects = self.members.others(MemberState.SUSPECT)
+        return EXPIRY_PERIOD_S if suspects else CALM_EXPIRY_PERIOD_S
+
     def exchange_period_s(self) -> float:
         """Return the time between exchanges of whole tables."""
         size = RECORD_BYTES * len(self.members.table)
@@ -157,7 +164,7 @@
         if self._exchange(member, PROBE_TIMEOUT_MS) or self._probe_indirectly(member):
             return True
         self.members.suspect(member.id, member.incarnation)
-        self.urgent = True
+        self._be_urgent()
         return False
 
     def probe_lost(self, member_id: str) -> None:
@@ -216,7 +223,7 @@
     def _next_member(self) -> Member | None:
         while True:
             if not self.round:
-                self.round = [m.id for m in self.members.reachable()]
+                self.round = self._partners()
                 self.rng.shuffle(self.round)
             if not self.round:
                 return None
@@ -224,6 +231,12 @@
             if member is not None and member.state is not MemberState.DEAD:
                 return member
 
+    def _partners(self) -> list[str]:
+        ids = [member.id for member in self.members.reachable()]
+        if len(ids) <= FULL_PERIOD_MEMBERS:
+            return ids
+        return partners(self.members.me.id, ids)
+
     def _probe_indirectly(self, member: Member) -> bool:
         helpers = [m for m in self.members.others(MemberState.ALIVE) if m.id != member.id]
         chosen = self.rng.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
@@ -286,15 +299,20 @@
         return [seed for seed in self.seeds if seed not in known]
 
     def _on_change(self, member: Member) -> None:
-        self.urgent = self.urgent or member.id == self.members.me.id
+        if member.id == self.members.me.id:
+            self._be_urgent()
+
+    def _be_urgent(self) -> None:
+        """Tell a few members soon, unless that is about to happen."""
+        if not self.greenlets or self.flushing:
+            return
+        wait_ms = self.next_urgent_ms - self.members.clock.now()
+        self.flushing = gevent.spawn_later(max(URGENT_PERIOD_S, wait_ms / 1000), self._flush_urgent)
 
     def _flush_urgent(self) -> None:
         # A change reaches a few members at once, so that their suspicion times run together.
-        now = self.members.clock.now()
-        if not self.urgent or now < self.next_urgent_ms:
-            return
-        self.urgent = False
-        self.next_urgent_ms = now + URGENT_PAUSE_MS
+        self.flushing = None
+        self.next_urgent_ms = self.members.clock.now() + URGENT_PAUSE_MS
         others = self.members.others(MemberState.ALIVE)
         for member in self.rng.sample(others, min(URGENT_PROBES, len(others))):
             gevent.spawn(self._exchange, member, PROBE_TIMEOUT_MS)
--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -25,7 +25,7 @@
 SILENCE_S = 2.6
 # More than one heartbeat late; the member is probed without waiting for its turn.
 LATE_S = 1.5
-TICK_S = 0.2
+TICK_S = 0.4
 IDLE_S = 60.0
 # The side that opened a stream closes it, so that nothing is lost; the other side only cleans up.
 ACCEPTED_IDLE_S = 75.0
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -150,6 +150,7 @@
             self._watch(ROLLOUTS_KIND, ROLLOUTS_WAIT_MS, RolloutFollower(self.rollouts)),
         ]
         self.fleet.listeners.append(self.source.join)
+        self.fleet.news = self.source
 
     def _watch(self, kind: str, wait_ms: int, follower: Follower) -> KindWatch:
         changes = self.logs[kind] = ChangeLog(self.clock)
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -12,7 +12,7 @@
 from jacinthcove.errors import Conflict, StoreUnavailable
 from jacinthcove.gateway.admission import FleetSize
 from jacinthcove.gateway.directory import Candidate
-from jacinthcove.gateway.loadexchange import LoadExchange
+from jacinthcove.gateway.loadexchange import KindNewsBoard, LoadExchange, NoNews
 from jacinthcove.gateway.loadreports import PERIOD_MS
 from jacinthcove.gateway.rolloutdriver import RolloutDriver
 from jacinthcove.gateway.rollouts import Rollouts
@@ -72,6 +72,7 @@
         self.links: PeerLinks | None = None
         self.probing: Probing | None = None
         self.exchange: LoadExchange | None = None
+        self.news: KindNewsBoard = NoNews()
         self.versions: VersionControl | None = None
         self.driver: RolloutDriver | None = None
         self.greenlet: gevent.Greenlet | None = None
@@ -130,6 +131,7 @@
             self.clock, self.members, self.links, self.book, self.ledger, self.book.expire
         )
         self.exchange.reporter.open_requests = self.open_requests
+        self.exchange.news = self.news
         self.exchange.start()
         self._start_rollouts(self.links)
         self.probing.join(JOIN_TIMEOUT_S)
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -2,13 +2,16 @@
 
 Answers the size of the fleet: every call of the store is charged, and a change wakes all that wait
 for it. A router asks the store itself as soon as the other one does not answer, is silent, or has
-lost the store, so no belief depends on a single router.
+lost the store, so no belief depends on a single router. Where the digests of load say what the
+other router knows, it is asked only when that is newer.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 import orjson
 import structlog
+from gevent.event import Event
 
 from jacinthcove.clock import Clock
 from jacinthcove.errors import PeerUnavailable, StoreUnavailable
@@ -34,6 +37,8 @@
 # makes the news of all of them old.
 FEEDER_WAIT_PART = 1 / 3
 FEEDER_MIN_WAIT_MS = 1_200
+# Older words of digests do not replace a question.
+MAX_WORD_AGE_MS = 2_400
 
 
 def encode_news(news: News) -> pb.StoreNews:
@@ -75,6 +80,23 @@
     return News(changes, message.revision, relay_age_ms=message.age_ms)
 
 
+@dataclass(frozen=True)
+class Told:
+    """What a router knew of a kind; nothing was newer at boot time `known_at`."""
+
+    router: str
+    revision: int
+    known_at: int
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A watch that waits for something newer than `revision`."""
+
+    revision: int
+    newer: Event
+
+
 class RelayedSource:
     """A `KindSource` that asks the responsible router of the failure domain before the store."""
 
@@ -85,6 +107,9 @@
         self.members: Members | None = None
         self.peers: Peers | None = None
         self.direct_until = 0
+        # What digests told by kind, and the revisions that watches wait to see exceeded.
+        self.told: dict[str, Told] = {}
+        self.waiting: dict[str, Waiting] = {}
 
     def join(self, members: Members, peers: Peers) -> None:
         """Use and serve the other routers from now on."""
@@ -102,6 +127,9 @@
             short_ms = max(FEEDER_MIN_WAIT_MS, int(wait_ms * FEEDER_WAIT_PART))
             return self.direct.watch(kind, revision, min(wait_ms, short_ms))
         if feeder is not None and self.clock.now() >= self.direct_until:
+            told = self._wait_for_word(feeder, kind, revision, wait_ms)
+            if told is not None:
+                return told
             try:
                 return self._pull(feeder, kind, revision, wait_ms)
             except (PeerUnavailable, StoreUnavailable) as error:
@@ -109,6 +137,36 @@
                 log.info("store_asked_directly", kind=kind, router=feeder, reason=str(error))
         return self.direct.watch(kind, revision, wait_ms)
 
+    def kind_news(self) -> Iterable[pb.KindNews]:
+        """Return what this router knows of the kinds that it follows itself."""
+        now = self.clock.boot()
+        return [
+            pb.KindNews(kind=kind, revision=log.revision, age_ms=max(0, now - log.known_at))
+            for kind, log in self.logs.items()
+            if log.current
+        ]
+
+    def note_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
+        """Take what a router knew at boot time `asked_at` or later."""
+        for item in news:
+            self.told[item.kind] = Told(router, item.revision, asked_at - item.age_ms)
+            waiting = self.waiting.get(item.kind)
+            if waiting is not None and item.revision > waiting.revision:
+                waiting.newer.set()
+
+    def _wait_for_word(self, feeder: str, kind: str, revision: int, wait_ms: int) -> News | None:
+        """Wait for digests; return that nothing is newer, or None if the feeder is to be asked."""
+        told = self.told.get(kind)
+        if told is None or told.router != feeder or told.revision > revision:
+            return None
+        asked_at = self.clock.boot()
+        waiting = self.waiting[kind] = Waiting(revision, Event())
+        newer = waiting.newer.wait(min(PULL_WAIT_MS, wait_ms * PULL_WAIT_PART) / 1000)
+        told = self.told[kind]
+        if newer or told.router != feeder or asked_at - told.known_at > MAX_WORD_AGE_MS:
+            return None
+        return News((), revision, relay_age_ms=max(0, asked_at - told.known_at))
+
     def feeder(self) -> str | None:
         """Return the router that follows the store for this failure domain; None: each does."""
         if self.members is None:
--- a/tests/gateway/test_loadexchange.py
+++ b/tests/gateway/test_loadexchange.py
@@ -160,8 +160,9 @@
         for exchange in self.exchanges.values():
             collector = self.exchanges[exchange.collector_in_use()]
             if collector is not exchange:
-                share = exchange.reporter.own(exchange.collector)
-                collector.on_share(exchange.members.me.id, share)
+                share = exchange.report()
+                if share is not None:
+                    collector.on_share(exchange.members.me.id, share)
         a, b = self.collector("a"), self.collector("b")
         for one, other in ((a, b), (b, a)):
             other.on_bundle(one.members.me.id, one.domain_bundle())
--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -5,11 +5,12 @@
 
 from jacinthcove.clock import ManualClock, SystemClock
 from jacinthcove.errors import PeerUnavailable, StoreUnavailable
+from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member
 from jacinthcove.store.changelog import MAX_BATCHES, ChangeLog
 from jacinthcove.store.follow import KindWatch
 from jacinthcove.store.kinds import Change, HistoryGone, KindObject, Listing, News
-from jacinthcove.store.relay import MIN_ROUTERS, RelayedSource
+from jacinthcove.store.relay import MAX_WORD_AGE_MS, MIN_ROUTERS, RelayedSource
 
 KIND = "things"
 IDS = [f"r{number}" for number in range(MIN_ROUTERS)]
@@ -264,3 +265,49 @@
     store.put("x", 3)
     until(lambda: router.follower.specs == {"x": 3})
     router.watch.close()
+
+
+def words(source, revision, age_ms=0, router=None):
+    """Let a source hear what its feeder knows."""
+    feeder = router or source.feeder()
+    news = [pb.KindNews(kind=KIND, revision=revision, age_ms=age_ms)]
+    source.note_news(feeder, news, source.clock.boot())
+
+
+def other_router(fleet):
+    return next(r for r in fleet if r.id != r.source.feeder())
+
+
+def test_words_of_digests_replace_questions(fleet, mesh):
+    router = other_router(fleet)
+    until(lambda: router.watch.listed)
+    router.watch.close()
+    router.source.direct_until = 0
+    words(router.source, router.watch.revision)
+    mesh.silent.add(router.source.feeder())
+    asked_at = router.source.clock.boot()
+    news = router.source.watch(KIND, router.watch.revision, 400)
+    assert (news.changes, news.revision) == ((), router.watch.revision)
+    assert news.relay_age_ms <= router.source.clock.boot() - asked_at + 10
+
+
+def test_a_newer_revision_is_fetched_at_once(fleet, store):
+    router = other_router(fleet)
+    until(lambda: router.watch.listed)
+    router.source.direct_until = 0
+    words(router.source, router.watch.revision)
+    store.put("a", 1)
+    gevent.sleep(0.05)
+    asked_at = router.source.clock.boot()
+    words(router.source, store.revision)
+    until(lambda: router.follower.specs.get("a") == 1)
+    assert router.source.clock.boot() - asked_at < 300
+
+
+@pytest.mark.parametrize(("age_ms", "router"), [(MAX_WORD_AGE_MS + 50, None), (0, "somebody")])
+def test_old_words_and_those_of_other_routers_do_not_count(fleet, age_ms, router):
+    one = other_router(fleet)
+    until(lambda: one.watch.listed)
+    words(one.source, one.watch.revision, age_ms, router)
+    feeder = one.source.feeder()
+    assert one.source._wait_for_word(feeder, KIND, one.watch.revision, 40) is None
