--- a/soak/targets.py
+++ b/soak/targets.py
@@ -18,6 +18,8 @@
 EVENT_S = 0.03
 EVENT_END = b"\n\n"
 SLOW_FACTOR = 8
+# Time for which every second refusal wants nothing more.
+REFUSES_FOR_S = 0.6
 
 
 @dataclass
@@ -74,6 +76,11 @@
             "born": 1_764_000_000_000,
         }
 
+    @property
+    def _extra(self) -> str:
+        """Return the header by which a target that leaves says so in its answers."""
+        return f"{names.LEAVING}: {names.LEAVING_YES}\r\n" if self.leaving else ""
+
     def close(self) -> None:
         """Stop at once, as a crash does."""
         self.proxy.close()
@@ -97,7 +104,8 @@
             return
         self.history.arrivals.append(arrival)
         if draw() < self.behaviour.refuse:
-            sock.sendall(not_run(head))
+            wish = f"{names.RETRY_AFTER}: {REFUSES_FOR_S}\r\n" if draw() < 0.5 else ""
+            sock.sendall(not_run(head, extra=self._extra + wish))
             return
         arrival.ran = True
         try:
@@ -118,7 +126,7 @@
             return
         failed = draw() < self.behaviour.fail
         arrival.body = f"{arrival.id} done by {self.id}".encode()
-        data = answer(head, arrival.body, "500 Failed" if failed else "200 OK")
+        data = answer(head, arrival.body, "500 Failed" if failed else "200 OK", self._extra)
         if draw() < self.behaviour.truncate:
             arrival.spoiled = True
             data = data[:-3]
@@ -130,14 +138,14 @@
     def _stream(self, arrival: Arrival, sock: socket.socket, head: str, slow: int) -> None:
         draw = self.rng.random
         if draw() < self.behaviour.fail:
-            sock.sendall(answer(head, b"failed", "500 Failed"))
+            sock.sendall(answer(head, b"failed", "500 Failed", self._extra))
             return
         first = int(header(head, names.LAST_EVENT_ID) or 0) + 1
         broken_at = 0
         if draw() < self.behaviour.truncate:
             broken_at = self.rng.randint(first, STREAM_EVENTS)
             arrival.spoiled = True
-        sock.sendall(stream_head(head))
+        sock.sendall(stream_head(head, self._extra))
         for number in range(first, STREAM_EVENTS + 1):
             data = event(arrival.id, number)
             if number == broken_at:
