One home for shared parts over all domains again; known parts live for half of a memory's turnover

Change: one home by rendezvous hash over all domains as before; the price of what crosses stays. Half instead of seven tenths of the memory's turnover, as moved and reread parts fill it too.

Ruled out: asking each engine once after a start what it keeps (kv-list).

--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -36,7 +36,7 @@
 STALE_WEIGHT = 0.1
 # Parts that were not used for longer than the prompts of an engine take to fill this part of its
 # memory may have been evicted. What is not known of the load bounds the time on both sides.
-TURNOVER_PART = 0.7
+TURNOVER_PART = 0.5
 PART_LIFETIME_MS = 8_000
 MAX_PART_LIFETIME_MS = 30_000
 # A stream is begun only if this much of its time limit is expected to be needed at most; the pace
@@ -123,19 +123,16 @@
     return OTHER_DOMAIN_MS + CROSSING_MS_PER_KB * (len(request.body) + answer) / 1_024
 
 
-def home_of(
-    prompt: PromptShape, targets: list[TargetState], failure_domain: str
-) -> TargetState | None:
+def home_of(prompt: PromptShape, targets: list[TargetState]) -> TargetState | None:
     """Return the target at which a prompt's shared parts should be read first.
 
-    It is the first in rendezvous order of the last shared part, so that all routers of a failure
-    domain send to the same one, which is there if any is.
+    It is the first in rendezvous order of the last shared part, so that all routers send to the
+    same one. A home in each failure domain would fill the memory with copies.
     """
     key = shared_key(prompt)
     if not key:
         return None
     sound = [item for item in targets if item.error_rate < FAILING_RATE] or targets
-    sound = [item for item in sound if item.record.failure_domain == failure_domain] or sound
     owner = rendezvous.owner(key, [item.record.id for item in sound])
     return next((item for item in sound if item.record.id == owner), None)
 
@@ -169,7 +166,7 @@
         prompt = request.prompt
         lifetime_ms = part_lifetime_ms(shape, tokens_per_s, len(targets))
         held = {item.record.id: held_tokens(prompt, item, now, lifetime_ms) for item in targets}
-        home = home_of(prompt, targets, self.failure_domain)
+        home = home_of(prompt, targets)
         holder = max(targets, key=lambda item: (held[item.record.id], item is home))
         # If nobody is known to hold the first part, the home reads it once for all.
         source = holder if held[holder.record.id] else home
