Refuse at once while the event loop is late; look for the caller once more before a request is sent

A slow router gets a hot workspace's callers, reads their requests after more than a second, when they have left, and sends them on: the loop's watch of a caller's connection comes to its turn only after the send.

Change: the connection is looked at without waiting right before the send. A timer of 250 ms measures how late the loop is (metric loop_delay_ms); above 500 ms new requests are refused as not run, so that callers find another router.

Result: test_a_caller_that_left_before_a_late_loop_came_to_it_reaches_no_target failed before and holds; tests/gateway/test_loopdelay.py, test_a_late_router_refuses_at_once. 144 tests pass.

--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -67,7 +67,7 @@
     ) -> Iterable[bytes]:
         """Serve one request."""
         connection: GatewayHandler = environ["jacinthcove.connection"]
-        sink = CallerSink(start_response)
+        sink = CallerSink(start_response, connection.has_left)
         self.open_requests += 1
         self.last_request_at = self.clock.now()
         try:
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -35,6 +35,9 @@
     def begun(self) -> bool:
         """Return whether the caller has been sent a part of the answer."""
 
+    def check_caller(self) -> None:
+        """Raise `CallerGone` if the caller has closed its connection, however late the loop is."""
+
     def begin(self, status: int, reason: str, headers: Headers) -> None:
         """Send the head of a stream."""
 
@@ -160,6 +163,7 @@
         exchange = Exchange(target.record.address)
         try:
             exchange.open()
+            self.sink.check_caller()
             self.forwarder.check_send(self.request, target)
             self.sends += 1
             attempt.sent_at = self.clock.now()
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -182,15 +182,8 @@
         watcher = gevent.get_hub().loop.io(self.socket.fileno(), READ_EVENT)
 
         def on_readable() -> None:
-            try:
-                # A duplicate of the descriptor is not needed: peeking does not block here.
-                data = self.socket._sock.recv(1, socket.MSG_PEEK)
-            except BlockingIOError:
-                return
-            except OSError:
-                data = b""
             watcher.stop()
-            if not data:
+            if self.has_left():
                 greenlet.kill(CallerGone("the caller closed its connection"), block=False)
 
         watcher.start(on_readable)
@@ -200,6 +193,16 @@
             watcher.stop()
             watcher.close()
 
+    def has_left(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        try:
+            # A duplicate of the descriptor is not needed: peeking does not block here.
+            return not self.socket._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def drop(self) -> None:
         """End the connection without completing what was begun."""
         self.close_connection = True
@@ -253,8 +256,9 @@
 class CallerSink:
     """Writes one answer to a caller; a leaving router ends the connection after it."""
 
-    def __init__(self, start_response: Callable[..., Any]):
+    def __init__(self, start_response: Callable[..., Any], has_left: Callable[[], bool]):
         self.start_response = start_response
+        self.has_left = has_left
         self.write_part: Callable[[bytes], Any] | None = None
         self.result: Iterable[bytes] = ()
         self.answered = False
@@ -264,6 +268,11 @@
         """Return whether the caller has been sent a part of the answer."""
         return self.answered
 
+    def check_caller(self) -> None:
+        """Raise `CallerGone` if the caller has closed its connection."""
+        if self.has_left():
+            raise CallerGone("the caller closed its connection")
+
     def begin(self, status: int, reason: str, headers: Headers) -> None:
         """Send the head of a stream."""
         self.answered = True
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -16,6 +16,7 @@
 from jacinthcove.gateway.decisions import Step
 from jacinthcove.gateway.directory import routers_for
 from jacinthcove.gateway.forward import Attempt, Forwarder, Forwarding
+from jacinthcove.gateway.loopdelay import LoopDelay
 from jacinthcove.gateway.model import GatewayRequest, Repeatability
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.results import version_result
@@ -141,6 +142,7 @@
         )
         # Boot ms, as the platform's grace goes on while the VM is suspended.
         self.stopping_at: int | None = None
+        self.loop_delay = LoopDelay(clock, self.metrics.gauge("loop_delay_ms").set)
         self.logs: dict[str, ChangeLog] = {}
         self.source = RelayedSource(clock, self.objects, self.logs)
         self.watches = [
@@ -161,6 +163,7 @@
         log.info("router_starting", settings=self.settings.id)
         for watch in self.watches:
             watch.start()
+        self.loop_delay.start()
         self.server.start()
         host, _ = split_address(self.settings.caller_listen)
         self.endpoints.start(
@@ -200,6 +203,7 @@
     def abandon(self) -> None:
         """Stop at once without finishing anything."""
         self.server.stop_accepting()
+        self.loop_delay.close()
         self.fleet.close()
         for watch in self.watches:
             watch.close()
@@ -243,6 +247,9 @@
         if self.application.open_requests > MAX_OPEN_REQUESTS:
             message = "the router has too many open requests"
             return RequestRefused(ResultCode.OVERLOADED, message, OVERLOADED_RETRY_MS)
+        if self.loop_delay.refuses():
+            message = f"the router is {self.loop_delay.delay_ms()} ms late"
+            return RequestRefused(ResultCode.OVERLOADED, message, RETRY_ELSEWHERE_MS)
         if not self._knows_all():
             # What was drained before this process started may be unknown yet.
             message = "not all is known yet"
--- /dev/null
+++ b/tests/gateway/test_loopdelay.py
@@ -0,0 +1,57 @@
+"""How late the event loop is."""
+
+import time
+
+import gevent
+import pytest
+
+from jacinthcove.clock import ManualClock, SystemClock
+from jacinthcove.gateway.loopdelay import KEPT_PERIODS, PERIOD_MS, REFUSING_DELAY_MS, LoopDelay
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def fire(delay, clock, late_ms=0):
+    clock.advance(PERIOD_MS + late_ms)
+    delay.sample()
+
+
+def test_a_timely_loop_refuses_nothing(clock):
+    delay = LoopDelay(clock)
+    delay.sample()
+    for _ in range(5):
+        fire(delay, clock)
+    assert delay.delay_ms() == 0
+    assert not delay.refuses()
+
+
+def test_a_late_loop_refuses_until_it_has_been_timely_again(clock):
+    seen = []
+    delay = LoopDelay(clock, seen.append)
+    delay.sample()
+    fire(delay, clock, REFUSING_DELAY_MS + 1)
+    assert delay.refuses()
+    assert seen == [REFUSING_DELAY_MS + 1]
+    for _ in range(KEPT_PERIODS):
+        fire(delay, clock)
+    assert not delay.refuses()
+
+
+def test_a_timer_that_is_still_due_counts(clock):
+    delay = LoopDelay(clock)
+    delay.sample()
+    clock.advance(PERIOD_MS + REFUSING_DELAY_MS + 1)
+    assert delay.refuses()
+
+
+def test_the_real_loop_is_measured():
+    delay = LoopDelay(SystemClock())
+    delay.start()
+    gevent.sleep(PERIOD_MS / 2_000)
+    time.sleep((PERIOD_MS + REFUSING_DELAY_MS + 100) / 1_000)
+    gevent.sleep(0)
+    assert delay.refuses()
+    delay.close()
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -8,6 +8,7 @@
 from test_platform_decode import CONFIG, ENTRY, SETTINGS
 from wire_bed import KEY, ScriptedTarget, answer, read_answer, request
 
+from jacinthcove.gateway.loopdelay import REFUSING_DELAY_MS
 from jacinthcove.platform.daemon import PlatformRouter
 from jacinthcove.platform.settings import decode_settings
 
@@ -212,3 +213,13 @@
     status, headers, body = call.get(timeout=3)
     assert (status, body, headers.get("connection")) == (200, b"published", "close")
     closing.get(timeout=8)
+
+
+def test_a_late_router_refuses_at_once(start, operator, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    router.loop_delay.recent = [REFUSING_DELAY_MS + 1]
+    status, headers, _ = http(router.settings.caller_listen)
+    assert (status, "retry-after" in headers) == (503, True)
+    assert not ledger.seen
--- a/tests/platform/test_wire_answers.py
+++ b/tests/platform/test_wire_answers.py
@@ -1,5 +1,8 @@
 """Answers of targets, good and bad, as callers get them."""
 
+import socket
+import time
+
 import gevent
 import pytest
 from wire_bed import (
@@ -11,6 +14,7 @@
     header,
     not_run,
     read_answer,
+    request,
     stream_head,
 )
 
@@ -351,3 +355,21 @@
     monkeypatch.setattr(Exchange, "open", open_late)
     assert bed.call("/publish/7")[0] == 503
     assert not target.seen
+
+
+def test_a_caller_that_left_before_a_late_loop_came_to_it_reaches_no_target(bed, monkeypatch):
+    """The loop notices the closed connection only after the one to the target is open."""
+    target = bed.add("t1", "ledger", answering(answer))
+    sock = bed.connect()
+    open_connection = Exchange.open
+
+    def open_late(exchange):
+        open_connection(exchange)
+        sock.shutdown(socket.SHUT_RDWR)
+        # The whole loop stands still until the end of the caller's connection has arrived.
+        time.sleep(0.05)
+
+    monkeypatch.setattr(Exchange, "open", open_late)
+    sock.sendall(request("/publish/7"))
+    gevent.sleep(0.2)
+    assert not target.seen
