Digests tell the revision of a kind's last change, not the store's newest

Cause: the store's revision rises with every change of any kind, so each digest seemed to tell news of all kinds and every router went on asking.

Result: test_changes_of_other_kinds_are_no_reason_to_ask.

--- a/src/jacinthcove/store/changelog.py
+++ b/src/jacinthcove/store/changelog.py
@@ -30,13 +30,15 @@
         self.current = False
         self.base = 0
         self.revision = 0
+        # Whoever knows this revision knows all changes; `revision` also rises with other kinds.
+        self.changed_revision = 0
         self.known_at = 0
         self.batches: deque[Batch] = deque()
         self.changed = Event()
 
     def restart(self, revision: int, known_at: int) -> None:
         """Begin at a list of the store."""
-        self.base = self.revision = revision
+        self.base = self.revision = self.changed_revision = revision
         self.known_at = known_at
         self.batches.clear()
         self.current = True
@@ -50,6 +52,7 @@
         self.revision = news.revision
         if news.changes:
             self.batches.append(Batch(news.revision, news.changes))
+            self.changed_revision = news.revision
             if len(self.batches) > MAX_BATCHES:
                 self.base = self.batches.popleft().revision
             self._wake()
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -141,7 +141,7 @@
         """Return what this router knows of the kinds that it follows itself."""
         now = self.clock.boot()
         return [
-            pb.KindNews(kind=kind, revision=log.revision, age_ms=max(0, now - log.known_at))
+            pb.KindNews(kind=kind, revision=log.changed_revision, age_ms=max(0, now - log.known_at))
             for kind, log in self.logs.items()
             if log.current
         ]
--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -311,3 +311,14 @@
     words(one.source, one.watch.revision, age_ms, router)
     feeder = one.source.feeder()
     assert one.source._wait_for_word(feeder, KIND, one.watch.revision, 40) is None
+
+
+def test_changes_of_other_kinds_are_no_reason_to_ask(store, mesh):
+    clock = SystemClock()
+    log = ChangeLog(clock)
+    feeder = RelayedSource(clock, store, {KIND: log})
+    log.restart(5, clock.boot())
+    log.add(5, News([Change(KindObject("a", 6, 1), False)], 6), clock.boot())
+    log.add(6, News([], 90), clock.boot())
+    assert [(item.kind, item.revision) for item in feeder.kind_news()] == [(KIND, 6)]
+    assert log.revision == 90
