--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -112,7 +112,6 @@
         self.direct: set[str] = set()
         self.told_collector_at = 0
         self.told_open_requests = 0
-        self.bundled_at = 0
         self.news: KindNewsBoard = NoNews()
         self.collector_id: str | None = None
         self.heard_at = clock.now()
--- a/tests/platform/test_target_wishes.py
+++ b/tests/platform/test_target_wishes.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from wire_bed import GatewayBed, answer, chunk, event, header, not_run, stream_head
+from wire_bed import GatewayBed, answer, answering, chunk, event, header, not_run, stream_head
 
 from jacinthcove.platform import names
 from jacinthcove.platform.codec import MAX_RETRY_AFTER_MS
@@ -18,15 +18,6 @@
     bed.close()
 
 
-def answering(make):
-    """Return a script that sends what `make(head)` returns and closes."""
-
-    def script(target, sock, head):
-        sock.sendall(make(head))
-
-    return script
-
-
 def refusing(value, status="503 Service Unavailable"):
     """Return a script of a full target that names a time to come back."""
     return answering(lambda head: not_run(head, status, f"{names.RETRY_AFTER}: {value}\r\n"))
--- a/tests/platform/test_wire_answers.py
+++ b/tests/platform/test_wire_answers.py
@@ -9,6 +9,7 @@
     TIMEOUT_MS,
     GatewayBed,
     answer,
+    answering,
     chunk,
     event,
     header,
@@ -34,15 +35,6 @@
     bed.close()
 
 
-def answering(make):
-    """Return a script that sends what `make(head)` returns and closes."""
-
-    def script(target, sock, head):
-        sock.sendall(make(head))
-
-    return script
-
-
 def streaming(events, end=True):
     """Return a script that streams events after the one that the request names."""
 
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -129,6 +129,15 @@
     return (f"HTTP/1.1 {status}\r\n{names.NOT_RUN}: 1\r\n{extra}Content-Length: 0\r\n\r\n").encode()
 
 
+def answering(make):
+    """Return a script that sends what `make(head)` returns and closes."""
+
+    def script(target, sock, head):
+        sock.sendall(make(head))
+
+    return script
+
+
 def stream_head(head, extra=""):
     """Return the head of a signed event stream."""
     return (
