--- a/src/jacinthcove/gateway/digests.py
+++ b/src/jacinthcove/gateway/digests.py
@@ -68,6 +68,9 @@
         self.own = own
         for target_id in changed:
             self._apply(target_id, now)
+            if target_id in self.sums and not self.sums[target_id].running:
+                # Targets come and go; those without work need no sum.
+                del self.sums[target_id]
         for use in digest.workspaces:
             mine = own.uses.get(use.workspace, Use())
             asked, admitted = use.asked_tokens - mine.asked, use.admitted_tokens - mine.admitted
--- a/tests/gateway/test_digests.py
+++ b/tests/gateway/test_digests.py
@@ -91,6 +91,18 @@
     assert set(one.book.states["t1"].load.peers) & {"a@x", "a@y"} == {"a@y"}
 
 
+def test_targets_without_work_leave_nothing_behind(clock):
+    fleet = Fleet(clock)
+    one = member(fleet)
+    begin(member(fleet, 1))
+    fleet.round()
+    assert others_running(one) == 1
+    member(fleet, 1).book.states["t1"].load.end("q1")
+    fleet.round()
+    assert others_running(one) == 0
+    assert not one.digests.sums
+
+
 def test_a_report_that_is_no_longer_kept_has_no_own_part():
     assert OwnHistory().find(3) is NOTHING
 
