--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -220,9 +220,28 @@
         target = choice.target
         # Counted for warm targets too: they may turn cold within the same second.
         self.cold.note(target.record.id)
+        self._log_cold(request, target)
         target.load.begin(request.id, choice.unread_tokens, choice.memory_tokens)
         target.note_parts([part.id for part in request.prompt.parts[:-1]], own=True)
 
+    def _log_cold(self, request: GatewayRequest, target: TargetState) -> None:
+        """Write why this router may send to a cold target now."""
+        service = self.services[target.record.service]
+        cold_ms = target.cold_until - self.clock.now()
+        if cold_ms <= 0 or service.cold_requests_per_s <= 0:
+            return
+        fleet = self.fleet()
+        self.decisions.note(
+            "cold_target_chosen",
+            request_id=request.id,
+            target=target.record.id,
+            target_revision=target.revision,
+            cold_ms=cold_ms,
+            routers=fleet.routers,
+            rank=fleet.rank,
+            limit=self.cold_part(service, target.record.id),
+        )
+
     def _log_refusal(
         self, request: GatewayRequest, service: str, verdict: Verdict, avoid: frozenset[str]
     ) -> None:
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -67,6 +67,7 @@
     head: AnswerHead | None = None
     body: bytes = b""
     reason: str = ""
+    chosen_at: int = 0
     sent_at: int = 0
     # Monotonic ms of the first event of a stream, 0 before it.
     first_event_at: int = 0
@@ -114,7 +115,7 @@
             choice = self.forwarder.admission.acquire(
                 self.request, self.service, frozenset(self.avoid)
             )
-            attempt = Attempt(choice)
+            attempt = Attempt(choice, chosen_at=self.clock.now())
             self.attempts.append(attempt)
             try:
                 self._attempt(attempt)
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -119,7 +119,7 @@
         if pressed:
             log.info(
                 "shares_pressed",
-                level=round(self.level),
+                fair_level=round(self.level),
                 admitted=round(admitted),
                 workspaces={
                     name: (use.asked, use.admitted, self.standing(name).value)
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -322,6 +322,7 @@
         now = self.clock.now()
         first_event_ms = max(0, forwarding.first_event_at - request.received_at)
         plain = step is Step.DONE and first_event_ms <= request.route.latency_goal_ms
+        plain = plain and attempt.choice.target.cold_until <= now
         write = self.decisions.success if plain else self.decisions.note
         write(
             "request_attempted",
@@ -343,6 +344,7 @@
             error_rate=round(target.error_rate, 2),
             configuration_age_ms=self.beliefs.age_ms(),
             goal_ms=request.route.latency_goal_ms,
+            chosen_ms=max(0, attempt.chosen_at - request.received_at),
             sent_ms=max(0, attempt.sent_at - request.received_at),
             first_event_ms=first_event_ms,
             total_ms=now - request.received_at,
--- /dev/null
+++ b/tests/gateway/test_cold_targets.py
@@ -0,0 +1,106 @@
+"""The rate at which all routers together send to a cold target, whatever happens to the routers."""
+
+from random import Random
+
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.admission import Admission, ColdBound, FleetSize
+from jacinthcove.gateway.coldlimit import ColdLimit
+from jacinthcove.gateway.forward import Forwarder
+from jacinthcove.gateway.placement import Placement
+from jacinthcove.gateway.retrybudget import WindowedRetryBudget
+from jacinthcove.gateway.rollouts import Rollouts
+from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targets import TargetBook
+from jacinthcove.observe.decisions import DecisionLog
+from jacinthcove.observe.metrics import Metrics
+from jacinthcove.targets.sockets import TargetUnreachable
+from tests.gateway.samples import config, record, request
+
+# What a cold target bears a second, and the part of it that routers share.
+ALLOWED_PER_S = 7.8 * 1.5 + 5
+RATE_PER_S = ALLOWED_PER_S * 0.8
+STEP_MS = 20
+LEARN_MS = 3_200
+
+
+def most_in_a_second(times):
+    return max(sum(at <= other < at + 1_000 for other in times) for at in times)
+
+
+@pytest.mark.parametrize(("before", "added"), [(81, 15), (8, 1), (30, 30)])
+def test_routers_that_are_added_do_not_flood_a_cold_target(before, added):
+    rng = Random(before)
+    old = sorted(f"r{number}" for number in range(before))
+    new = sorted(old + [f"r{number}x" for number in range(added)])
+    clock = ManualClock()
+    limits = {router: ColdLimit(clock) for router in new}
+    learns_at = {router: rng.uniform(0, LEARN_MS) if router in old else 0 for router in new}
+    sent = []
+    for time in range(-2_000, 12_000, STEP_MS):
+        for router, limit in limits.items():
+            ids = new if time >= learns_at[router] else old
+            if router not in ids:
+                continue
+            part = limit.part("t1", RATE_PER_S, len(ids), ids.index(router))
+            if limit.allows("t1", part):
+                limit.note("t1")
+                sent.append(time)
+        clock.advance(STEP_MS)
+    assert most_in_a_second(sent) <= ALLOWED_PER_S
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def forwarder(clock):
+    """A forwarder of one router of 14, whose part of a cold target is one request a second."""
+    book = TargetBook(clock)
+    rollouts = Rollouts(clock, book)
+    admission = Admission(
+        clock,
+        book,
+        Placement("a"),
+        ShareLedger(clock, 4_000),
+        ColdLimit(clock),
+        ColdBound(1.0, 0.0),
+        lambda: FleetSize(14, 0),
+        DecisionLog(clock, Metrics()),
+        rollouts,
+    )
+    admission.configure(config())
+    budget = WindowedRetryBudget(clock, 10_000, 0.2, lambda: 0)
+    return Forwarder(clock, None, admission, budget, None, lambda asked: None, lambda *_: None)
+
+
+def decide(admission, asked):
+    return admission.decide(admission.begin(asked, "models", frozenset()))
+
+
+def test_a_request_that_is_held_up_on_its_way_counts_when_it_is_sent(clock, forwarder):
+    admission = forwarder.admission
+    admission.book.put(record(cold_for_ms=10_000), 1)
+    first, second = request(clock, "q1"), request(clock, "q2")
+    target = decide(admission, first).target
+    clock.advance(1_300)
+    assert decide(admission, second) is None
+    forwarder.check_send(first, target)
+    assert decide(admission, second) is None
+    clock.advance(1_200)
+    assert decide(admission, second).target is target
+
+
+def test_requests_on_their_way_to_a_target_that_turns_cold_are_held_back(clock, forwarder):
+    admission = forwarder.admission
+    admission.book.put(record(), 1)
+    first, second = request(clock, "q1"), request(clock, "q2")
+    target = decide(admission, first).target
+    assert decide(admission, second).target is target
+    admission.book.put(record(cold_for_ms=10_000), 2)
+    forwarder.check_send(first, target)
+    with pytest.raises(TargetUnreachable):
+        forwarder.check_send(second, target)
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -126,3 +126,13 @@
     assert state.unreachable_until - clock.now() == UNREACHABLE_MAX_PAUSE_MS
     state.note_answer(False)
     assert state.unreachable_until == 0
+
+
+def test_an_entry_gives_way_to_a_later_start_at_its_address(clock):
+    book = TargetBook(clock)
+    book.put(record("old", address="10.0.0.1:80", started_at=100), 1)
+    book.put(record("new", address="10.0.0.1:80", started_at=200), 2)
+    book.put(record("other", address="10.0.0.2:80", started_at=50), 3)
+    assert [state.record.id for state in book.usable("models")] == ["new", "other"]
+    book.delete("new", False)
+    assert [state.record.id for state in book.usable("models")] == ["old", "other"]
--- a/tests/platform/test_target_wishes.py
+++ b/tests/platform/test_target_wishes.py
@@ -107,3 +107,18 @@
     bed.book.put(full.record(started_at=77), 2)
     assert bed.call("/publish/7", id="q2")[0] == 200
     assert header(full.seen[1], names.EXPECTED_TARGET) == "t1"
+
+
+def test_an_address_that_answers_for_another_target_is_left_alone(bed):
+    moved = bed.add("t1", "ledger", answering(lambda head: not_run(head, "421 Misdirected Request")))
+    bed.add("t2", "ledger", answering(answer))
+    for number in range(20):
+        assert bed.call("/publish2/7", id=f"q{number}")[0] == 200
+    assert len(moved.seen) <= 1
+
+
+def test_what_a_target_turns_away_does_not_count_as_given(bed):
+    bed.add("t1", "models", answering(not_run))
+    assert bed.call("/draft/7", extra=f"{names.TOKEN_COUNTS}: 100,10\r\n")[0] == 503
+    (known,) = bed.admission.ledger.sum_with(frozenset()).values()
+    assert (known.asked, known.admitted) == (120, 0)
