Parts of limits that move between routers are used by one of them at a time

And a request was counted when it chose its target, but a late router sent it up to 742 ms later, beside the next one. Change: rendezvous hash instead of rank; the least part of all fleets known for 6 s; an added router waits as long; no part for one that knows no others, which also held for the slack of the retry budget; a request counts from its choice to a window after its send, and is checked again right before.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -1,7 +1,6 @@
 """Admission: joins placement, fair shares, cold limits and the short wait for a place."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -11,6 +10,7 @@
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.coldlimit import ColdLimit
+from jacinthcove.gateway.fleetparts import FleetParts
 from jacinthcove.gateway.model import GatewayRequest, GatewayService, RoutingConfig
 from jacinthcove.gateway.placement import Choice, Placement, Verdict
 from jacinthcove.gateway.rollouts import Rollouts, VersionPlan
@@ -37,14 +37,6 @@
 LOGGED_TARGETS = 10
 
 
-@dataclass(frozen=True)
-class FleetSize:
-    """How many routers share the limits, and the place of this one among them."""
-
-    routers: int = 1
-    rank: int = 0
-
-
 @dataclass(frozen=True)
 class ColdBound:
     """The rate that a cold target bears: `over` times its own rate plus `slack` per second."""
@@ -75,7 +67,7 @@
         ledger: ShareLedger,
         cold: ColdLimit,
         cold_bound: ColdBound,
-        fleet: Callable[[], FleetSize],
+        fleet: FleetParts,
         decisions: DecisionLog,
         rollouts: Rollouts,
         rng: random.Random | None = None,
@@ -163,9 +155,19 @@
         """Return when a target may have room at the earliest."""
         return self.clock.now() + max(WAIT_STEP_MS, self.book.refused_for_ms(service))
 
+    def may_send(self, request: GatewayRequest, target: TargetState) -> bool:
+        """Return whether a request may be sent to its target now, and count that it is.
+
+        The target may have left or turned cold since it was chosen.
+        """
+        if not self.book.may_send(target):
+            return False
+        return self.cold.send(target.record.id, request.id, self._cold_limit(target))
+
     def release(self, request: GatewayRequest, target: TargetState) -> None:
         """Count the end of a request at its target."""
         target.load.end(request.id)
+        self.cold.forget(target.record.id, request.id)
 
     def _choose(
         self, request: GatewayRequest, service: str, avoid: frozenset[str], plan: VersionPlan
@@ -189,7 +191,7 @@
         now = self.clock.now()
         willing = [t for t in usable if t.refuses_until <= now]
         reachable = [t for t in willing if t.unreachable_until <= now] or willing
-        targets = [t for t in reachable if self._cold_allows(known, t, now)]
+        targets = [t for t in reachable if self._cold_allows(t)]
         if usable and not targets:
             return Verdict.FULL
         if known.engine is None:
@@ -205,41 +207,40 @@
             self.ledger.admitted_per_s,
         )
 
-    def _cold_allows(self, service: GatewayService, target: TargetState, now: int) -> bool:
-        if service.cold_requests_per_s <= 0 or target.cold_until <= now:
-            return True
-        return self.cold.allows(target.record.id, self.cold_part(service, target.record.id))
+    def _cold_allows(self, target: TargetState) -> bool:
+        limit = self._cold_limit(target)
+        return limit is None or self.cold.allows(target.record.id, limit)
 
-    def cold_part(self, service: GatewayService, target: str) -> int:
-        """Return this router's requests per second to a cold target of a service."""
-        fleet = self.fleet()
+    def _cold_limit(self, target: TargetState) -> int | None:
+        """Return this router's requests per second to a target, None if it is not cold."""
+        service = self.services.get(target.record.service)
+        if service is None or service.cold_requests_per_s <= 0:
+            return None
+        if target.cold_until <= self.clock.now():
+            return None
         rate = service.cold_requests_per_s * self.cold_bound.over + self.cold_bound.slack
-        return self.cold.part(target, rate, fleet.routers, fleet.rank)
+        return self.fleet.part(target.record.id, rate)
 
     def _occupy(self, request: GatewayRequest, choice: Choice) -> None:
         target = choice.target
-        # Counted for warm targets too: they may turn cold within the same second.
-        self.cold.note(target.record.id)
+        self.cold.choose(target.record.id, request.id)
         self._log_cold(request, target)
         target.load.begin(request.id, choice.unread_tokens, choice.memory_tokens)
         target.note_parts([part.id for part in request.prompt.parts[:-1]], own=True)
 
     def _log_cold(self, request: GatewayRequest, target: TargetState) -> None:
         """Write why this router may send to a cold target now."""
-        service = self.services[target.record.service]
-        cold_ms = target.cold_until - self.clock.now()
-        if cold_ms <= 0 or service.cold_requests_per_s <= 0:
+        limit = self._cold_limit(target)
+        if limit is None:
             return
-        fleet = self.fleet()
         self.decisions.note(
             "cold_target_chosen",
             request_id=request.id,
             target=target.record.id,
             target_revision=target.revision,
-            cold_ms=cold_ms,
-            routers=fleet.routers,
-            rank=fleet.rank,
-            limit=self.cold_part(service, target.record.id),
+            cold_ms=target.cold_until - self.clock.now(),
+            routers=self.fleet.routers,
+            limit=limit,
         )
 
     def _log_refusal(
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -50,6 +50,10 @@
         """Send a whole answer."""
 
 
+class TargetWithheld(TargetUnreachable):
+    """The target may not be sent to at present, though it can be reached; it received nothing."""
+
+
 class AnswerAborted(JacinthcoveError):  # noqa: N818 - names an outcome
     """The caller has part of an answer that cannot be completed; its connection must end."""
 
@@ -181,7 +185,8 @@
         except TargetUnreachable as error:
             self.unreachable += 1
             attempt.end, attempt.reason = AttemptEnd.UNREACHABLE, str(error)
-            target.note_unreachable(self.clock.now())
+            if not isinstance(error, TargetWithheld):
+                target.note_unreachable(self.clock.now())
         except TargetFailed as error:
             midway = self.sink.begun
             attempt.end = AttemptEnd.BROKEN_MIDWAY if midway else AttemptEnd.BROKEN_BEFORE
@@ -283,8 +288,8 @@
     def check_send(self, request: GatewayRequest, target: TargetState) -> None:
         """Check once more, after the connection is open, that the request may be sent.
 
-        Raises `RequestRefused` or `TargetUnreachable`.
+        Raises `RequestRefused` or `TargetWithheld`.
         """
         self.check_fresh(request)
-        if not self.admission.book.may_send(target):
-            raise TargetUnreachable("the target takes no more requests")
+        if not self.admission.may_send(request, target):
+            raise TargetWithheld("the target takes no more requests from this router now")
--- a/src/jacinthcove/lab/play.py
+++ b/src/jacinthcove/lab/play.py
@@ -9,8 +9,9 @@
 
 from jacinthcove.clock import ManualClock
 from jacinthcove.errors import PeerUnavailable, RequestRefused
-from jacinthcove.gateway.admission import Admission, ColdBound, FleetSize, Pending
+from jacinthcove.gateway.admission import Admission, ColdBound, Pending
 from jacinthcove.gateway.coldlimit import ColdLimit
+from jacinthcove.gateway.fleetparts import FleetParts
 from jacinthcove.gateway.loadexchange import LoadExchange
 from jacinthcove.gateway.loadreports import FAR_PERIOD_MS, PERIOD_MS, Audience
 from jacinthcove.gateway.model import (
@@ -91,6 +92,8 @@
         self.domain = domain
         self.book = TargetBook(clock)
         self.ledger = ShareLedger(clock, SHARE_WINDOW_MS)
+        parts = FleetParts(clock, id)
+        parts.note(f"r{number}" for number in range(fleet.routers))
         self.admission = Admission(
             clock,
             self.book,
@@ -98,7 +101,7 @@
             self.ledger,
             ColdLimit(clock),
             ColdBound(1.0, 0.0),
-            lambda: FleetSize(fleet.routers, 0),
+            parts,
             DecisionLog(clock, Metrics(), lines_per_s=0),
             Rollouts(clock, self.book),
             rng,
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -118,7 +118,7 @@
             self.ledger,
             ColdLimit(clock),
             _cold_bound(bounds),
-            self.fleet.size,
+            self.fleet.parts_of_limits,
             self.decisions,
             self.rollouts,
         )
@@ -258,8 +258,9 @@
         return [item.address for item in routers_for(domain, candidates)]
 
     def _retry_slack(self) -> int:
-        slack = self.settings.bounds.retry_slack * RETRY_SLACK_PART
-        return int(slack / self.fleet.size().routers)
+        return self.fleet.parts_of_limits.even_part(
+            self.settings.bounds.retry_slack * RETRY_SLACK_PART
+        )
 
     def _refusal(self, request: GatewayRequest) -> RequestRefused | None:
         if self.application.open_requests > MAX_OPEN_REQUESTS:
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -11,8 +11,9 @@
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.gateway.admission import FleetSize
+from jacinthcove.gateway.coldlimit import WINDOW_MS
 from jacinthcove.gateway.directory import Candidate
+from jacinthcove.gateway.fleetparts import SETTLE_MS, FleetParts
 from jacinthcove.gateway.loadexchange import KindNewsBoard, LoadExchange, NoNews
 from jacinthcove.gateway.loadreports import PERIOD_MS
 from jacinthcove.gateway.partexchange import PartsExchange
@@ -32,12 +33,11 @@
 from jacinthcove.platform.settings import PlatformSettings
 from jacinthcove.router.versions import VersionControl
 from jacinthcove.scheduling import rendezvous
+from jacinthcove.store.kinds import KindObject
 
 log = structlog.get_logger()
 
 MESH_SECRET = "mesh"
-# Size assumed before the store has told the routers, so that limits are divided by enough.
-UNKNOWN_FLEET = 16
 RETRY_PAUSE_S = 0.5
 JOIN_TIMEOUT_S = 1.0
 # Probes open streams to all members in turn; heartbeats on each of them would be most of the mesh.
@@ -75,6 +75,11 @@
         )
         self.members = Membership(me, clock)
         self.listed: frozenset[str] = frozenset()
+        self.parts_of_limits = FleetParts(clock, me.id)
+        # Monotonic ms from which the others count with this router, None before it is registered.
+        self.counted_from: int | None = None
+        # Whether this process may have been the first to register this router.
+        self.may_be_new = False
         # Told once that the other routers can be reached.
         self.listeners: list[Callable[[Members, Peers], None]] = []
         self.links: PeerLinks | None = None
@@ -109,12 +114,13 @@
             if part is not None:
                 part.close()
 
-    def size(self) -> FleetSize:
-        """Return the number of routers that may send, those out of reach included."""
-        if not self.listed:
-            return FleetSize(UNKNOWN_FLEET, UNKNOWN_FLEET - 1)
-        ids = sorted(self.listed | self.members.table.keys() | {self.members.me.id})
-        return FleetSize(len(ids), ids.index(self.members.me.id))
+    def tick(self) -> None:
+        """Follow the routers that share the limits, those out of reach included."""
+        self.book.expire()
+        if self.counted_from is not None and self.clock.now() >= self.counted_from:
+            self.parts_of_limits.note(
+                self.listed | self.members.table.keys() | {self.members.me.id}
+            )
 
     def far_age_ms(self) -> float:
         """Return how much older than usual reports from other failure domains may be."""
@@ -151,7 +157,7 @@
         self.probing = Probing(self.members, self.links, seeds)
         self.probing.start()
         self.exchange = LoadExchange(
-            self.clock, self.members, self.links, self.book, self.ledger, self.book.expire
+            self.clock, self.members, self.links, self.book, self.ledger, self.tick
         )
         self.exchange.reporter.open_requests = self.open_requests
         self.exchange.reporter.takes_callers = self.takes_callers
@@ -203,13 +209,24 @@
         """Register this router and return the mesh addresses of the others."""
         me = self.members.me
         spec = {"mesh": me.mesh_address, "domain": me.failure_domain}
-        mine = self.objects.ensure(ROUTERS_KIND, me.id, spec)
+        mine = self._ensure_registered(spec)
         if mine.spec != spec:
             try:
                 self.objects.replace(ROUTERS_KIND, me.id, spec, mine.revision)
             except Conflict:
                 raise StoreUnavailable("another writer changed the registration") from None
         listing = self.objects.list_all(ROUTERS_KIND)
+        known_after_ms = SETTLE_MS if self.may_be_new else WINDOW_MS
+        self.counted_from = self.clock.now() + known_after_ms
         self.listed = frozenset(item.name for item in listing.objects)
         found = [str(item.spec["mesh"]) for item in listing.objects if item.name != me.id]
         return list(dict.fromkeys([*self.settings.seeds, *found]))
+
+    def _ensure_registered(self, spec: dict[str, str]) -> KindObject:
+        try:
+            mine = self.objects.ensure(ROUTERS_KIND, self.members.me.id, spec)
+        except StoreUnavailable:
+            self.may_be_new = True
+            raise
+        self.may_be_new = self.may_be_new or not mine.revision
+        return mine
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -5,8 +5,9 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
-from jacinthcove.gateway.admission import Admission, ColdBound, FleetSize
+from jacinthcove.gateway.admission import Admission, ColdBound
 from jacinthcove.gateway.coldlimit import ColdLimit
+from jacinthcove.gateway.fleetparts import SETTLE_MS, FleetParts
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
@@ -36,19 +37,19 @@
     new = sorted(old + [f"r{number}x" for number in range(added)])
     clock = ManualClock()
     limits = {router: ColdLimit(clock) for router in new}
-    learns_at = {router: rng.uniform(0, LEARN_MS) if router in old else 0 for router in new}
+    parts = {router: FleetParts(clock, router) for router in new}
+    learns_at = {r: rng.uniform(0, LEARN_MS) if r in old else SETTLE_MS for r in new}
     sent = []
-    for time in range(-2_000, 12_000, STEP_MS):
+    for time in range(-2_000, 14_000, STEP_MS):
         for router, limit in limits.items():
-            ids = new if time >= learns_at[router] else old
-            if router not in ids:
-                continue
-            part = limit.part("t1", RATE_PER_S, len(ids), ids.index(router))
-            if limit.allows("t1", part):
-                limit.note("t1")
+            if time >= learns_at[router] or router in old:
+                parts[router].note(new if time >= learns_at[router] else old)
+            part = parts[router].part("t1", RATE_PER_S)
+            if limit.allows("t1", part) and limit.send("t1", "q", part):
                 sent.append(time)
         clock.advance(STEP_MS)
     assert most_in_a_second(sent) <= ALLOWED_PER_S
+    assert sum(time >= 12_000 for time in sent) >= int(RATE_PER_S)
 
 
 @pytest.fixture
@@ -61,6 +62,8 @@
     """A forwarder of one router of 14, whose part of a cold target is one request a second."""
     book = TargetBook(clock)
     rollouts = Rollouts(clock, book)
+    parts = FleetParts(clock, "r1")
+    parts.note(f"r{number}" for number in range(14))
     admission = Admission(
         clock,
         book,
@@ -68,7 +71,7 @@
         ShareLedger(clock, 4_000),
         ColdLimit(clock),
         ColdBound(1.0, 0.0),
-        lambda: FleetSize(14, 0),
+        parts,
         DecisionLog(clock, Metrics()),
         rollouts,
     )
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -8,8 +8,10 @@
 from test_platform_decode import CONFIG, ENTRY, SETTINGS
 from wire_bed import KEY, ScriptedTarget, answer, read_answer, request
 
+from jacinthcove.gateway.coldlimit import WINDOW_MS
 from jacinthcove.gateway.exchange import Exchange
 from jacinthcove.gateway.loopdelay import REFUSING_DELAY_MS
+from jacinthcove.platform import fleet
 from jacinthcove.platform.daemon import PlatformRouter
 from jacinthcove.platform.settings import decode_settings
 
@@ -182,11 +184,13 @@
     assert len(ledger.seen) == 1
 
 
-def test_routers_find_each_other_and_the_directory_names_them(start, operator, ledger):
+def test_routers_find_each_other_and_the_directory_names_them(start, operator, ledger, monkeypatch):
+    monkeypatch.setattr(fleet, "SETTLE_MS", 0)
     operator(7)
     first, second = start("front-1"), start("front-2")
     eventually(lambda: len(first.fleet.candidates()) == 2)
-    eventually(lambda: first.fleet.size().routers == 2 or second.fleet.size().routers == 2)
+    parts = [router.fleet.parts_of_limits for router in (first, second)]
+    eventually(lambda: [item.routers for item in parts] == [2, 2])
     body = get(first.settings.directory_listen, "/-/resolve?name=x&region=r&zone=a")[2]
     assert second.settings.caller_listen.encode() in body
     second.stopping_at = second.clock.boot()
@@ -194,6 +198,21 @@
     eventually(lambda: len(first.fleet.candidates()) == 1)
 
 
+def test_an_added_router_takes_no_part_of_a_limit_before_the_others_count_with_it(start, operator):
+    operator(7)
+    router = start()
+    eventually(lambda: router.fleet.counted_from is not None)
+    router.fleet.tick()
+    assert router.fleet.parts_of_limits.routers == 0
+    router.fleet.counted_from = router.clock.now()
+    router.fleet.tick()
+    assert router.fleet.parts_of_limits.routers == 1
+    router.abandon()
+    again = start()
+    eventually(lambda: again.fleet.counted_from is not None)
+    assert again.fleet.counted_from - again.clock.now() <= WINDOW_MS
+
+
 def test_a_leaving_router_finishes_what_it_read(start, operator, ledger):
     operator(7)
     router = start()
--- a/tests/platform/test_target_wishes.py
+++ b/tests/platform/test_target_wishes.py
@@ -110,7 +110,9 @@
 
 
 def test_an_address_that_answers_for_another_target_is_left_alone(bed):
-    moved = bed.add("t1", "ledger", answering(lambda head: not_run(head, "421 Misdirected Request")))
+    moved = bed.add(
+        "t1", "ledger", answering(lambda head: not_run(head, "421 Misdirected Request"))
+    )
     bed.add("t2", "ledger", answering(answer))
     for number in range(20):
         assert bed.call("/publish2/7", id=f"q{number}")[0] == 200
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -4,10 +4,11 @@
 from gevent.server import StreamServer
 
 from jacinthcove.clock import SystemClock
-from jacinthcove.gateway.admission import Admission, ColdBound, FleetSize
+from jacinthcove.gateway.admission import Admission, ColdBound
 from jacinthcove.gateway.application import GatewayApplication
 from jacinthcove.gateway.beliefs import Beliefs
 from jacinthcove.gateway.coldlimit import ColdLimit
+from jacinthcove.gateway.fleetparts import FleetParts
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.model import (
     CallerLimits,
@@ -169,6 +170,8 @@
         self.book = TargetBook(clock)
         self.refused = None
         self.attempts = []
+        parts = FleetParts(clock, "r1")
+        parts.note(["r1"])
         self.admission = Admission(
             clock,
             self.book,
@@ -176,7 +179,7 @@
             ShareLedger(clock, 4_000),
             ColdLimit(clock),
             ColdBound(1.0, 0.0),
-            lambda: FleetSize(1, 0),
+            parts,
             self.decisions,
             Rollouts(clock, self.book),
         )
