--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -200,7 +200,9 @@
         head = attempt.head = self.forwarder.codec.answer_head(self.request, response)
         if head.execution is Execution.FOREIGN:
             raise TargetFailed("the answer belongs to another request or has no signature")
-        if head.execution is not Execution.OTHER_TARGET:
+        if head.execution is Execution.OTHER_TARGET:
+            target.note_moved(self.clock.now())
+        else:
             self._note_wishes(target, head)
         if head.execution in (Execution.NOT_RUN, Execution.OTHER_TARGET):
             other = head.execution is Execution.OTHER_TARGET
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -104,6 +104,10 @@
         self.unreachable_count = min(self.unreachable_count + 1, 8)
         self.unreachable_until = now + pause
 
+    def note_moved(self, now: int) -> None:
+        """Take the word of its address that it belongs to another target now."""
+        self.unreachable_until = now + UNREACHABLE_MAX_PAUSE_MS
+
     def note_refusal(self, now: int, retry_after_ms: int) -> None:
         """Take the target's wish to get nothing from this router for some time."""
         self.refuses_until = max(self.refuses_until, now + retry_after_ms)
@@ -118,6 +122,8 @@
         self.states: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
         self.drained_domains: frozenset[str] = frozenset()
+        # Targets at whose address another one has started since.
+        self.superseded: frozenset[str] = frozenset()
         # Starts of targets, by id, that said in an answer that they leave. The store may be late or
         # may never say so, and an entry can come back, so this outlives the state of a target.
         self.leaving_starts: dict[str, int] = {}
@@ -148,7 +154,7 @@
             log.info("target_restarted", target=record.id, revision=revision)
             state.load = TargetLoad(self.clock)
             state.recent_parts.clear()
-            state.refuses_until = 0
+            state.refuses_until = state.unreachable_until = state.unreachable_count = 0
         if record.leaving and not state.record.leaving:
             log.info("target_leaving", target=record.id, revision=revision)
         self._forget_leaving(state.record, record)
@@ -199,6 +205,7 @@
         return (
             not state.record.leaving
             and state.record.id not in self.leaving_starts
+            and state.record.id not in self.superseded
             and state.record.failure_domain not in self.drained_domains
             and (state.lapsed_at is None or boot_now - state.lapsed_at < LAPSED_GRACE_MS)
         )
@@ -215,6 +222,7 @@
             for state in self.by_service.get(service, ())
             if state.lapsed_at is None
             and state.unreachable_until <= now
+            and state.record.id not in self.superseded
             and not self._takes_work(state, boot_now)
         ]
 
@@ -265,3 +273,20 @@
             state = self.states[target_id]
             index.setdefault(state.record.service, []).append(state)
         self.by_service = index
+        self.superseded = self._find_superseded()
+
+    def _find_superseded(self) -> frozenset[str]:
+        """Return the targets that an entry with a later start at their address replaces.
+
+        The entry of a target that crashed stays for some time, while another one may already listen
+        at its address.
+        """
+        newest: dict[str, int] = {}
+        for state in self.states.values():
+            record = state.record
+            newest[record.address] = max(record.started_at, newest.get(record.address, 0))
+        return frozenset(
+            target_id
+            for target_id, state in self.states.items()
+            if 0 < state.record.started_at < newest[state.record.address]
+        )
--- a/tests/platform/test_target_wishes.py
+++ b/tests/platform/test_target_wishes.py
@@ -117,6 +117,10 @@
     for number in range(20):
         assert bed.call("/publish2/7", id=f"q{number}")[0] == 200
     assert len(moved.seen) <= 1
+    bed.book.put(moved.record(started_at=77), 2)
+    for number in range(20, 30):
+        bed.call("/publish2/7", id=f"q{number}")
+    assert len(moved.seen) == 2
 
 
 def test_what_a_target_turns_away_does_not_count_as_given(bed):
