What a target turns away no longer counts as given to its workspace

Cause, by a test that failed before: the ledger counts a request as given when its target is chosen, and one that the target turned away (421, 503), or that was never sent, stayed counted. Change: such tokens are counted as returned, over all routers (field of the load report), and another attempt counts anew.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -47,13 +47,17 @@
 
 @dataclass(frozen=True)
 class Pending:
-    """A request that waits for a target until `give_up_at` (monotonic ms) at most."""
+    """A request that waits for a target until `give_up_at` (monotonic ms) at most.
+
+    `counted` if what it asks for counts as given already, by an earlier attempt.
+    """
 
     request: GatewayRequest
     service: str
     avoid: frozenset[str]
     plan: VersionPlan
     give_up_at: int
+    counted: bool = False
 
 
 class Admission:
@@ -97,9 +101,15 @@
                 goals[share.service] = min(goal, route.latency_goal_ms)
         self.least_goals = goals
 
-    def acquire(self, request: GatewayRequest, service: str, avoid: frozenset[str]) -> Choice:
+    def acquire(
+        self,
+        request: GatewayRequest,
+        service: str,
+        avoid: frozenset[str],
+        counted: bool = False,
+    ) -> Choice:
         """Return a target, counted as in use; raises `RequestRefused` with a not-run code."""
-        pending = self.begin(request, service, avoid)
+        pending = self.begin(request, service, avoid, counted)
         try:
             while (choice := self.decide(pending)) is None:
                 gevent.sleep(self.wait_step_ms(service) / 1000)
@@ -112,13 +122,20 @@
         looks = len(self.waiting) * len(self.book.by_service.get(service, ()))
         return max(WAIT_STEP_MS, looks * LOOK_MS / ASKING_PART)
 
-    def begin(self, request: GatewayRequest, service: str, avoid: frozenset[str]) -> Pending:
+    def begin(
+        self,
+        request: GatewayRequest,
+        service: str,
+        avoid: frozenset[str],
+        counted: bool = False,
+    ) -> Pending:
         """Count what a request asks for; `avoid` are the targets that it was sent to before."""
         give_up_at = self.clock.now() + int(WAIT_PART * request.route.latency_goal_ms)
         if not avoid:
             self.ledger.ask(request.workspace, request.prompt.service_tokens)
         plan = self.rollouts.plan(service, request.route.name)
-        return Pending(request, service, avoid, plan, min(give_up_at, request.deadline))
+        give_up_at = min(give_up_at, request.deadline)
+        return Pending(request, service, avoid, plan, give_up_at, counted)
 
     def decide(self, pending: Pending) -> Choice | None:
         """Return a target, counted as in use, or None to ask again after `wait_step_ms`.
@@ -142,7 +159,7 @@
         if self._waits_for_holder(verdict, give_up_at):
             return None
         self._occupy(request, verdict)
-        if not pending.avoid:
+        if not pending.counted:
             self.ledger.admit(request.workspace, request.prompt.service_tokens)
         return verdict
 
@@ -164,10 +181,14 @@
             return False
         return self.cold.send(target.record.id, request.id, self._cold_limit(target))
 
-    def release(self, request: GatewayRequest, target: TargetState) -> None:
-        """Count the end of a request at its target."""
+    def release(
+        self, request: GatewayRequest, target: TargetState, turned_away: bool = False
+    ) -> None:
+        """Count the end of a request at its target; `turned_away` if no target worked on it."""
         target.load.end(request.id)
         self.cold.forget(target.record.id, request.id)
+        if turned_away:
+            self.ledger.take_back(request.workspace, request.prompt.service_tokens)
 
     def _choose(
         self, request: GatewayRequest, service: str, avoid: frozenset[str], plan: VersionPlan
@@ -204,7 +225,7 @@
             self.ledger.standing(request.workspace),
             now,
             self.book.still_there(known.name),
-            self.ledger.admitted_per_s,
+            self.ledger.given_per_s,
         )
 
     def _cold_allows(self, target: TargetState) -> bool:
--- a/src/jacinthcove/gateway/digests.py
+++ b/src/jacinthcove/gateway/digests.py
@@ -16,6 +16,21 @@
 KEPT_REPORTS = 16
 
 
+def encode_use(workspace: str, use: Use) -> pb.WorkspaceUse:
+    """Encode the cumulative tokens of a workspace."""
+    return pb.WorkspaceUse(
+        workspace=workspace,
+        asked_tokens=use.asked,
+        admitted_tokens=use.admitted,
+        returned_tokens=use.returned,
+    )
+
+
+def decode_use(message: pb.WorkspaceUse) -> Use:
+    """Decode the cumulative tokens of a workspace."""
+    return Use(message.asked_tokens, message.admitted_tokens, message.returned_tokens)
+
+
 @dataclass(frozen=True)
 class OwnPart:
     """What this router had at the targets when it sent a report; `sent_at` is boot ms."""
@@ -73,8 +88,7 @@
                 del self.sums[target_id]
         for use in digest.workspaces:
             mine = own.uses.get(use.workspace, Use())
-            asked, admitted = use.asked_tokens - mine.asked, use.admitted_tokens - mine.admitted
-            self.ledger.on_report(source, use.workspace, asked, admitted)
+            self.ledger.on_report(source, use.workspace, decode_use(use).since(mine))
 
     def forget(self) -> None:
         """Drop what the digests told."""
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -77,6 +77,11 @@
     first_event_at: int = 0
     ended_at: int = 0
 
+    @property
+    def begun(self) -> bool:
+        """Return whether the target may have worked on the request."""
+        return self.sent_at > 0 and not self.end.not_run
+
 
 class Forwarding:
     """The state of one request on its way."""
@@ -90,6 +95,8 @@
         self.sends = 0
         self.unreachable = 0
         self.may_have_run = False
+        # Whether the workspace got a part of what it asks for.
+        self.given = False
         self.avoid: set[str] = set()
         self.last_event_id = request.last_event_id
         self.first_event_at = 0
@@ -117,7 +124,7 @@
         self.forwarder.budget.request(self.service)
         while True:
             choice = self.forwarder.admission.acquire(
-                self.request, self.service, frozenset(self.avoid)
+                self.request, self.service, frozenset(self.avoid), self.given
             )
             attempt = Attempt(choice, chosen_at=self.clock.now())
             self.attempts.append(attempt)
@@ -125,7 +132,10 @@
                 self._attempt(attempt)
             finally:
                 attempt.ended_at = self.clock.now()
-                self.forwarder.admission.release(self.request, choice.target)
+                self.given = self.given or attempt.begun
+                self.forwarder.admission.release(
+                    self.request, choice.target, turned_away=not self.given
+                )
             self.may_have_run = self.may_have_run or not attempt.end.not_run
             step = self._step(attempt)
             self.forwarder.on_attempt(self, attempt, step)
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -16,7 +16,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.crowding import crowded, may_be_crowded
-from jacinthcove.gateway.digests import NOTHING, DigestView, OwnHistory
+from jacinthcove.gateway.digests import NOTHING, DigestView, OwnHistory, decode_use
 from jacinthcove.gateway.load import REPORT_LIFETIME_MS, PeerLoad
 from jacinthcove.gateway.loadreports import (
     PERIOD_MS,
@@ -203,7 +203,7 @@
                 report = PeerLoad(item.running, item.memory_tokens, item.unread_tokens, now)
                 target.load.on_report(sender, report)
         for use in message.workspaces:
-            self.ledger.on_report(sender, use.workspace, use.asked_tokens, use.admitted_tokens)
+            self.ledger.on_report(sender, use.workspace, decode_use(use))
 
     def _is_new(self, source: str, message: pb.LoadShare) -> bool:
         """Return whether a report is newer than what is known of its source."""
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -1,10 +1,10 @@
 """What one router tells the others: the changes since it last told the same audience."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jacinthcove.clock import Clock
-from jacinthcove.gateway.digests import OwnPart
+from jacinthcove.gateway.digests import OwnPart, encode_use
 from jacinthcove.gateway.load import PeerLoad, TargetLoad
 from jacinthcove.gateway.shares import ShareLedger, Use
 from jacinthcove.gateway.targets import TargetBook, TargetRecord
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         self.loads: dict[str, Told] = {}
-        self.uses: dict[str, tuple[int, int]] = {}
+        self.uses: dict[str, Use] = {}
         self.told_at = -1
 
     def add_load(
@@ -71,12 +71,12 @@
             started_at=record.started_at if leaving else 0,
         )
 
-    def add_use(self, message: pb.LoadShare, workspace: str, asked: int, admitted: int) -> None:
+    def add_use(self, message: pb.LoadShare, workspace: str, use: Use) -> None:
         """Add the cumulative tokens of a workspace unless the audience knows them."""
-        if self.uses.get(workspace) == (asked, admitted):
+        if self.uses.get(workspace) == use:
             return
-        self.uses[workspace] = (asked, admitted)
-        message.workspaces.add(workspace=workspace, asked_tokens=asked, admitted_tokens=admitted)
+        self.uses[workspace] = replace(use)
+        message.workspaces.append(encode_use(workspace, use))
 
 
 class DirectAudience(Audience):
@@ -127,7 +127,7 @@
             leaving = state.record.id in self.book.leaving_starts
             audience.add_load(message, state.record, load, leaving, parts, now)
         for workspace, use in self.ledger.own.items():
-            audience.add_use(message, workspace, use.asked, use.admitted)
+            audience.add_use(message, workspace, use)
         return message
 
     def own_part(self) -> OwnPart:
@@ -138,7 +138,7 @@
             for state in self.book.states.values()
             if state.load.own
         }
-        uses = {name: Use(use.asked, use.admitted) for name, use in self.ledger.own.items()}
+        uses = {name: replace(use) for name, use in self.ledger.own.items()}
         return OwnPart(self.sequence, self.clock.boot(), loads, uses)
 
     def domain(
@@ -156,7 +156,7 @@
             known = list(dict.fromkeys(sent))
             audience.add_load(message, state.record, load, leaving, known, now)
         for workspace, use in self.ledger.sum_with(others).items():
-            audience.add_use(message, workspace, use.asked, use.admitted)
+            audience.add_use(message, workspace, use)
         return message
 
     def _begin(self, audience: Audience) -> tuple[pb.LoadShare, int, int]:
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import structlog
@@ -42,10 +42,33 @@
 
 @dataclass
 class Use:
-    """Cumulative tokens of one workspace."""
+    """Tokens of one workspace; counts over the life of a router only rise.
+
+    `returned` are those that were admitted and then turned away by a target.
+    """
 
     asked: int = 0
     admitted: int = 0
+    returned: int = 0
+
+    @property
+    def given(self) -> int:
+        """Return the tokens that the workspace got."""
+        return self.admitted - self.returned
+
+    def add(self, other: "Use") -> None:
+        """Add the tokens of `other`."""
+        self.asked += other.asked
+        self.admitted += other.admitted
+        self.returned += other.returned
+
+    def since(self, earlier: "Use") -> "Use":
+        """Return what came after `earlier`, nothing where a count fell."""
+        return Use(
+            max(0, self.asked - earlier.asked),
+            max(0, self.admitted - earlier.admitted),
+            max(0, self.returned - earlier.returned),
+        )
 
 
 class ShareLedger:
@@ -60,7 +83,7 @@
         self.ticks: deque[tuple[int, dict[str, Use]]] = deque()
         self.level = float("inf")
         # Tokens that all workspaces got together in the recent window; unknown before the first.
-        self.admitted_per_s = float("inf")
+        self.given_per_s = float("inf")
         self.recent: dict[str, Use] = {}
 
     def ask(self, workspace: str, tokens: int) -> None:
@@ -73,22 +96,24 @@
         self.own[workspace].admitted += tokens
         self.fresh[workspace].admitted += tokens
 
-    def on_report(self, member: str, workspace: str, asked: int, admitted: int) -> None:
+    def take_back(self, workspace: str, tokens: int) -> None:
+        """Count admitted tokens that a target turned away."""
+        self.own[workspace].returned += tokens
+        self.fresh[workspace].returned += tokens
+
+    def on_report(self, member: str, workspace: str, use: Use) -> None:
         """Take the cumulative counts of another router."""
         known = self.seen.get((member, workspace))
         if known is not None:
-            self.fresh[workspace].asked += max(0, asked - known.asked)
-            self.fresh[workspace].admitted += max(0, admitted - known.admitted)
-        self.seen[member, workspace] = Use(asked, admitted)
+            self.fresh[workspace].add(use.since(known))
+        self.seen[member, workspace] = use
 
     def sum_with(self, members: frozenset[str]) -> dict[str, Use]:
         """Return the cumulative tokens of this router and of `members` by workspace."""
-        total = {name: Use(use.asked, use.admitted) for name, use in self.own.items()}
+        total = {name: replace(use) for name, use in self.own.items()}
         for (member, workspace), use in self.seen.items():
             if member in members:
-                both = total.setdefault(workspace, Use())
-                both.asked += use.asked
-                both.admitted += use.admitted
+                total.setdefault(workspace, Use()).add(use)
         return total
 
     def forget(self, member: str) -> None:
@@ -106,23 +131,22 @@
         totals: dict[str, Use] = defaultdict(Use)
         for _, uses in self.ticks:
             for workspace, use in uses.items():
-                totals[workspace].asked += use.asked
-                totals[workspace].admitted += use.admitted
+                totals[workspace].add(use)
         self.recent = dict(totals)
-        admitted = float(sum(use.admitted for use in totals.values()))
+        given = float(sum(use.given for use in totals.values()))
         if self.ticks[0][0] <= now - self.window_ms // 2:
-            self.admitted_per_s = 1_000 * admitted / self.window_ms
+            self.given_per_s = 1_000 * given / self.window_ms
         asked = [float(use.asked) for use in totals.values()]
-        # What was admitted is what the engines can carry at present, if more was asked for.
-        pressed = sum(asked) * PRESSED_PART > admitted
-        self.level = fair_level(asked, admitted) if pressed else float("inf")
+        # What was given is what the engines can carry at present, if more was asked for.
+        pressed = sum(asked) * PRESSED_PART > given
+        self.level = fair_level(asked, given) if pressed else float("inf")
         if pressed:
             log.info(
                 "shares_pressed",
                 fair_level=round(self.level),
-                admitted=round(admitted),
+                given=round(given),
                 workspaces={
-                    name: (use.asked, use.admitted, self.standing(name).value)
+                    name: (use.asked, use.given, self.standing(name).value)
                     for name, use in sorted(totals.items(), key=lambda item: -item[1].asked)[:6]
                 },
             )
@@ -132,7 +156,7 @@
         use = self.recent.get(workspace)
         if use is None or self.level == float("inf"):
             return Standing.WITHIN
-        got = use.admitted + self.fresh[workspace].admitted
+        got = use.given + self.fresh[workspace].given
         if got >= self.level:
             return Standing.OVER
         due = min(self.level, use.asked + self.fresh[workspace].asked)
--- a/tests/gateway/test_shares.py
+++ b/tests/gateway/test_shares.py
@@ -3,7 +3,7 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
-from jacinthcove.gateway.shares import TICK_MS, ShareLedger, Standing, fair_level
+from jacinthcove.gateway.shares import TICK_MS, ShareLedger, Standing, Use, fair_level
 
 WINDOW_MS = 4_000
 
@@ -59,13 +59,24 @@
 
 
 def test_reports_of_others_count_once(ledger, clock):
-    ledger.on_report("r2", "flood", 0, 0)
+    ledger.on_report("r2", "flood", Use())
     for _ in range(2):
-        ledger.on_report("r2", "flood", 10_000, 900)
+        ledger.on_report("r2", "flood", Use(10_000, 900))
     run(ledger, clock, 1, small=(100, 10))
     assert (ledger.recent["flood"].asked, ledger.recent["flood"].admitted) == (10_000, 900)
 
 
+def test_what_targets_turn_away_was_not_given(ledger, clock):
+    ledger.on_report("r2", "flood", Use())
+    for _ in range(8):
+        ledger.take_back("small", 90)
+        run(ledger, clock, 1, flood=(10_000, 900), small=(100, 100))
+    assert ledger.standing("small") is Standing.BEHIND
+    ledger.on_report("r2", "flood", Use(0, 7_200, 7_200))
+    run(ledger, clock, 1)
+    assert ledger.recent["flood"].given == 7_200
+
+
 def test_the_window_forgets(ledger, clock):
     run(ledger, clock, 4, flood=(10_000, 900), small=(100, 10))
     run(ledger, clock, WINDOW_MS // TICK_MS + 1)
--- a/tests/platform/test_target_wishes.py
+++ b/tests/platform/test_target_wishes.py
@@ -127,4 +127,4 @@
     bed.add("t1", "models", answering(not_run))
     assert bed.call("/draft/7", extra=f"{names.TOKEN_COUNTS}: 100,10\r\n")[0] == 503
     (known,) = bed.admission.ledger.sum_with(frozenset()).values()
-    assert (known.asked, known.admitted) == (120, 0)
+    assert (known.asked, known.given) == (120, 0)
