A target that turns a request away as full is left alone for a moment

Cause: nothing followed from a rejection. When load reports fail (a collector lost power), all routers believe that the same engine has room; 129 of 278 rejections of one failure domain came from one engine in 0.6 s, and most of the workspace's attempts were rejections. Change: a rejected request pauses its target for 75 to 225 ms at that router, doubled each further time up to 1.2 s; the target's own Retry-After goes before it.

--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -18,6 +18,10 @@
 # Consecutive failures to connect after which a target is skipped, and for how long.
 UNREACHABLE_PAUSE_MS = 400
 UNREACHABLE_MAX_PAUSE_MS = 2_000
+# A target that turned a request away as full gets nothing for about this long, twice as long after
+# each further time.
+FULL_PAUSE_MS = 150
+FULL_MAX_PAUSE_MS = 1_200
 # Weight of one answer in the moving error rate of a target.
 ERROR_WEIGHT = 0.1
 MAX_PARTS = 4_096
@@ -58,6 +62,8 @@
     unreachable_count: int = 0
     # The target asked this router to send nothing until then.
     refuses_until: int = 0
+    # Requests in a row that it turned away as full.
+    full_count: int = 0
     error_rate: float = 0.0
     # Shared prompt parts that the target has read, by the time of their last use.
     recent_parts: dict[str, int] = field(default_factory=dict)
@@ -93,7 +99,8 @@
         return found
 
     def note_answer(self, failed: bool) -> None:
-        """Take the result of a request that reached the target."""
+        """Take the result of a request that the target worked on."""
+        self.full_count = 0
         self.error_rate += ERROR_WEIGHT * (float(failed) - self.error_rate)
         self.unreachable_count = 0
         self.unreachable_until = 0
@@ -104,6 +111,12 @@
         self.unreachable_count = min(self.unreachable_count + 1, 8)
         self.unreachable_until = now + pause
 
+    def note_full(self, now: int, draw: float) -> None:
+        """Take a request turned away as full; `draw` from [0, 1) spreads the return of routers."""
+        pause = min(FULL_PAUSE_MS << self.full_count, FULL_MAX_PAUSE_MS)
+        self.full_count = min(self.full_count + 1, 8)
+        self.refuses_until = max(self.refuses_until, now + round(pause * (0.5 + draw)))
+
     def note_moved(self, now: int) -> None:
         """Take the word of its address that it belongs to another target now."""
         self.unreachable_until = now + UNREACHABLE_MAX_PAUSE_MS
@@ -154,7 +167,8 @@
             log.info("target_restarted", target=record.id, revision=revision)
             state.load = TargetLoad(self.clock)
             state.recent_parts.clear()
-            state.refuses_until = state.unreachable_until = state.unreachable_count = 0
+            state.refuses_until = state.unreachable_until = 0
+            state.unreachable_count = state.full_count = 0
         if record.leaving and not state.record.leaving:
             log.info("target_leaving", target=record.id, revision=revision)
         self._forget_leaving(state.record, record)
