Another router collects load reports while the first is lost

Cause: the collector of a failure domain was lost. Its routers told each other directly after 1.2 s, but those of other domains sent their sums to the lost one until the membership had changed, so a router knew only the load of its own domain: all chose the same engine. Change: the second in rendezvous order collects while the first is silent; a sum for a silent domain goes to both.

--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -3,19 +3,25 @@
 In small fleets each router tells all others. In large ones, where that would take most of the
 processor time, one router of each failure domain collects the reports of its domain and passes on
 their sum, with the reports that went in, so that each receiver takes its own part out. Routers
-without news are silent for a while. A router that hears nothing from the one that collects tells
-the others itself.
+without news are silent for a while. A router that hears nothing from those that collect tells the
+others itself.
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 import gevent
 import structlog
 
 from jacinthcove.clock import Clock
-from jacinthcove.gateway.crowding import crowded, may_be_crowded
+from jacinthcove.gateway.collectors import Collectors
+from jacinthcove.gateway.crowding import (
+    NO_CALLERS,
+    RouterCallers,
+    callers_of,
+    crowded,
+    may_be_crowded,
+)
 from jacinthcove.gateway.digests import NOTHING, DigestView, OwnHistory, decode_use
 from jacinthcove.gateway.load import REPORT_LIFETIME_MS, PeerLoad
 from jacinthcove.gateway.loadreports import (
@@ -30,7 +36,6 @@
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import LOAD_BUNDLE, LOAD_SHARE
 from jacinthcove.mesh.peers import Members, Peers
-from jacinthcove.scheduling import rendezvous
 
 log = structlog.get_logger()
 
@@ -38,35 +43,10 @@
 # of the same failure domain share most work and cost no bytes between domains.
 NEAR_MESSAGES_PER_S = 140
 FAR_MESSAGES_PER_S = 60
-# Up to this size every router tells all others.
-DIRECT_ROUTERS = 24
 BUNDLE_PERIOD_MS = 200
 FAR_BUNDLE_PERIOD_MS = 300
 # Between looks of the other routers whether they collect now.
 ROLE_PERIOD_MS = 1_000
-# Without a bundle for this long a router tells the others itself.
-SILENCE_MS = 1_200
-
-
-@dataclass(frozen=True)
-class RouterCallers:
-    """What a router said of its callers, at monotonic ms `told_at`.
-
-    `away` if it takes none, `late` if it has more to do than it keeps up with.
-    """
-
-    open_requests: int
-    away: bool
-    late: bool
-    told_at: int
-
-
-NO_CALLERS = RouterCallers(open_requests=0, away=False, late=False, told_at=0)
-
-
-def callers_of(message: pb.LoadShare | pb.IncludedReport, now: int) -> RouterCallers:
-    """Return what a report says of a router's callers."""
-    return RouterCallers(message.open_requests, message.away, message.late, now)
 
 
 class KindNewsBoard(Protocol):
@@ -136,8 +116,9 @@
         self.news: KindNewsBoard = NoNews()
         # Told of each report that comes in.
         self.on_heard: Callable[[], None] = lambda: None
+        self.collectors = Collectors(clock, members)
+        # The router that collects for this one, None where this one tells the others itself.
         self.collector_id: str | None = None
-        self.heard_at = clock.now()
         self.greenlets: list[Any] = []
         peers.register(LOAD_SHARE, self.on_share)
         peers.register(LOAD_BUNDLE, self.on_bundle)
@@ -151,24 +132,17 @@
         """Stop reporting."""
         gevent.killall(self.greenlets)
 
-    def collector_of(self, domain: str) -> str | None:
-        """Return the router that collects for a failure domain; None where each tells all."""
-        alive = self.members.alive()
-        if len(alive) <= DIRECT_ROUTERS:
-            return None
-        ids = [member.id for member in alive if member.failure_domain == domain]
-        # The same router follows the store for its failure domain (store/relay.py).
-        return rendezvous.owner(domain, ids)
-
     def collector_in_use(self) -> str | None:
-        """Return the router that collects for this one, or None while it is silent."""
-        current = self.collector_of(self.members.me.failure_domain)
-        now = self.clock.now()
+        """Return the router that collects for this one, or None while those that may are silent."""
+        current = self.collectors.in_use(self.members.me.failure_domain)
         if current != self.collector_id:
-            self.collector_id, self.heard_at = current, now
-        if current == self.members.me.id or now - self.heard_at < SILENCE_MS:
-            return current
-        return None
+            log.info("load_collector", router=current, before=self.collector_id)
+            self.collector_id = current
+            # The new one knows nothing of what the one before was told.
+            self.collector = Audience()
+            if current == self.members.me.id:
+                self.digests.forget()
+        return current
 
     def on_share(self, sender: str, message: pb.LoadShare) -> None:
         """Take another router's report, and pass it on if this router collects."""
@@ -181,10 +155,10 @@
     def on_bundle(self, sender: str, bundle: pb.LoadBundle) -> None:
         """Take the reports that another router collected."""
         self.on_heard()
+        self.collectors.heard(sender)
         for item in bundle.shares:
             self.take(item.source, item.share)
-        if sender == self.collector_id:
-            self.heard_at = self.clock.now()
+        if sender == self.collector_in_use() and sender != self.members.me.id:
             if bundle.HasField("digest"):
                 self._take_digest(sender, bundle)
         elif self._collects() and not self._is_near(sender):
@@ -349,17 +323,29 @@
         self.history.add(self.reporter.own_part())
         return share
 
+    def tell_near(self) -> None:
+        """Tell the routers of this failure domain, or the one that collects there."""
+        collector = self.collector_in_use()
+        if collector is None:
+            self._tell(self.near)
+        elif collector == self.members.me.id:
+            self._send_bundle(self.bundle(), sorted(self._near_ids()))
+        elif (share := self.report()) is not None:
+            self.peers.send(collector, LOAD_SHARE, share)
+
+    def tell_far(self) -> None:
+        """Tell the routers of other failure domains, or those that collect there."""
+        collector = self.collector_in_use()
+        if collector is None:
+            self._tell(self.far)
+        elif collector == self.members.me.id:
+            self._send_bundle(self.domain_bundle(), self._other_collectors())
+
     def _tell_near(self) -> None:
         while True:
-            collector = self.collector_in_use()
-            period_ms = self.near.period_ms() if collector is None else BUNDLE_PERIOD_MS
-            gevent.sleep(period_ms / 1000)
-            if collector is None:
-                self._tell(self.near)
-            elif collector == self.members.me.id:
-                self._send_bundle(self.bundle(), sorted(self._near_ids()))
-            elif (share := self.report()) is not None:
-                self.peers.send(collector, LOAD_SHARE, share)
+            direct = self.collector_in_use() is None
+            gevent.sleep((self.near.period_ms() if direct else BUNDLE_PERIOD_MS) / 1000)
+            self.tell_near()
 
     def _tell_far(self) -> None:
         while True:
@@ -370,15 +356,15 @@
                 self.far_period_ms = FAR_BUNDLE_PERIOD_MS
             others_turn = collector is not None and collector != self.members.me.id
             gevent.sleep((ROLE_PERIOD_MS if others_turn else self.far_period_ms) / 1000)
-            if collector is None:
-                self._tell(self.far)
-            elif collector == self.members.me.id:
-                self._send_bundle(self.domain_bundle(), self._other_collectors())
+            self.tell_far()
 
     def _other_collectors(self) -> list[str]:
-        domains = {member.failure_domain for member in self.far.peers()}
-        found = (self.collector_of(domain) for domain in sorted(domains))
-        return [collector for collector in found if collector is not None]
+        """Return the routers that collect elsewhere; of a silent domain all that may."""
+        found = []
+        for domain in sorted({member.failure_domain for member in self.far.peers()}):
+            current = self.collectors.in_use(domain)
+            found += [current] if current is not None else self.collectors.ranked(domain)
+        return found
 
     def _send_bundle(self, bundle: pb.LoadBundle, receivers: list[str]) -> None:
         for receiver in receivers:
@@ -396,4 +382,5 @@
         while True:
             gevent.sleep(TICK_MS / 1000)
             self.ledger.tick()
+            self.collectors.forget_others()
             self.on_tick()
--- a/tests/gateway/test_loadexchange.py
+++ b/tests/gateway/test_loadexchange.py
@@ -3,11 +3,13 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.collectors import DIRECT_ROUTERS, SILENCE_MS
 from jacinthcove.gateway.load import REPORT_LIFETIME_MS
-from jacinthcove.gateway.loadexchange import DIRECT_ROUTERS, SILENCE_MS, LoadExchange
+from jacinthcove.gateway.loadexchange import LoadExchange
 from jacinthcove.gateway.loadreports import PERIOD_MS, REFRESH_MS, DirectAudience
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook
+from jacinthcove.mesh.kinds import LOAD_SHARE
 from jacinthcove.mesh.peers import Member
 from tests.gateway.samples import record
 
@@ -145,11 +147,19 @@
             def get(self, member_id):
                 return next((m for m in fleet.known if m.id == member_id), None)
 
+        class Mesh(Peers):
+            def send(self, member_id, kind, message):
+                receiver = fleet.exchanges.get(member_id)
+                if receiver is not None:
+                    take = receiver.on_share if kind == LOAD_SHARE else receiver.on_bundle
+                    take(member.id, type(message).FromString(message.SerializeToString()))
+
         ledger = ShareLedger(self.clock, 4_000)
-        return LoadExchange(self.clock, Known(), Peers(), book, ledger, lambda: None)
+        return LoadExchange(self.clock, Known(), Mesh(), book, ledger, lambda: None)
 
     def collector(self, domain):
-        return self.exchanges[self.exchanges["a0"].collector_of(domain)]
+        exchange = next(e for e in self.exchanges.values() if e.members.me.failure_domain == domain)
+        return self.exchanges[exchange.collectors.ranked(domain)[0]]
 
     def near(self, exchange):
         domain = exchange.members.me.failure_domain
@@ -157,20 +167,12 @@
 
     def round(self):
         """Let every router report once, and the collectors pass on what they know."""
-        for exchange in self.exchanges.values():
-            collector = self.exchanges[exchange.collector_in_use()]
-            if collector is not exchange:
-                share = exchange.report()
-                if share is not None:
-                    collector.on_share(exchange.members.me.id, share)
-        a, b = self.collector("a"), self.collector("b")
-        for one, other in ((a, b), (b, a)):
-            other.on_bundle(one.members.me.id, one.domain_bundle())
-        for collector in (a, b):
-            bundle = collector.bundle()
-            for exchange in self.near(collector):
-                if exchange is not collector:
-                    exchange.on_bundle(collector.members.me.id, bundle)
+        everyone = list(self.exchanges.values())
+        everyone.sort(key=lambda e: e.collector_in_use() == e.members.me.id)
+        for exchange in everyone:
+            exchange.tell_far()
+        for exchange in everyone:
+            exchange.tell_near()
         self.clock.advance(150)
 
     def running(self):
@@ -231,11 +233,32 @@
     other = next(e for e in fleet.near(collector) if e is not collector)
     assert other.collector_in_use() == collector.members.me.id
     clock.advance(SILENCE_MS)
+    standby = other.collectors.ranked("a")[1]
+    assert other.collector_in_use() == standby
+    if standby == other.members.me.id:
+        other = next(e for e in fleet.near(collector) if e not in (collector, other))
+        other.collector_in_use()
+    clock.advance(SILENCE_MS)
     assert other.collector_in_use() is None
     other.on_bundle(collector.members.me.id, collector.bundle())
     assert other.collector_in_use() == collector.members.me.id
 
 
+@pytest.mark.parametrize("domain", ["a", "b"])
+def test_the_load_stays_known_when_a_collector_is_lost_without_word(clock, domain):
+    fleet = Fleet(clock)
+    fleet.round()
+    lost = fleet.collector(domain).members.me.id
+    del fleet.exchanges[lost]
+    for exchange in fleet.exchanges.values():
+        begin(exchange)
+    for _ in range(12):
+        fleet.round()
+    for _ in range(8):
+        fleet.round()
+        assert fleet.running() == {len(fleet.exchanges)}
+
+
 def test_small_fleets_have_no_collector(clock):
     fleet = Fleet(clock, DIRECT_ROUTERS // 2)
     assert {e.collector_in_use() for e in fleet.exchanges.values()} == {None}
