Shares follow what began, and routers tell them as they are

Cause, from the routers' lines: (a) what was sent to the engines counted as their capacity, so the ledger saw no shortage (97% of 12.5 million tokens given in 4 s) while three quarters of the answers began late and 43% of what was asked for began at all; (b) a workspace over its share was held back only where an engine looked full; (c) reports were running counts, so a collector that returned was heard with its whole past: 17 million tokens in 4 s. Change: the tokens of answers that began are the capacity, fleet wide; a workspace over its share gets a multiple of it (1 to 4) that falls while a quarter of the answers is late; reports carry the sums of the window as they are (gateway/uses.py), which a loss or a restart cannot double.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -58,6 +58,7 @@
     plan: VersionPlan
     give_up_at: int
     counted: bool = False
+    over_share: bool = False
 
 
 class Admission:
@@ -135,7 +136,14 @@
             self.ledger.ask(request.workspace, request.prompt.service_tokens)
         plan = self.rollouts.plan(service, request.route.name)
         give_up_at = min(give_up_at, request.deadline)
-        return Pending(request, service, avoid, plan, give_up_at, counted)
+        over = not avoid and self._is_over_share(request)
+        return Pending(request, service, avoid, plan, give_up_at, counted, over)
+
+    def _is_over_share(self, request: GatewayRequest) -> bool:
+        """Return whether a request is beyond the share of its workspace while others wait."""
+        if not request.prompt.service_tokens:
+            return False
+        return self.rng.random() >= self.ledger.admitted_part(request.workspace)
 
     def decide(self, pending: Pending) -> Choice | None:
         """Return a target, counted as in use, or None to ask again after `wait_step_ms`.
@@ -150,6 +158,9 @@
 
     def _decide(self, pending: Pending) -> Choice | None:
         request, service, give_up_at = pending.request, pending.service, pending.give_up_at
+        if pending.over_share:
+            self._log_refusal(request, service, Verdict.OVER_SHARE, pending.avoid)
+            raise self._refusal(Verdict.OVER_SHARE, request, service)
         verdict = self._choose(request, service, pending.avoid, pending.plan)
         if isinstance(verdict, Verdict):
             if verdict is Verdict.TOO_SLOW or self._free_at(service) >= give_up_at:
@@ -190,6 +201,12 @@
         if turned_away:
             self.ledger.take_back(request.workspace, request.prompt.service_tokens)
 
+    def note_begun(self, request: GatewayRequest) -> None:
+        """Count that the answer to a request begins now."""
+        waited_ms = self.clock.now() - request.received_at
+        late = waited_ms > request.route.latency_goal_ms
+        self.ledger.begin(request.workspace, request.prompt.service_tokens, late)
+
     def _choose(
         self, request: GatewayRequest, service: str, avoid: frozenset[str], plan: VersionPlan
     ) -> Choice | Verdict:
@@ -298,6 +315,9 @@
         if verdict is Verdict.TOO_SLOW:
             message = "the answer would not end within the time limit"
             return RequestRefused(ResultCode.NO_CAPACITY, message, TOO_SLOW_RETRY_MS)
+        if verdict is Verdict.OVER_SHARE:
+            message = "the workspace is over its share"
+            return RequestRefused(ResultCode.NO_CAPACITY, message, TOO_SLOW_RETRY_MS)
         part = self.rng.uniform(RETURN_MIN_PART, RETURN_MAX_PART)
         after = round(part * request.route.latency_goal_ms) + self.book.refused_for_ms(service)
         message = "no target can start the request in time"
--- a/src/jacinthcove/gateway/digests.py
+++ b/src/jacinthcove/gateway/digests.py
@@ -5,30 +5,39 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from jacinthcove.gateway.load import PeerLoad
-from jacinthcove.gateway.shares import ShareLedger, Use
+from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook
+from jacinthcove.gateway.uses import Uses, add_uses, decode_use
 from jacinthcove.mesh import mesh_pb2 as pb
 
 # Reports that may be under way to the collector or on their way back in a digest.
 KEPT_REPORTS = 16
 
 
-def encode_use(workspace: str, use: Use) -> pb.WorkspaceUse:
-    """Encode the cumulative tokens of a workspace."""
-    return pb.WorkspaceUse(
-        workspace=workspace,
-        asked_tokens=use.asked,
-        admitted_tokens=use.admitted,
-        returned_tokens=use.returned,
-    )
+class KindNewsBoard(Protocol):
+    """What digests say of the store beside the load."""
 
+    def kind_news(self) -> Iterable[pb.KindNews]:
+        """Return what this router knows as a follower of the store."""
 
-def decode_use(message: pb.WorkspaceUse) -> Use:
-    """Decode the cumulative tokens of a workspace."""
-    return Use(message.asked_tokens, message.admitted_tokens, message.returned_tokens)
+    def note_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
+        """Take what a router knew at boot time `asked_at` or later."""
+
+
+class NoNews:
+    """Stands for the board where routers do not follow the store for each other."""
+
+    def kind_news(self) -> Iterable[pb.KindNews]:
+        """Return nothing."""
+        return ()
+
+    def note_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
+        """Take nothing."""
 
 
 @dataclass(frozen=True)
@@ -38,7 +47,7 @@
     sequence: int = 0
     sent_at: int = 0
     loads: dict[str, PeerLoad] = field(default_factory=dict)
-    uses: dict[str, Use] = field(default_factory=dict)
+    uses: Uses = field(default_factory=dict)
 
 
 NOTHING = OwnPart()
@@ -67,6 +76,7 @@
         self.ledger = ledger
         self.source = ""
         self.sums: dict[str, PeerLoad] = {}
+        self.use_sums: Uses = {}
         self.own = NOTHING
 
     def take(self, source: str, digest: pb.LoadShare, own: OwnPart, now: int) -> None:
@@ -86,16 +96,19 @@
             if target_id in self.sums and not self.sums[target_id].running:
                 # Targets come and go; those without work need no sum.
                 del self.sums[target_id]
-        for use in digest.workspaces:
-            mine = own.uses.get(use.workspace, Use())
-            self.ledger.on_report(source, use.workspace, decode_use(use).since(mine))
+        self.use_sums.update((item.workspace, decode_use(item)) for item in digest.workspaces)
+        others: Uses = {}
+        add_uses(others, self.use_sums)
+        add_uses(others, own.uses, -1)
+        self.ledger.others.replace(source, others)
 
     def forget(self) -> None:
         """Drop what the digests told."""
         for state in self.book.states.values():
             state.load.forget(self.source)
-        self.ledger.forget(self.source)
+        self.ledger.others.forget(self.source)
         self.sums.clear()
+        self.use_sums.clear()
         self.own = NOTHING
         self.source = ""
 
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -279,7 +279,9 @@
                 first = False
                 load.first_event(self.request.id)
                 attempt.first_event_at = self.clock.now()
-                self.first_event_at = self.first_event_at or attempt.first_event_at
+                if not self.first_event_at:
+                    self.first_event_at = attempt.first_event_at
+                    self.forwarder.admission.note_begun(self.request)
                 self.forwarder.observer.first_event(self, attempt)
             if not self.sink.begun:
                 self.sink.begin(head.status, head.reason, head.headers)
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -7,8 +7,8 @@
 others itself.
 """
 
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable, Mapping
+from typing import Any
 
 import gevent
 import structlog
@@ -22,7 +22,7 @@
     crowded,
     may_be_crowded,
 )
-from jacinthcove.gateway.digests import NOTHING, DigestView, OwnHistory, decode_use
+from jacinthcove.gateway.digests import NOTHING, DigestView, KindNewsBoard, NoNews, OwnHistory
 from jacinthcove.gateway.load import REPORT_LIFETIME_MS, PeerLoad
 from jacinthcove.gateway.loadreports import (
     PERIOD_MS,
@@ -31,8 +31,9 @@
     DirectAudience,
     LoadReporter,
 )
-from jacinthcove.gateway.shares import TICK_MS, ShareLedger
+from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook
+from jacinthcove.gateway.uses import TICK_MS, decode_use
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import LOAD_BUNDLE, LOAD_SHARE
 from jacinthcove.mesh.peers import Members, Peers
@@ -49,27 +50,6 @@
 ROLE_PERIOD_MS = 1_000
 
 
-class KindNewsBoard(Protocol):
-    """What digests say of the store beside the load."""
-
-    def kind_news(self) -> Iterable[pb.KindNews]:
-        """Return what this router knows as a follower of the store."""
-
-    def note_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
-        """Take what a router knew at boot time `asked_at` or later."""
-
-
-class NoNews:
-    """Stands for the board where routers do not follow the store for each other."""
-
-    def kind_news(self) -> Iterable[pb.KindNews]:
-        """Return nothing."""
-        return ()
-
-    def note_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
-        """Take nothing."""
-
-
 class LoadExchange:
     """Sends this router's reports and takes those of the others.
 
@@ -100,6 +80,8 @@
         self.far_period_ms = float(PERIOD_MS)
         self.known: dict[str, tuple[int, int]] = {}
         self.callers_by_router: dict[str, RouterCallers] = {}
+        # Whose sums count for the other failure domains.
+        self.far_sources: dict[str, str] = {}
         # Sums of other failure domains that the next bundle passes on.
         self.collected: list[pb.SourcedShare] = []
         # Reports of this domain since the last bundle, and the parts in them for both audiences.
@@ -157,6 +139,7 @@
         self.on_heard()
         self.collectors.heard(sender)
         for item in bundle.shares:
+            self._follow_source(item.source)
             self.take(item.source, item.share)
         if sender == self.collector_in_use() and sender != self.members.me.id:
             if bundle.HasField("digest"):
@@ -176,8 +159,8 @@
             if target is not None:
                 report = PeerLoad(item.running, item.memory_tokens, item.unread_tokens, now)
                 target.load.on_report(sender, report)
-        for use in message.workspaces:
-            self.ledger.on_report(sender, use.workspace, decode_use(use))
+        uses = {use.workspace: decode_use(use) for use in message.workspaces}
+        self.ledger.others.take(sender, uses)
 
     def _is_new(self, source: str, message: pb.LoadShare) -> bool:
         """Return whether a report is newer than what is known of its source."""
@@ -197,9 +180,21 @@
             if target is not None:
                 target.note_parts(item.parts)
 
+    def _follow_source(self, source: str) -> None:
+        """Drop the sums of the router that collected for a failure domain before `source`.
+
+        Both count the same routers, so what one tells does not go on where the other ended.
+        """
+        domain = source.rpartition("@")[0]
+        before = self.far_sources.get(domain)
+        if before not in (None, source):
+            self._forget(before)
+            self.known.pop(before, None)
+        self.far_sources[domain] = source
+
     def _forget(self, source: str) -> None:
         self.direct.discard(source)
-        self.ledger.forget(source)
+        self.ledger.others.forget(source)
         for state in self.book.states.values():
             state.load.forget(source)
 
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -1,13 +1,14 @@
 """What one router tells the others: the changes since it last told the same audience."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from jacinthcove.clock import Clock
-from jacinthcove.gateway.digests import OwnPart, encode_use
+from jacinthcove.gateway.digests import OwnPart
 from jacinthcove.gateway.load import PeerLoad, TargetLoad
-from jacinthcove.gateway.shares import ShareLedger, Use
+from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook, TargetRecord
+from jacinthcove.gateway.uses import Use, Uses, encode_use
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member, Members
 
@@ -34,7 +35,7 @@
 
     def __init__(self) -> None:
         self.loads: dict[str, Told] = {}
-        self.uses: dict[str, Use] = {}
+        self.uses: dict[str, tuple[Use, int]] = {}
         self.told_at = -1
 
     def add_load(
@@ -71,12 +72,19 @@
             started_at=record.started_at if leaving else 0,
         )
 
-    def add_use(self, message: pb.LoadShare, workspace: str, use: Use) -> None:
-        """Add the cumulative tokens of a workspace unless the audience knows them."""
-        if self.uses.get(workspace) == use:
-            return
-        self.uses[workspace] = replace(use)
-        message.workspaces.append(encode_use(workspace, use))
+    def add_uses(self, message: pb.LoadShare, uses: Uses, now: int) -> None:
+        """Add the tokens of the workspaces that the audience does not know."""
+        for workspace in uses.keys() | self.uses.keys():
+            use = uses.get(workspace, Use())
+            known, told_at = self.uses.get(workspace, (Use(), now))
+            idle = use == Use()
+            if use == known and (idle or now - told_at < REFRESH_MS):
+                continue
+            message.workspaces.append(encode_use(workspace, use))
+            if idle:
+                del self.uses[workspace]
+            else:
+                self.uses[workspace] = (use, now)
 
 
 class DirectAudience(Audience):
@@ -104,7 +112,7 @@
 
 
 class LoadReporter:
-    """Builds reports; counts of workspaces are cumulative since the start of this router."""
+    """Builds reports about this router and its failure domain."""
 
     def __init__(self, clock: Clock, book: TargetBook, ledger: ShareLedger):
         self.clock = clock
@@ -126,8 +134,7 @@
             parts = state.parts_sent_since(since)
             leaving = state.record.id in self.book.leaving_starts
             audience.add_load(message, state.record, load, leaving, parts, now)
-        for workspace, use in self.ledger.own.items():
-            audience.add_use(message, workspace, use)
+        audience.add_uses(message, self.ledger.own.sum(), now)
         return message
 
     def own_part(self) -> OwnPart:
@@ -138,8 +145,7 @@
             for state in self.book.states.values()
             if state.load.own
         }
-        uses = {name: replace(use) for name, use in self.ledger.own.items()}
-        return OwnPart(self.sequence, self.clock.boot(), loads, uses)
+        return OwnPart(self.sequence, self.clock.boot(), loads, self.ledger.own.sum())
 
     def domain(
         self, audience: Audience, others: frozenset[str], parts: dict[str, list[str]]
@@ -155,8 +161,7 @@
             leaving = state.record.id in self.book.leaving_starts
             known = list(dict.fromkeys(sent))
             audience.add_load(message, state.record, load, leaving, known, now)
-        for workspace, use in self.ledger.sum_with(others).items():
-            audience.add_use(message, workspace, use)
+        audience.add_uses(message, self.ledger.sum_with(others), now)
         return message
 
     def _begin(self, audience: Audience) -> tuple[pb.LoadShare, int, int]:
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -70,6 +70,8 @@
     FULL = "full"
     # Every target with room would need longer than the caller waits.
     TOO_SLOW = "too_slow"
+    # The workspace had its share of what the engines can begin.
+    OVER_SHARE = "over_share"
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -4,19 +4,24 @@
 workspaces that are below their max-min share first, so that the others are served as before.
 """
 
-from collections import defaultdict, deque
-from dataclasses import dataclass, replace
 from enum import Enum
 
 import structlog
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.uses import OtherUses, OwnUses, Use, Uses, add_uses
 
 log = structlog.get_logger()
 
-TICK_MS = 250
-# Capacity is short while less than this part of what is asked for gets admitted.
+# Capacity is short while less than this part of what is asked for begins.
 PRESSED_PART = 0.95
+# Answers begin late while more than this part of them does.
+LATE_PART = 0.25
+# What a workspace over its share gets, as a multiple of it: more each tick, less while answers are
+# late.
+HEADROOM_STEP = 0.1
+HEADROOM_CUT = 0.7
+MAX_HEADROOM = 4.0
 # Below this part of what it is due a workspace is served before others.
 BEHIND_PART = 0.7
 
@@ -40,124 +45,104 @@
     return float("inf")
 
 
-@dataclass
-class Use:
-    """Tokens of one workspace; counts over the life of a router only rise.
-
-    `returned` are those that were admitted and then turned away by a target.
-    """
-
-    asked: int = 0
-    admitted: int = 0
-    returned: int = 0
-
-    @property
-    def given(self) -> int:
-        """Return the tokens that the workspace got."""
-        return self.admitted - self.returned
-
-    def add(self, other: "Use") -> None:
-        """Add the tokens of `other`."""
-        self.asked += other.asked
-        self.admitted += other.admitted
-        self.returned += other.returned
-
-    def since(self, earlier: "Use") -> "Use":
-        """Return what came after `earlier`, nothing where a count fell."""
-        return Use(
-            max(0, self.asked - earlier.asked),
-            max(0, self.admitted - earlier.admitted),
-            max(0, self.returned - earlier.returned),
-        )
-
-
 class ShareLedger:
     """What each workspace asked for and got in the recent window, over all routers."""
 
     def __init__(self, clock: Clock, window_ms: int):
         self.clock = clock
         self.window_ms = window_ms
-        self.own: dict[str, Use] = defaultdict(Use)
-        self.seen: dict[tuple[str, str], Use] = {}
-        self.fresh: dict[str, Use] = defaultdict(Use)
-        self.ticks: deque[tuple[int, dict[str, Use]]] = deque()
+        self.began_at = clock.now()
+        self.own = OwnUses(clock, window_ms)
+        self.others = OtherUses(clock)
         self.level = float("inf")
         # Tokens that all workspaces got together in the recent window; unknown before the first.
         self.given_per_s = float("inf")
-        self.recent: dict[str, Use] = {}
+        self.headroom = MAX_HEADROOM
+        self.recent: Uses = {}
 
     def ask(self, workspace: str, tokens: int) -> None:
         """Count tokens that a workspace asks for."""
-        self.own[workspace].asked += tokens
-        self.fresh[workspace].asked += tokens
+        self.own.fresh[workspace].asked += tokens
 
     def admit(self, workspace: str, tokens: int) -> None:
         """Count tokens that a workspace gets."""
-        self.own[workspace].admitted += tokens
-        self.fresh[workspace].admitted += tokens
+        self.own.fresh[workspace].given += tokens
 
     def take_back(self, workspace: str, tokens: int) -> None:
         """Count admitted tokens that a target turned away."""
-        self.own[workspace].returned += tokens
-        self.fresh[workspace].returned += tokens
-
-    def on_report(self, member: str, workspace: str, use: Use) -> None:
-        """Take the cumulative counts of another router."""
-        known = self.seen.get((member, workspace))
-        if known is not None:
-            self.fresh[workspace].add(use.since(known))
-        self.seen[member, workspace] = use
-
-    def sum_with(self, members: frozenset[str]) -> dict[str, Use]:
-        """Return the cumulative tokens of this router and of `members` by workspace."""
-        total = {name: replace(use) for name, use in self.own.items()}
-        for (member, workspace), use in self.seen.items():
-            if member in members:
-                total.setdefault(workspace, Use()).add(use)
-        return total
+        self.own.fresh[workspace].given -= tokens
 
-    def forget(self, member: str) -> None:
-        """Drop the counts of a router that has restarted or gone."""
-        for key in [key for key in self.seen if key[0] == member]:
-            del self.seen[key]
+    def begin(self, workspace: str, tokens: int, late: bool) -> None:
+        """Count tokens of an answer that begins, `late` if after its latency goal."""
+        use = Use(begun=tokens, begun_lately=tokens, late_lately=tokens if late else 0)
+        self.own.fresh[workspace].add(use)
+
+    def sum_with(self, members: frozenset[str]) -> Uses:
+        """Return the window of this router and of `members`."""
+        total = self.own.sum()
+        add_uses(total, self.others.sum(members))
+        return total
 
     def tick(self) -> None:
         """Close a period of `TICK_MS` and compute the shares of the window anew."""
-        now = self.clock.now()
-        self.ticks.append((now, self.fresh))
-        self.fresh = defaultdict(Use)
-        while self.ticks and self.ticks[0][0] <= now - self.window_ms:
-            self.ticks.popleft()
-        totals: dict[str, Use] = defaultdict(Use)
-        for _, uses in self.ticks:
-            for workspace, use in uses.items():
-                totals[workspace].add(use)
-        self.recent = dict(totals)
-        given = float(sum(use.given for use in totals.values()))
-        if self.ticks[0][0] <= now - self.window_ms // 2:
+        self.own.tick()
+        totals = self.own.sum()
+        add_uses(totals, self.others.sum())
+        self.recent = totals
+        given = sum(use.given for use in totals.values())
+        if self.clock.now() - self.began_at >= self.window_ms // 2:
             self.given_per_s = 1_000 * given / self.window_ms
+        self._adjust_headroom()
+        # What began is what the engines can carry at present, if more was asked for.
+        begun = sum(use.begun for use in totals.values())
         asked = [float(use.asked) for use in totals.values()]
-        # What was given is what the engines can carry at present, if more was asked for.
-        pressed = sum(asked) * PRESSED_PART > given
-        self.level = fair_level(asked, given) if pressed else float("inf")
+        pressed = sum(asked) * PRESSED_PART > begun
+        self.level = fair_level(asked, float(begun)) if pressed else float("inf")
         if pressed:
-            log.info(
-                "shares_pressed",
-                fair_level=round(self.level),
-                given=round(given),
-                workspaces={
-                    name: (use.asked, use.given, self.standing(name).value)
-                    for name, use in sorted(totals.items(), key=lambda item: -item[1].asked)[:6]
-                },
-            )
+            self._log_pressed(given, begun)
+
+    def _log_pressed(self, given: int, begun: int) -> None:
+        most = sorted(self.recent.items(), key=lambda item: -item[1].asked)[:6]
+        log.info(
+            "shares_pressed",
+            fair_level=round(self.level),
+            given=given,
+            begun=begun,
+            headroom=round(self.headroom, 2),
+            workspaces={
+                name: (use.asked, use.given, use.begun, self.standing(name).value)
+                for name, use in most
+            },
+        )
+
+    def _adjust_headroom(self) -> None:
+        """Let workspaces have more than their share while answers begin in time."""
+        begun = sum(use.begun_lately for use in self.recent.values())
+        late = sum(use.late_lately for use in self.recent.values())
+        if late > LATE_PART * begun:
+            self.headroom = max(1.0, self.headroom * HEADROOM_CUT)
+        else:
+            self.headroom = min(MAX_HEADROOM, self.headroom + HEADROOM_STEP)
+
+    def admitted_part(self, workspace: str) -> float:
+        """Return the part of a workspace's requests that may be served now.
+
+        Engines know no shares, so what a workspace over its share sends beyond it would wait there
+        before the requests of the others.
+        """
+        use = self.recent.get(workspace)
+        if use is None or self.standing(workspace) is not Standing.OVER:
+            return 1.0
+        return min(1.0, self.headroom * self.level / max(1, use.asked))
 
     def standing(self, workspace: str) -> Standing:
         """Return how a workspace fares against its max-min share of the window."""
         use = self.recent.get(workspace)
         if use is None or self.level == float("inf"):
             return Standing.WITHIN
-        got = use.given + self.fresh[workspace].given
+        fresh = self.own.fresh.get(workspace, Use())
+        got = use.given + fresh.given
         if got >= self.level:
             return Standing.OVER
-        due = min(self.level, use.asked + self.fresh[workspace].asked)
+        due = min(self.level, use.asked + fresh.asked)
         return Standing.BEHIND if got < BEHIND_PART * due else Standing.WITHIN
--- a/src/jacinthcove/lab/play.py
+++ b/src/jacinthcove/lab/play.py
@@ -25,8 +25,9 @@
 )
 from jacinthcove.gateway.placement import Choice, Placement
 from jacinthcove.gateway.rollouts import Rollouts
-from jacinthcove.gateway.shares import TICK_MS, ShareLedger
+from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook, TargetRecord
+from jacinthcove.gateway.uses import TICK_MS
 from jacinthcove.lab.engine import EngineSpeed, LabEngine
 from jacinthcove.lab.results import Results
 from jacinthcove.lab.traffic import Call, Load, Traffic
@@ -52,6 +53,9 @@
     speed: EngineSpeed = EngineSpeed()
     # Engines that are lost at a ms of the play, by index.
     lost: tuple[tuple[int, int], ...] = ()
+    # Time between the reports of a router to its own failure domain, and to the others.
+    near_period_ms: int = PERIOD_MS
+    far_period_ms: int = FAR_PERIOD_MS
 
 
 class Alone:
@@ -187,8 +191,8 @@
         for call in self.traffic.calls(self.duration_ms):
             self._at(call.at, self._arrive, Asked(call))
         for number, router in enumerate(self.routers):
-            self._at(number * 7, self._tell, router, PERIOD_MS, True)
-            self._at(number * 11, self._tell, router, FAR_PERIOD_MS, False)
+            self._at(number * 7, self._tell, router, self.fleet.near_period_ms, True)
+            self._at(number * 11, self._tell, router, self.fleet.far_period_ms, False)
             self._at(number * 5, self._tick, router)
         for engine, at in self.fleet.lost:
             self._at(at, self._lose, f"e{engine}")
@@ -283,6 +287,8 @@
         assert asked.choice is not None
         asked.first_at = now + CALLER_MS
         asked.choice.target.load.first_event(id)
+        assert asked.router is not None and asked.request is not None
+        asked.router.admission.note_begun(asked.request)
 
     def _end(self, now: float, id: str) -> None:
         asked = self.asked.pop(id, None)
--- a/tests/gateway/test_loadexchange.py
+++ b/tests/gateway/test_loadexchange.py
@@ -9,6 +9,7 @@
 from jacinthcove.gateway.loadreports import PERIOD_MS, REFRESH_MS, DirectAudience
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetBook
+from jacinthcove.gateway.uses import Use, add_uses
 from jacinthcove.mesh.kinds import LOAD_SHARE
 from jacinthcove.mesh.peers import Member
 from tests.gateway.samples import record
@@ -93,7 +94,7 @@
     again.ledger.ask("small", 5)
     receiver.take("r1", again.reporter.own(again.near))
     assert receiver.book.states["t1"].load.running == 0
-    assert receiver.ledger.seen["r1", "small"].asked == 5
+    assert receiver.ledger.others.sum()["small"].asked == 5
 
 
 def test_each_audience_is_told_everything_once(clock, sender):
@@ -120,7 +121,7 @@
     assert [use.workspace for use in sender.reporter.own(sender.near).workspaces] == ["small"]
     assert not sender.reporter.own(sender.near).workspaces
     sender.ledger.admit("small", 100)
-    assert [use.admitted_tokens for use in sender.reporter.own(sender.near).workspaces] == [100]
+    assert [use.given_tokens for use in sender.reporter.own(sender.near).workspaces] == [100]
 
 
 class Fleet:
@@ -187,13 +188,6 @@
 
 def test_all_routers_of_a_large_fleet_learn_of_a_request_once(clock):
     fleet = Fleet(clock)
-    for name in ("a3", "b5"):
-        # The first count of a sender is where later ones start from.
-        fleet.exchanges[name].ledger.ask("small", 1)
-    fleet.round()
-    fleet.round()
-    for exchange in fleet.exchanges.values():
-        exchange.ledger.fresh.clear()
     begin(fleet.exchanges["a3"])
     begin(fleet.exchanges["b5"])
     fleet.round()
@@ -259,6 +253,25 @@
         assert fleet.running() == {len(fleet.exchanges)}
 
 
+def test_what_two_collectors_tell_of_the_same_routers_counts_once(clock):
+    fleet = Fleet(clock)
+    fleet.round()
+    asked = len(fleet.exchanges) - 1
+    lost = fleet.collector("b").members.me.id
+    away = fleet.exchanges.pop(lost)
+    for exchange in fleet.exchanges.values():
+        exchange.ledger.ask("small", 10)
+    for _ in range(20):
+        fleet.round()
+    fleet.exchanges[lost] = away
+    for _ in range(10):
+        fleet.round()
+        for exchange in fleet.exchanges.values():
+            uses = exchange.ledger.own.sum()
+            add_uses(uses, exchange.ledger.others.sum())
+            assert uses.get("small", Use()).asked <= 10 * asked
+
+
 def test_small_fleets_have_no_collector(clock):
     fleet = Fleet(clock, DIRECT_ROUTERS // 2)
     assert {e.collector_in_use() for e in fleet.exchanges.values()} == {None}
