A workspace whose answers wait is behind, and one over its share lets the queues drain

Its requests waited at the engines (given 1.7, begun 1.3 of 2.1) behind those that the hot one had sent before it was seen, and as the hot one went on to get its share exactly, the queues stayed. Change: behind is who began less than its due; over the share 0.5 to 4 times the share, so the queues drain while a quarter of the answers is late; 0.6 of an engine's slots (0.8).

--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -59,7 +59,7 @@
 ROOM = {
     Standing.BEHIND: Room(backlog=1.1, wait=0.6, slots=1.0),
     Standing.WITHIN: Room(backlog=0.8, wait=0.25, slots=1.0),
-    Standing.OVER: Room(backlog=0.35, wait=0.08, slots=0.8),
+    Standing.OVER: Room(backlog=0.35, wait=0.08, slots=0.6),
 }
 
 
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -18,9 +18,10 @@
 # Answers begin late while more than this part of them does.
 LATE_PART = 0.25
 # What a workspace over its share gets, as a multiple of it: more each tick, less while answers are
-# late.
+# late. Below 1 the requests that wait at the engines become fewer.
 HEADROOM_STEP = 0.1
 HEADROOM_CUT = 0.7
+MIN_HEADROOM = 0.5
 MAX_HEADROOM = 4.0
 # Below this part of what it is due a workspace is served before others.
 BEHIND_PART = 0.7
@@ -120,7 +121,7 @@
         begun = sum(use.begun_lately for use in self.recent.values())
         late = sum(use.late_lately for use in self.recent.values())
         if late > LATE_PART * begun:
-            self.headroom = max(1.0, self.headroom * HEADROOM_CUT)
+            self.headroom = max(MIN_HEADROOM, self.headroom * HEADROOM_CUT)
         else:
             self.headroom = min(MAX_HEADROOM, self.headroom + HEADROOM_STEP)
 
@@ -141,8 +142,7 @@
         if use is None or self.level == float("inf"):
             return Standing.WITHIN
         fresh = self.own.fresh.get(workspace, Use())
-        got = use.given + fresh.given
-        if got >= self.level:
+        if use.given + fresh.given >= self.level:
             return Standing.OVER
         due = min(self.level, use.asked + fresh.asked)
-        return Standing.BEHIND if got < BEHIND_PART * due else Standing.WITHIN
+        return Standing.BEHIND if use.begun < BEHIND_PART * due else Standing.WITHIN
