The delay of a router counts the greenlets that wait for their turn

Cause: the delay was that of a timer, and timers come first in each turn of the loop: with 1 s of greenlets that are due it says 262 ms. Change: the measuring greenlet goes to the end of the queue before it looks. The test failed before.

--- a/src/jacinthcove/gateway/loopdelay.py
+++ b/src/jacinthcove/gateway/loopdelay.py
@@ -1,4 +1,4 @@
-"""How late the event loop of this router is.
+"""How late the event loop of this router is, its queue of greenlets that are due included.
 
 Answers the load of a slow VM that gets more callers than it can read: they leave before it comes to
 them, and what it still sends on for them is lost work. A late router refuses at once, so that they
@@ -63,5 +63,7 @@
 
     def _run(self) -> None:
         while True:
+            # Timers come first in each turn of the loop; this waits for what was due before.
+            gevent.sleep(0)
             self.sample()
             gevent.sleep(PERIOD_MS / 1000)
--- a/tests/gateway/test_loopdelay.py
+++ b/tests/gateway/test_loopdelay.py
@@ -72,3 +72,18 @@
     for _ in range(KEPT_PERIODS):
         fire(delay, clock)
     assert not delay.is_late()
+
+
+def test_greenlets_that_are_due_and_wait_for_their_turn_count():
+    seen = []
+    delay = LoopDelay(SystemClock(), seen.append)
+    delay.start()
+    gevent.sleep(PERIOD_MS / 1_000)
+
+    def work():
+        time.sleep(0.01)
+
+    gevent.joinall([gevent.spawn(work) for _ in range(100)])
+    gevent.sleep(2 * PERIOD_MS / 1_000)
+    delay.close()
+    assert max(seen) > REFUSING_DELAY_MS
