--- a/src/jacinthcove/codes.py
+++ b/src/jacinthcove/codes.py
@@ -88,7 +88,9 @@
         _NOT_RUN, 503, "the router has no recent word from the store about keys and routes"
     ),
     ResultCode.NO_CAPACITY: CodeInfo(
-        _NOT_RUN, 503, "no target could start the request within its latency goal"
+        _NOT_RUN,
+        503,
+        "no target could start the request in time, or its workspace is over its share",
     ),
     ResultCode.HEADER_TIMEOUT: CodeInfo(_NOT_RUN, 408, "the request did not arrive in time"),
     ResultCode.TOKEN_INVALID: CodeInfo(_NOT_RUN, 403, "the resume token is invalid or expired"),
