Let the signal test pass under nohup

Under nohup a process inherits SIGHUP as ignored, so the child of the test counted as handling the signal before it had installed its handler. The child now restores the default action first and says so; the checks before, after and at the end of the process are the same.

Failed before under nohup (assert not handles_signal), passes now with and without nohup.

--- a/tests/soak/test_soak_world.py
+++ b/tests/soak/test_soak_world.py
@@ -18,13 +18,16 @@
 
 
 def test_a_process_handles_a_signal_once_its_handler_is_installed():
-    lines = "import signal, sys; input(); signal.signal(1, signal.SIG_IGN); print(1, flush=True)"
+    # Under nohup the process inherits SIGHUP as ignored, so it restores the default action first.
+    restore = "import signal; signal.signal(1, signal.SIG_DFL); print(0, flush=True); input()"
+    ignore = "signal.signal(1, signal.SIG_IGN); print(1, flush=True); input()"
     process = subprocess.Popen(
-        [sys.executable, "-c", f"{lines}; input()"],
+        [sys.executable, "-c", f"{restore}; {ignore}"],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
     )
     try:
+        assert process.stdout.readline() == b"0\n"
         assert not handles_signal(process.pid, signal.SIGHUP)
         process.stdin.write(b"go on\n")
         process.stdin.flush()
