--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -103,11 +103,13 @@
         received_at = self.clock.now()
         request_id = self.codec.request_id(connection.raw_headers)
         code = ResultCode.INTERNAL
+        workspace = ""
         try:
             body = connection.read_body()
             raw = connection.raw_request(body)
             with connection.watch_disconnect():
                 request = self.codec.decode(raw, self.active_config.routes(), received_at)
+                workspace = request.workspace
                 self.on_request(request)
                 self._check_accepting(request)
                 code = self.forwarder.run(request, sink)
@@ -121,7 +123,7 @@
             if sink.headers_sent:
                 self._record_aborted(request_id, refusal.message)
                 raise ResponseAborted(refusal.message) from refusal
-            self._refuse(request_id, self._mark_if_stale(refusal), sink, received_at)
+            self._refuse(request_id, workspace, self._mark_if_stale(refusal), sink, received_at)
         except ResponseAborted as aborted:
             self._record_aborted(request_id, str(aborted))
             raise
@@ -132,7 +134,7 @@
             if sink.headers_sent:
                 raise ResponseAborted("the router failed") from error
             failure = RequestRefused(ResultCode.INTERNAL, "the router failed")
-            self._refuse(request_id, failure, sink, received_at)
+            self._refuse(request_id, workspace, failure, sink, received_at)
         self.metrics.counter("requests_total", code=code.name.lower()).add()
         self.metrics.histogram("request_ms").observe(self.clock.now() - received_at)
 
@@ -153,12 +155,18 @@
         return refusal
 
     def _refuse(
-        self, request_id: str, refusal: RequestRefused, sink: CallerSink, received_at: int
+        self,
+        request_id: str,
+        workspace: str,
+        refusal: RequestRefused,
+        sink: CallerSink,
+        received_at: int,
     ) -> None:
         self.metrics.counter("requests_refused_total", code=refusal.code.name.lower()).add()
         self.decisions.log_decision(
             "request_refused",
             request_id=request_id,
+            workspace=workspace,
             code=int(refusal.code),
             reason=refusal.message,
             retry_after_ms=refusal.retry_after_ms,
