Read the head of a request once and send a response in one piece

The server now gets the fields that we parsed, control characters are looked for once in the whole head, and the first data goes out with the head.

--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -1,7 +1,6 @@
 """The HTTP server of the gateway: strict parsing, caller disconnects, graceful stop."""
 
 import contextlib
-import io
 import re
 import socket
 from collections.abc import Callable, Iterable, Iterator
@@ -21,7 +20,9 @@
 BACKLOG = 1_024
 # Empty lines before a request line are skipped up to this number.
 MAX_EMPTY_LINES = 2
-_FIELD_NAME = re.compile(rb"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$")
+_FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+# Control characters other than the line ends.
+_STRAY_CONTROL = re.compile(r"\0|\r(?!\n)|(?<!\r)\n")
 _ERROR_RESPONSE = b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 _REASONS = {400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
             431: b"Request Header Fields Too Large"}  # fmt: skip
@@ -41,26 +42,28 @@
 
 def parse_headers(block: bytes) -> Headers:
     """Return the header fields of a request in order; raises `MalformedRequest(400)`."""
+    text = block.decode("latin-1")
+    if _STRAY_CONTROL.search(text):
+        raise MalformedRequest(400, "a header field has a control character")
     fields = []
-    for line in block.split(b"\r\n"):
+    for line in text.split("\r\n"):
         if not line:
             continue
-        name, colon, value = line.partition(b":")
+        name, colon, value = line.partition(":")
         if not colon or not _FIELD_NAME.match(name):
             raise MalformedRequest(400, "a header field is malformed")
-        if any(byte in value for byte in (b"\r", b"\n", b"\0")):
-            raise MalformedRequest(400, "a header field has a control character")
-        fields.append((name.decode("latin-1"), value.strip(b" \t").decode("latin-1")))
+        fields.append((name, value.strip(" \t")))
     _check_framing(fields)
     return tuple(fields)
 
 
 def _check_framing(fields: list[tuple[str, str]]) -> None:
     """Refuse ambiguous framing, which two parsers could read as different requests."""
-    lengths = [value for name, value in fields if name.lower() == "content-length"]
-    codings = [value for name, value in fields if name.lower() == "transfer-encoding"]
-    hosts = [value for name, value in fields if name.lower() == "host"]
-    if len(hosts) != 1:
+    found: dict[str, list[str]] = {}
+    for name, value in fields:
+        found.setdefault(name.lower(), []).append(value)
+    lengths, codings = found.get("content-length", []), found.get("transfer-encoding", [])
+    if len(found.get("host", [])) != 1:
         raise MalformedRequest(400, "a request needs exactly one host")
     if len(lengths) > 1 or any(not re.fullmatch(r"[0-9]{1,18}", value) for value in lengths):
         raise MalformedRequest(400, "the content length is unclear")
@@ -68,10 +71,43 @@
         raise MalformedRequest(400, "the transfer coding is unclear")
 
 
+class RequestHeaders:
+    """Header fields in the form that the WSGI server expects, so that it parses them no more.
+
+    Of the fields it copies to the environment, it needs only those in `ENVIRON_FIELDS`.
+    """
+
+    ENVIRON_FIELDS = ("expect", "transfer-encoding")
+    status = ""
+
+    def __init__(self, fields: Headers):
+        self.values = {name.lower(): value for name, value in fields}
+        self.typeheader = self.values.get("content-type")
+
+    @property
+    def headers(self) -> list[str]:
+        """Return the lines that the server copies to the environment."""
+        return [
+            f"{name}: {self.values[name]}" for name in self.ENVIRON_FIELDS if name in self.values
+        ]
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the value of a field, or `default` if it is absent."""
+        return self.values.get(name.lower(), default)
+
+    def getheader(self, name: str) -> str | None:
+        """Return the value of a field, or None if it is absent."""
+        return self.get(name)
+
+    def __delitem__(self, name: str) -> None:
+        del self.values[name.lower()]
+
+
 class GatewayHandler(CallerHandler):
     """A caller's connection, with the limits of the configuration."""
 
     header_block = b""
+    raw_headers: Headers = ()
     rfile: Any
 
     @property
@@ -139,13 +175,15 @@
         parts = raw_requestline.rstrip("\r\n").split(" ")
         if len(parts) != 3 or not parts[1].startswith("/") or "#" in parts[1]:
             raise MalformedRequest(400, "the request line is malformed")
-        connection_file, self.rfile = self.rfile, io.BytesIO(self.header_block + b"\r\n")
         try:
             return super().read_request(raw_requestline)
         except ValueError as error:
             raise MalformedRequest(400, str(error)) from error
-        finally:
-            self.rfile = connection_file
+
+    def MessageClass(self, file: Any, seekable: int) -> RequestHeaders:  # noqa: N802
+        """Return the fields that `read_request` has parsed; the server calls this to parse them."""
+        del file, seekable
+        return RequestHeaders(self.raw_headers)
 
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment, extended by this connection."""
--- a/src/jacinthcove/router/connection.py
+++ b/src/jacinthcove/router/connection.py
@@ -16,6 +16,8 @@
     """A caller's connection: sets the socket options that streaming needs and tracks idleness."""
 
     idle = False
+    # While the head of a response is being written: what to send, together with the first data.
+    held_back: bytearray | None = None
 
     def handle(self) -> None:
         """Serve the requests of the connection, one after another."""
@@ -43,6 +45,21 @@
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send the head and the first data at once, because each send is a system call."""
+        self.held_back = held_back = bytearray()
+        try:
+            super()._write_with_headers(data)
+        finally:
+            self.held_back = None
+        self._sendall(held_back)
+
+    def _sendall(self, data: bytes | bytearray) -> None:
+        if self.held_back is None:
+            super()._sendall(data)
+        else:
+            self.held_back += data
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is running or has already arrived."""
         if self.idle:
