--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -31,8 +31,8 @@
     """Serves callers; `refusal` returns why the router refuses a new request, or None.
 
     `overloaded` returns whether other routers would serve callers better; `on_request` is called
-    with every request that could be decoded. `early_refusal` returns why the router refuses the
-    request of a new connection before it is parsed, or None.
+    with every request that could be decoded. `early_refusal` returns why the router refuses a
+    request whatever it is, or None; on a new connection it is asked before the request is parsed.
     """
 
     def __init__(
@@ -131,7 +131,7 @@
                 request = self.codec.decode(raw, self.active_config.routes(), received_at)
                 workspace = request.workspace
                 self.on_request(request)
-                self._check_accepting(request)
+                self._check_accepting(connection, request)
                 code = self.forwarder.run(request, sink)
         except MalformedRequest as error:
             self.record_malformed(error)
@@ -158,8 +158,9 @@
         self.metrics.counter("requests_total", code=code.name.lower()).add()
         self.metrics.histogram("request_ms").observe(self.clock.now() - received_at)
 
-    def _check_accepting(self, request: GatewayRequest) -> None:
-        refusal = self.refusal(request)
+    def _check_accepting(self, connection: GatewayHandler, request: GatewayRequest) -> None:
+        passed, connection.passed_early_check = connection.passed_early_check, False
+        refusal = (None if passed else self.early_refusal()) or self.refusal(request)
         if refusal is not None:
             raise refusal
         self.active_config.require_fresh(request.workspace)
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -112,11 +112,14 @@
 
     header_block = b""
     raw_headers: Headers = ()
+    # Whether it has been decided already that the next request is not refused for lateness.
+    passed_early_check = False
     rfile: Any
 
     def handle(self) -> None:
         """Serve the requests of the connection, or refuse the first one if the router is late."""
         refusal = self.server.application.early_refusal()
+        self.passed_early_check = refusal is None
         if refusal is None or not self._shed(refusal):
             super().handle()
 
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -277,8 +277,6 @@
         if self.application.open_requests > MAX_OPEN_REQUESTS:
             message = "the router has too many open requests"
             return RequestRefused(ResultCode.OVERLOADED, message, OVERLOADED_RETRY_MS)
-        if (late := self._early_refusal()) is not None:
-            return late
         if not self._has_initial_state():
             # Drains that began before this process started may not be known yet.
             message = "not all is known yet"
--- a/tests/platform/test_shedding.py
+++ b/tests/platform/test_shedding.py
@@ -30,14 +30,26 @@
     assert late_bed.application.shed_counter.value == 1
 
 
-def test_a_request_that_arrives_in_pieces_is_served_whole(late_bed):
+def test_a_request_that_arrives_in_pieces_is_refused_after_it_is_read(late_bed):
     data = request("/publish/1")
     with late_bed.connect() as sock:
         sock.sendall(data[:20])
         gevent.sleep(0.05)
         sock.sendall(data[20:])
-        assert read_response(sock)[0] == 200
+        assert read_response(sock)[0] == 503
     assert late_bed.application.shed_counter.value == 0
+    assert not late_bed.targets[0].seen
+
+
+def test_a_request_is_not_refused_twice_at_random(late_bed):
+    """A second decision would refuse what the first let through, after all its cost."""
+    answers = iter([None, LATE])
+    late_bed.application.early_refusal = lambda: next(answers)
+    with late_bed.connect() as sock:
+        sock.sendall(request("/publish/1"))
+        assert read_response(sock)[0] == 200
+        sock.sendall(request("/publish/1"))
+        assert read_response(sock)[0] == 503
 
 
 def test_a_router_that_is_not_late_sheds_nothing(late_bed):
