Send each event of a stream with one system call

The server's own send asks the kernel for the size of the send buffer before each event. It is now asked only when the data does not fit.

--- a/src/jacinthcove/router/connection.py
+++ b/src/jacinthcove/router/connection.py
@@ -16,6 +16,7 @@
     """A caller's connection: sets the socket options that streaming needs and tracks idleness."""
 
     idle = False
+    response_length: int
     # While the head of a response is being written: what to send, together with the first data.
     held_back: bytearray | None = None
 
@@ -55,10 +56,23 @@
         self._sendall(held_back)
 
     def _sendall(self, data: bytes | bytearray) -> None:
-        if self.held_back is None:
-            super()._sendall(data)
-        else:
+        if self.held_back is not None:
             self.held_back += data
+            return
+        sent = self._send_at_once(data)
+        self.response_length += sent
+        if sent < len(data):
+            super()._sendall(memoryview(data)[sent:])
+
+    def _send_at_once(self, data: bytes | bytearray) -> int:
+        """Send what fits the send buffer; return the number of bytes, 0 after an error.
+
+        The server's own method asks for the size of the buffer first, a system call for each event.
+        """
+        try:
+            return int(self.socket._sock.send(data))
+        except OSError:
+            return 0
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is running or has already arrived."""
