An overloaded router is not ready for three seconds

Hypothesis: a balancer that keeps a workspace on one router moves it only when that router is not ready (policies.md); the directory, which leaves a late router out, does not move it. Change: a router that has been overloaded for 500 ms, as the directory sees it (late, and at most a third of the routers), says for 3 s that it is not ready.

The figure of the gauge loop_delay_ms is set where it was. tests/gateway/test_overload.py: short delays do not move callers, and they do not come back as soon as the delay has gone.

--- a/src/jacinthcove/gateway/overload.py
+++ b/src/jacinthcove/gateway/overload.py
@@ -9,12 +9,17 @@
 from dataclasses import dataclass
 from statistics import median
 
+from jacinthcove.clock import Clock
 from jacinthcove.mesh import mesh_pb2 as pb
 
 # A router is overloaded above this multiple of the median of open requests, or if it is late. With
 # `MIN_OPEN_REQUESTS` or fewer only a late one is.
 OVERLOAD_FACTOR = 2.5
 MIN_OPEN_REQUESTS = 60
+# A router that has been overloaded for this time tells load balancers that it is not ready, for
+# `RELIEF_MS` at least.
+OVERLOAD_PATIENCE_MS = 500
+RELIEF_MS = 3_000
 # At most this fraction of the routers is left out.
 MAX_EXCLUDED_FRACTION = 1 / 3
 
@@ -57,3 +62,29 @@
     found = [router for router, count in open_requests.items() if count > limit or router in late]
     found.sort(key=lambda router: (-open_requests[router], router))
     return frozenset(found[: int(len(open_requests) * MAX_EXCLUDED_FRACTION)])
+
+
+class CallerRelief:
+    """Decides when an overloaded router is not ready, so that load balancers use another one.
+
+    A balancer may keep a workspace on one router, whatever the directory lists.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.overloaded_since: int | None = None
+        self.relieved_until = clock.now()
+
+    def sample(self, overloaded: bool) -> None:
+        """Record whether this router has more callers than it can carry, several times a second."""
+        now = self.clock.now()
+        if not overloaded:
+            self.overloaded_since = None
+        elif self.overloaded_since is None:
+            self.overloaded_since = now
+        elif now - self.overloaded_since >= OVERLOAD_PATIENCE_MS:
+            self.relieved_until = now + RELIEF_MS
+
+    def is_relieved(self) -> bool:
+        """Return whether this router should get no new callers at present."""
+        return self.clock.now() < self.relieved_until
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -18,6 +18,7 @@
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.loopdelay import LoopDelay
 from jacinthcove.gateway.model import GatewayRequest, RetrySafety
+from jacinthcove.gateway.overload import CallerRelief
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
@@ -163,7 +164,8 @@
         # Boot clock ms when the stop began, None before. Boot time, because the grace period of the
         # platform continues while the VM is suspended.
         self.stopping_at: int | None = None
-        self.loop_delay = LoopDelay(clock, self.metrics.gauge("loop_delay_ms").set)
+        self.loop_delay = LoopDelay(clock, self._on_loop_delay)
+        self.relief = CallerRelief(clock)
         self.admission.is_late = self.loop_delay.is_late
         self.changelogs: dict[str, ChangeLog] = {}
         self.source = RelayedSource(clock, self.store_client, self.changelogs)
@@ -249,8 +251,13 @@
             self.stopping_at is None
             and self._has_initial_state()
             and self.active_config.check_freshness()
+            and not self.relief.is_relieved()
         )
 
+    def _on_loop_delay(self, delay_ms: float) -> None:
+        self.metrics.gauge("loop_delay_ms").set(delay_ms)
+        self.relief.sample(self.fleet.is_left_out())
+
     def _has_initial_state(self) -> bool:
         return self.active_config.table is not None and all(watch.listed for watch in self.watches)
 
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -1,6 +1,16 @@
 """Routers that the directory leaves out because they are overloaded."""
 
-from jacinthcove.gateway.overload import MIN_OPEN_REQUESTS, OVERLOAD_FACTOR, overloaded
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.overload import (
+    MIN_OPEN_REQUESTS,
+    OVERLOAD_FACTOR,
+    OVERLOAD_PATIENCE_MS,
+    RELIEF_MS,
+    CallerRelief,
+    overloaded,
+)
 
 
 def test_a_router_with_far_more_callers_than_the_others_is_overloaded():
@@ -37,3 +47,39 @@
     loads = {f"r{n}": 10 + n for n in range(9)}
     late = {f"r{n}" for n in range(8)}
     assert overloaded(loads, late) == {"r7", "r6", "r5"}
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def relief(clock):
+    return CallerRelief(clock)
+
+
+def sample(relief, clock, overloaded, for_ms):
+    for _ in range(for_ms // 250):
+        relief.sample(overloaded)
+        clock.advance(250)
+
+
+def test_a_router_to_which_a_balancer_keeps_a_workspace_passes_it_on(relief, clock):
+    sample(relief, clock, True, OVERLOAD_PATIENCE_MS + 250)
+    assert relief.is_relieved()
+
+
+def test_a_short_delay_does_not_move_callers(relief, clock):
+    for _ in range(5):
+        sample(relief, clock, True, OVERLOAD_PATIENCE_MS)
+        sample(relief, clock, False, 250)
+    assert not relief.is_relieved()
+
+
+def test_callers_do_not_return_as_soon_as_the_router_has_recovered(relief, clock):
+    sample(relief, clock, True, OVERLOAD_PATIENCE_MS + 250)
+    sample(relief, clock, False, RELIEF_MS - 500)
+    assert relief.is_relieved()
+    sample(relief, clock, False, 500)
+    assert not relief.is_relieved()
