--- a/src/jacinthcove/gateway/overload.py
+++ b/src/jacinthcove/gateway/overload.py
@@ -20,6 +20,8 @@
 # `RELIEF_MS` at least.
 OVERLOAD_PATIENCE_MS = 500
 RELIEF_MS = 3_000
+# A router that has just started is late while it joins the fleet, and callers wait for it.
+START_MS = 5_000
 # At most this fraction of the routers is left out.
 MAX_EXCLUDED_FRACTION = 1 / 3
 
@@ -73,12 +75,12 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self.overloaded_since: int | None = None
-        self.relieved_until = clock.now()
+        self.relieved_until = self.started_at = clock.now()
 
     def sample(self, overloaded: bool) -> None:
         """Record whether this router has more callers than it can carry, several times a second."""
         now = self.clock.now()
-        if not overloaded:
+        if not overloaded or now - self.started_at < START_MS:
             self.overloaded_since = None
         elif self.overloaded_since is None:
             self.overloaded_since = now
