Quarantine prompt parts that crash engines

Each engine that begins to write an answer on one part of a prompt crashes; requests with it come at any router, no two alike, and nothing remembered what the last crash was about. One router alone sees too little: eight routers share the crashes, and up to ten requests wait at an engine when it crashes.

After a connection broke before the first event, a router connects once more; if nothing listens, it reports the shared parts of each request that it had there to two examining routers. A part is suspect if requests with it waited at three engines that crashed and no answer on it has begun since at any router: the examiners ask. What is left is announced to all routers and put into the store, where routers that start or were cut off find it; matching requests get 503, not run, also right before a send. Parts that came only together are refused together only, so that sound requests with one of them are served; a crash by one alone singles it out. A combination is released when an answer on it begins after all, and after ten minutes.

--- a/src/jacinthcove/codes.py
+++ b/src/jacinthcove/codes.py
@@ -39,6 +39,7 @@
     TOKEN_INVALID = 220
     UNKNOWN_KEY = 221
     KEY_REUSED = 222
+    PART_QUARANTINED = 223
 
     TARGET_FAILED = 300
     STREAM_BROKEN = 301
@@ -100,6 +101,9 @@
     ResultCode.KEY_REUSED: CodeInfo(
         _NOT_RUN, 409, "the idempotency key belongs to a request with other content"
     ),
+    ResultCode.PART_QUARANTINED: CodeInfo(
+        _NOT_RUN, 503, "a part of the prompt has crashed engines and is in quarantine"
+    ),
     ResultCode.TARGET_FAILED: CodeInfo(
         _MAY_HAVE_RUN, 502, "the target failed while it had the request"
     ),
--- a/src/jacinthcove/gateway/attempts.py
+++ b/src/jacinthcove/gateway/attempts.py
@@ -3,13 +3,42 @@
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.activeconfig import ActiveConfig
 from jacinthcove.gateway.firstevents import OVERDUE_SLOWDOWN, FirstEventKey, slowdown
-from jacinthcove.gateway.forward import Attempt, ForwardedRequest
+from jacinthcove.gateway.forward import Attempt, AttemptObserver, ForwardedRequest
 from jacinthcove.gateway.results import version_result
 from jacinthcove.gateway.retrypolicy import AttemptOutcome, NextAction
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.observe.decisions import DecisionLog
 
 
+class AttemptObservers:
+    """Passes the events of each attempt on to several observers, in order."""
+
+    def __init__(self, *observers: AttemptObserver):
+        self.observers = observers
+
+    def on_sent(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
+        """Pass on a request that is about to be sent to its target."""
+        for observer in self.observers:
+            observer.on_sent(forwarded, attempt)
+
+    def on_first_event(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
+        """Pass on the first event of a stream."""
+        for observer in self.observers:
+            observer.on_first_event(forwarded, attempt)
+
+    def on_ended(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
+        """Pass on the end of an attempt."""
+        for observer in self.observers:
+            observer.on_ended(forwarded, attempt)
+
+    def on_step_chosen(
+        self, forwarded: ForwardedRequest, attempt: Attempt, step: NextAction
+    ) -> None:
+        """Pass on the step chosen after an attempt."""
+        for observer in self.observers:
+            observer.on_step_chosen(forwarded, attempt, step)
+
+
 class AttemptRecorder:
     """Feeds the outcome of each attempt to rollouts and the decision log of a router."""
 
--- /dev/null
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -0,0 +1,237 @@
+"""Collects the crashes of engines over all routers, and quarantines the prompt parts behind them.
+
+A router sees only its own requests at an engine that crashed. It reports their prompt parts to two
+examiners, which are the same for all routers. An examiner asks the other routers whether an answer
+on a suspect part has begun. If none has, it announces the part, or the combination of parts, to all
+routers and puts it into the store, where routers that start or were cut off find it. An isolated
+router examines its own crashes.
+"""
+
+import random
+from collections.abc import Collection
+from typing import Protocol
+
+import gevent
+import structlog
+from gevent.event import Event
+from gevent.pool import Pool
+
+from jacinthcove.background import BackgroundTask
+from jacinthcove.clock import Clock
+from jacinthcove.errors import PeerUnavailable, StoreUnavailable
+from jacinthcove.gateway.crashevidence import (
+    Combination,
+    CrashEvidence,
+    EngineStart,
+    FirstEvents,
+)
+from jacinthcove.gateway.quarantine import Quarantine
+from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.kinds import BEGUN_QUERY, CRASH_REPORT, QUARANTINE_NOTICE
+from jacinthcove.mesh.peers import Members, Peers
+from jacinthcove.scheduling import rendezvous
+
+log = structlog.get_logger()
+
+EXAMINERS = 2
+# Routers that are asked about suspect parts at once, and suspect parts in one question.
+MAX_ASKED = 128
+MAX_SUSPECTS = 64
+QUERY_TIMEOUT_MS = 400
+# Time between two examinations, and between two attempts to bring the store up to date.
+EXAMINE_INTERVAL_MS = 100
+UPKEEP_INTERVAL_MS = 1_000
+
+
+class QuarantineStore(Protocol):
+    """Keeps the combinations in quarantine; both methods raise `StoreUnavailable`."""
+
+    def put(self, combination: Combination) -> None:
+        """Add a combination unless it is kept already."""
+
+    def delete(self, combination: Combination) -> None:
+        """Remove a combination if it is kept."""
+
+
+class CrashExaminer:
+    """Reports crashes to the examiners, and is one of them if this router is among them."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        first_events: FirstEvents,
+        quarantine: Quarantine,
+        store: QuarantineStore,
+    ):
+        self.clock = clock
+        self.first_events = first_events
+        self.quarantine = quarantine
+        self.store = store
+        self.evidence = CrashEvidence(clock)
+        self.members: Members | None = None
+        self.peers: Peers | None = None
+        self.new_evidence = Event()
+        # To delete from the store, because an answer on these parts has begun.
+        self.released: set[Combination] = set()
+        self.examine_task = BackgroundTask(self._examine_loop)
+        self.upkeep_task = BackgroundTask(self._upkeep_loop)
+
+    def start(self) -> None:
+        """Start to examine what is reported to this router."""
+        self.examine_task.start()
+        self.upkeep_task.start()
+
+    def close(self) -> None:
+        """Stop examining."""
+        self.examine_task.close()
+        self.upkeep_task.close()
+
+    def join(self, members: Members, peers: Peers) -> None:
+        """Start to exchange crashes with other routers."""
+        self.members, self.peers = members, peers
+        peers.register(CRASH_REPORT, self.on_report)
+        peers.register(BEGUN_QUERY, self.on_query)
+        peers.register(QUARANTINE_NOTICE, self.on_notice)
+
+    def report(self, engine: EngineStart, requests: Collection[Combination]) -> None:
+        """Report a crash of an engine and the shared parts of the requests that waited there."""
+        parts = [sorted(request) for request in requests]
+        log.info("engine_crashed", target=engine.target_id, requests=parts)
+        self._record(engine, requests)
+        if self.members is None or self.peers is None:
+            return
+        message = pb.CrashReport(
+            target_id=engine.target_id,
+            started_at=engine.started_at,
+            requests=[pb.PromptParts(parts=item) for item in parts],
+        )
+        for examiner in self.examiners():
+            if examiner != self.members.me.id:
+                self.peers.send(examiner, CRASH_REPORT, message)
+
+    def release(self, combinations: Collection[Combination]) -> None:
+        """Release combinations, because an answer on all of their parts has begun."""
+        for combination in combinations:
+            self.evidence.clear(combination)
+            self.quarantine.remove_found(combination)
+            self.quarantine.remove_stored(combination)
+            self.released.add(combination)
+
+    def examiners(self) -> list[str]:
+        """Return the routers that collect the crashes of the whole fleet."""
+        assert self.members is not None
+        ids = [member.id for member in self.members.alive()]
+        return rendezvous.ranked("crashes", ids)[:EXAMINERS]
+
+    def on_report(self, sender: str, message: pb.CrashReport) -> None:
+        """Record a crash that another router saw; handles `CRASH_REPORT`."""
+        del sender
+        requests = [frozenset(item.parts) for item in message.requests]
+        self._record(EngineStart(message.target_id, message.started_at), requests)
+
+    def on_query(self, sender: str, message: pb.BegunQuery) -> pb.BegunReply:
+        """Return the parts on which an answer has begun here; handles `BEGUN_QUERY`."""
+        del sender
+        asked = zip(message.parts, message.ages_ms, strict=False)
+        return pb.BegunReply(parts=self._begun_here(dict(asked)))
+
+    def on_notice(self, sender: str, message: pb.QuarantineNotice) -> None:
+        """Refuse what an examiner has found; handles `QUARANTINE_NOTICE`."""
+        del sender
+        if message.parts:
+            self.quarantine.add_found(frozenset(message.parts))
+
+    def _record(self, engine: EngineStart, requests: Collection[Combination]) -> None:
+        self.evidence.record(engine, requests)
+        self.new_evidence.set()
+
+    def _begun_here(self, ages_ms: dict[str, int]) -> list[str]:
+        now = self.clock.now()
+        return [
+            part for part, age in ages_ms.items() if self.first_events.begun_since(part, now - age)
+        ]
+
+    def _examine_loop(self) -> None:
+        while True:
+            self.new_evidence.wait()
+            self.new_evidence.clear()
+            self.examine()
+            gevent.sleep(EXAMINE_INTERVAL_MS / 1000)
+
+    def examine(self) -> None:
+        """Quarantine the suspect parts on which no answer has begun at any router."""
+        suspects = self._new_suspects()
+        if not suspects:
+            return
+        ages_ms = {part: self.evidence.age_ms(part) for part in suspects}
+        begun = set(self._begun_here(ages_ms))
+        asked = {part: age for part, age in ages_ms.items() if part not in begun}
+        if asked:
+            begun |= self._begun_elsewhere(asked)
+        self.evidence.clear(begun)
+        found = {self.evidence.combination(part) for part in self._new_suspects()}
+        for combination in found:
+            self._quarantine(combination)
+
+    def _new_suspects(self) -> list[str]:
+        """Return the suspect parts whose requests are not refused yet."""
+        return [
+            part
+            for part in self.evidence.suspects()[:MAX_SUSPECTS]
+            if not self.quarantine.find(self.evidence.combination(part))
+        ]
+
+    def _begun_elsewhere(self, ages_ms: dict[str, int]) -> set[str]:
+        if self.members is None or self.peers is None:
+            return set()
+        me = self.members.me.id
+        others = [member.id for member in self.members.alive() if member.id != me]
+        message = pb.BegunQuery(parts=list(ages_ms), ages_ms=list(ages_ms.values()))
+        begun: set[str] = set()
+
+        def ask(router: str) -> None:
+            assert self.peers is not None
+            try:
+                begun.update(self.peers.call(router, BEGUN_QUERY, message, QUERY_TIMEOUT_MS).parts)
+            except PeerUnavailable as error:
+                log.debug("begun_query_failed", router=router, reason=str(error))
+
+        pool = Pool(MAX_ASKED)
+        for router in random.sample(others, min(len(others), MAX_ASKED)):
+            pool.spawn(ask, router)
+        pool.join()
+        return begun
+
+    def _quarantine(self, combination: Combination) -> None:
+        self.quarantine.add_found(combination)
+        if self.members is not None and self.peers is not None:
+            notice = pb.QuarantineNotice(parts=sorted(combination))
+            for member in self.members.alive():
+                if member.id != self.members.me.id:
+                    self.peers.send(member.id, QUARANTINE_NOTICE, notice)
+        self._store(combination)
+
+    def _store(self, combination: Combination) -> None:
+        try:
+            self.store.put(combination)
+        except StoreUnavailable as error:
+            log.warning("quarantine_not_stored", parts=sorted(combination), reason=str(error))
+
+    def upkeep(self) -> None:
+        """Store what was found and is not stored yet, and delete what is released or expired."""
+        if self.members is None or self.members.me.id in self.examiners():
+            for combination in self.quarantine.unstored():
+                self._store(combination)
+            self.released.update(self.quarantine.expired())
+        for combination in list(self.released):
+            try:
+                self.store.delete(combination)
+            except StoreUnavailable as error:
+                log.warning("quarantine_not_deleted", parts=sorted(combination), reason=str(error))
+                return
+            self.released.discard(combination)
+
+    def _upkeep_loop(self) -> None:
+        while True:
+            gevent.sleep(UPKEEP_INTERVAL_MS / 1000)
+            self.upkeep()
--- /dev/null
+++ b/src/jacinthcove/gateway/crashwitness.py
@@ -0,0 +1,83 @@
+"""Watches attempts at engines for answers that begin and for engines that crash."""
+
+import gevent
+
+from jacinthcove.gateway.crashevidence import Combination, EngineStart, FirstEvents
+from jacinthcove.gateway.crashexaminer import CrashExaminer
+from jacinthcove.gateway.forward import Attempt, ForwardedRequest
+from jacinthcove.gateway.quarantine import Quarantine, shared_part_ids
+from jacinthcove.gateway.retrypolicy import AttemptOutcome, NextAction
+from jacinthcove.targets.sockets import TargetNotListening, TargetUnreachable, connect
+
+# After a broken connection, the time until a connection attempt shows whether the engine crashed.
+# The connections of other requests break meanwhile.
+CONFIRM_DELAY_MS = 30
+
+
+class CrashWitness:
+    """Reports the prompt parts of requests that waited for their first event at a crashed engine.
+
+    Implements `AttemptObserver`.
+    """
+
+    def __init__(self, first_events: FirstEvents, quarantine: Quarantine, examiner: CrashExaminer):
+        self.first_events = first_events
+        self.quarantine = quarantine
+        self.examiner = examiner
+        # The requests that broke off at each engine, until it is known whether it crashed.
+        self.unconfirmed: dict[EngineStart, set[Combination]] = {}
+
+    def on_sent(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
+        """Do nothing: only answers and broken connections matter."""
+
+    def on_first_event(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
+        """Record that an answer has begun, which releases its parts from quarantine."""
+        del attempt
+        self._record_begun(shared_part_ids(forwarded.request.prompt))
+
+    def on_ended(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
+        """Check whether the engine crashed if the connection broke before the first event."""
+        parts = shared_part_ids(forwarded.request.prompt)
+        if not parts:
+            return
+        if attempt.end is AttemptOutcome.COMPLETE and not attempt.first_event_at:
+            self._record_begun(parts)
+        # Without a reason, the caller left or the time limit passed.
+        broke_off = attempt.end is AttemptOutcome.BROKEN_BEFORE and attempt.reason
+        if not broke_off or attempt.first_event_at or not attempt.sent_at:
+            return
+        unproven = frozenset(
+            part for part in parts if not self.first_events.begun_since(part, attempt.sent_at)
+        )
+        if unproven:
+            self._check_engine(attempt, unproven)
+
+    def on_step_chosen(
+        self, forwarded: ForwardedRequest, attempt: Attempt, step: NextAction
+    ) -> None:
+        """Do nothing: the next step does not matter."""
+
+    def _record_begun(self, parts: Combination) -> None:
+        self.first_events.record(parts)
+        released = self.quarantine.find(parts)
+        if released:
+            self.examiner.release(released)
+
+    def _check_engine(self, attempt: Attempt, parts: Combination) -> None:
+        record = attempt.choice.target.record
+        engine = EngineStart(record.id, record.started_at)
+        if engine in self.unconfirmed:
+            self.unconfirmed[engine].add(parts)
+            return
+        self.unconfirmed[engine] = {parts}
+        gevent.spawn_later(CONFIRM_DELAY_MS / 1000, self._confirm, engine, record.address)
+
+    def _confirm(self, engine: EngineStart, address: str) -> None:
+        requests = self.unconfirmed.pop(engine)
+        try:
+            connect(address).close()
+        except TargetNotListening:
+            self.examiner.report(engine, requests)
+        except TargetUnreachable:
+            # The network is at fault, or the engine is too busy to accept.
+            return
--- /dev/null
+++ b/src/jacinthcove/gateway/quarantine.py
@@ -0,0 +1,100 @@
+"""The combinations of prompt parts that crash engines; requests with all parts of one are refused.
+
+Most combinations have one part.
+"""
+
+from collections.abc import Collection
+
+import structlog
+
+from jacinthcove.clock import Clock
+from jacinthcove.codes import ResultCode
+from jacinthcove.errors import RequestRefused
+from jacinthcove.gateway.crashevidence import Combination
+from jacinthcove.gateway.model import PromptShape
+
+log = structlog.get_logger()
+
+# A combination is refused for this time, as the engines may be repaired meanwhile.
+QUARANTINE_MS = 600_000
+
+
+def shared_part_ids(prompt: PromptShape) -> Combination:
+    """Return the parts of a prompt that other requests may have as well: all but the last."""
+    return frozenset(part.id for part in prompt.parts[:-1])
+
+
+class Quarantine:
+    """The combinations in quarantine: those in the store, and those that the routers just found.
+
+    Times are in boot ms, because the store keeps a combination while this VM is suspended.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.stored_since: dict[Combination, int] = {}
+        # Found by a router and not in the store yet.
+        self.unstored_since: dict[Combination, int] = {}
+
+    def __contains__(self, combination: Combination) -> bool:
+        return combination in self.stored_since or combination in self.unstored_since
+
+    def replace_stored(self, combinations: Collection[Combination]) -> None:
+        """Replace the combinations that the store lists."""
+        for combination in self.stored_since.keys() - set(combinations):
+            self.remove_stored(combination)
+        for combination in combinations:
+            self.add_stored(combination)
+
+    def add_stored(self, combination: Combination) -> None:
+        """Record that the store lists a combination."""
+        if combination not in self.stored_since:
+            log.warning("prompt_parts_quarantined", parts=sorted(combination))
+        self.stored_since.setdefault(combination, self.clock.boot())
+        self.unstored_since.pop(combination, None)
+
+    def remove_stored(self, combination: Combination) -> None:
+        """Record that the store lists a combination no more."""
+        if self.stored_since.pop(combination, None) is not None:
+            log.info("prompt_parts_released", parts=sorted(combination))
+
+    def add_found(self, combination: Combination) -> None:
+        """Record a combination that a router found; it counts until the store lists it."""
+        if combination not in self:
+            log.warning("prompt_parts_found", parts=sorted(combination))
+            self.unstored_since[combination] = self.clock.boot()
+
+    def remove_found(self, combination: Combination) -> None:
+        """Forget a combination that was found and that the store does not list."""
+        self.unstored_since.pop(combination, None)
+
+    def unstored(self) -> list[Combination]:
+        """Return the combinations that were found and that the store does not list yet."""
+        since = self.clock.boot() - QUARANTINE_MS
+        for combination in [item for item, at in self.unstored_since.items() if at <= since]:
+            self.remove_found(combination)
+        return list(self.unstored_since)
+
+    def expired(self) -> list[Combination]:
+        """Return the combinations whose quarantine is over, to be deleted from the store."""
+        since = self.clock.boot() - QUARANTINE_MS
+        return [combination for combination, at in self.stored_since.items() if at <= since]
+
+    def find(self, parts: Combination) -> list[Combination]:
+        """Return the combinations in quarantine of which all parts are among `parts`."""
+        known = (*self.stored_since, *self.unstored_since)
+        return [combination for combination in known if combination <= parts]
+
+    def refusal_for(self, prompt: PromptShape) -> RequestRefused | None:
+        """Return a refusal with a code that means not executed if a combination matches."""
+        if not self.stored_since and not self.unstored_since:
+            return None
+        found = self.find(shared_part_ids(prompt))
+        if not found:
+            return None
+        message = f"engines crash at requests with the prompt parts {', '.join(sorted(found[0]))}"
+        return RequestRefused(ResultCode.PART_QUARANTINED, message, self._left_ms(found[0]))
+
+    def _left_ms(self, combination: Combination) -> int:
+        since = self.stored_since.get(combination, self.unstored_since.get(combination, 0))
+        return max(0, since + QUARANTINE_MS - self.clock.boot())
--- a/src/jacinthcove/mesh/kinds.py
+++ b/src/jacinthcove/mesh/kinds.py
@@ -22,6 +22,9 @@
 LOAD_BUNDLE = "load_bundle"
 STORE_PULL = "store_pull"
 PARTS_PULL = "parts_pull"
+CRASH_REPORT = "crash_report"
+BEGUN_QUERY = "begun_query"
+QUARANTINE_NOTICE = "quarantine_notice"
 
 
 @dataclass(frozen=True)
@@ -50,4 +53,7 @@
     LOAD_BUNDLE: MessageTypes(pb.LoadBundle, pb.Empty),
     STORE_PULL: MessageTypes(pb.StorePull, pb.StoreNews),
     PARTS_PULL: MessageTypes(pb.PartsPull, pb.PartsTable),
+    CRASH_REPORT: MessageTypes(pb.CrashReport, pb.Empty),
+    BEGUN_QUERY: MessageTypes(pb.BegunQuery, pb.BegunReply),
+    QUARANTINE_NOTICE: MessageTypes(pb.QuarantineNotice, pb.Empty),
 }
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -12,14 +12,18 @@
 from jacinthcove.gateway.activeconfig import RETRY_ELSEWHERE_MS, ActiveConfig
 from jacinthcove.gateway.admission import Admission, ColdRateLimit
 from jacinthcove.gateway.application import GatewayApplication
-from jacinthcove.gateway.attempts import AttemptRecorder
+from jacinthcove.gateway.attempts import AttemptObservers, AttemptRecorder
 from jacinthcove.gateway.coldlimit import ColdRateLimiter
+from jacinthcove.gateway.crashevidence import FirstEvents
+from jacinthcove.gateway.crashexaminer import CrashExaminer
+from jacinthcove.gateway.crashwitness import CrashWitness
 from jacinthcove.gateway.directory import routers_for
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.loopdelay import LoopDelay
 from jacinthcove.gateway.model import GatewayRequest, RetrySafety
 from jacinthcove.gateway.overload import CallerRelief
 from jacinthcove.gateway.placement import Placement
+from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.server import GatewayServer
@@ -40,9 +44,11 @@
 from jacinthcove.platform.names import (
     CONFIG_KIND,
     DRAINED_DOMAINS_KIND,
+    QUARANTINE_KIND,
     ROLLOUTS_KIND,
     TARGETS_KIND,
 )
+from jacinthcove.platform.quarantinestore import QuarantineFollower, StoredQuarantine
 from jacinthcove.platform.settings import Bounds, PlatformSettings
 from jacinthcove.platform.storeclient import PlatformStoreClient
 from jacinthcove.store.changelog import ChangeLog
@@ -59,6 +65,7 @@
 TARGETS_WAIT_MS = 4_000
 DRAINED_WAIT_MS = 8_000
 ROLLOUTS_WAIT_MS = 10_000
+QUARANTINE_WAIT_MS = 8_000
 # Taken off the revocation bound for requests that are already on their way to a target.
 REVOKE_MARGIN_MS = 500
 # Fractions of the fleet-wide limits that are used, so that delays do not push the fleet over them.
@@ -135,6 +142,11 @@
             self._retry_slack,
         )
         self.connections = ConnectionPool(clock, self.metrics)
+        first_events = FirstEvents(clock)
+        self.quarantine = Quarantine(clock)
+        self.examiner = CrashExaminer(
+            clock, first_events, self.quarantine, StoredQuarantine(self.store_client)
+        )
         codec = PlatformCodec()
         forwarder = Forwarder(
             clock,
@@ -143,7 +155,10 @@
             self.budget,
             self.connections,
             self._check_send,
-            AttemptRecorder(clock, self.rollouts, self.active_config, self.decisions),
+            AttemptObservers(
+                AttemptRecorder(clock, self.rollouts, self.active_config, self.decisions),
+                CrashWitness(first_events, self.quarantine, self.examiner),
+            ),
         )
         self.application = GatewayApplication(
             clock,
@@ -174,8 +189,9 @@
             self._watch(TARGETS_KIND, TARGETS_WAIT_MS, TargetFollower(self.registry)),
             self._watch(DRAINED_DOMAINS_KIND, DRAINED_WAIT_MS, DrainFollower(self.registry)),
             self._watch(ROLLOUTS_KIND, ROLLOUTS_WAIT_MS, RolloutFollower(self.rollouts)),
+            self._watch(QUARANTINE_KIND, QUARANTINE_WAIT_MS, QuarantineFollower(self.quarantine)),
         ]
-        self.fleet.listeners.append(self.source.join)
+        self.fleet.listeners += [self.source.join, self.examiner.join]
         self.fleet.news = self.source
 
     def _watch(self, kind: str, wait_ms: int, follower: Follower) -> KindWatch:
@@ -189,6 +205,7 @@
             watch.start()
         self.loop_delay.start()
         self.connections.start()
+        self.examiner.start()
         self.server.start()
         host, _ = split_address(self.settings.caller_listen)
         self.endpoints.start(
@@ -229,6 +246,7 @@
         """Stop at once without finishing open requests."""
         self.server.stop_accepting()
         self.loop_delay.close()
+        self.examiner.close()
         self.fleet.close()
         self.connections.close()
         for watch in self.watches:
@@ -288,8 +306,9 @@
             # Drains that began before this process started may not be known yet.
             message = "not all is known yet"
             return RequestRefused(ResultCode.CONFIGURATION_STALE, message, RETRY_ELSEWHERE_MS)
-        if self.stopping_at is None:
-            return None
+        quarantined = self.quarantine.refusal_for(request.prompt)
+        if quarantined is not None or self.stopping_at is None:
+            return quarantined
         elapsed = self.clock.boot() - self.stopping_at
         stream = request.route.retry_safety is RetrySafety.STREAM
         if stream and elapsed < STREAM_DRAIN_MS:
@@ -315,6 +334,9 @@
         """
         if self.loop_delay.rejects_all():
             raise self._late_refusal()
+        quarantined = self.quarantine.refusal_for(request.prompt)
+        if quarantined is not None:
+            raise quarantined
         self.active_config.require_fresh(request.workspace)
 
     def _on_request(self, request: GatewayRequest) -> None:
--- a/src/jacinthcove/platform/names.py
+++ b/src/jacinthcove/platform/names.py
@@ -59,3 +59,4 @@
 # Kinds that the router itself defines.
 ROUTERS_KIND = "jacinthcove-routers"
 SECRETS_KIND = "jacinthcove-secrets"
+QUARANTINE_KIND = "jacinthcove-quarantine"
--- /dev/null
+++ b/src/jacinthcove/platform/quarantinestore.py
@@ -0,0 +1,73 @@
+"""Keeps combinations of prompt parts in quarantine in the platform's store, each as one object."""
+
+from hashlib import blake2b
+
+import orjson
+import structlog
+
+from jacinthcove.gateway.crashevidence import Combination
+from jacinthcove.gateway.quarantine import Quarantine
+from jacinthcove.platform.names import QUARANTINE_KIND
+from jacinthcove.platform.storeclient import PlatformStoreClient
+from jacinthcove.store.kinds import Change, KindObject, Listing
+
+log = structlog.get_logger()
+
+
+def object_name(combination: Combination) -> str:
+    """Return the name of a combination's object; callers choose the part ids, so it is a hash."""
+    return blake2b(orjson.dumps(sorted(combination)), digest_size=16).hexdigest()
+
+
+class StoredQuarantine:
+    """Writes combinations to the store; implements `QuarantineStore`."""
+
+    def __init__(self, store_client: PlatformStoreClient):
+        self.store_client = store_client
+
+    def put(self, combination: Combination) -> None:
+        """Add a combination unless it is kept already; raises `StoreUnavailable`."""
+        spec = {"parts": sorted(combination)}
+        self.store_client.ensure(QUARANTINE_KIND, object_name(combination), spec)
+
+    def delete(self, combination: Combination) -> None:
+        """Remove a combination if it is kept; raises `StoreUnavailable`."""
+        self.store_client.delete(QUARANTINE_KIND, object_name(combination))
+
+
+class QuarantineFollower:
+    """Keeps the quarantine up to date; a malformed object is logged and ignored."""
+
+    def __init__(self, quarantine: Quarantine):
+        self.quarantine = quarantine
+        self.combination_by_name: dict[str, Combination] = {}
+
+    def on_list(self, listing: Listing, after_outage: bool) -> None:
+        """Replace the known combinations by the listed ones."""
+        del after_outage
+        found = {item.name: parts for item in listing.objects if (parts := _decode(item))}
+        self.combination_by_name = found
+        self.quarantine.replace_stored(found.values())
+
+    def on_change(self, change: Change, in_outage: bool) -> None:
+        """Apply one change."""
+        del in_outage
+        name = change.object.name
+        before = self.combination_by_name.pop(name, None)
+        if before is not None and change.deleted:
+            self.quarantine.remove_stored(before)
+        if not change.deleted and (parts := _decode(change.object)):
+            self.combination_by_name[name] = parts
+            self.quarantine.add_stored(parts)
+
+    def on_confirmed(self, known_at: int) -> None:
+        """Do nothing: no decision depends on the age of this state."""
+
+
+def _decode(item: KindObject) -> Combination:
+    """Return the parts of an object, none if it is malformed."""
+    parts = item.spec.get("parts") if isinstance(item.spec, dict) else None
+    if not isinstance(parts, list) or not all(isinstance(part, str) for part in parts):
+        log.warning("quarantine_object_malformed", name=item.name)
+        return frozenset()
+    return frozenset(parts)
--- a/src/jacinthcove/platform/storeclient.py
+++ b/src/jacinthcove/platform/storeclient.py
@@ -108,6 +108,12 @@
         path = f"{OBJECTS_PATH}{kind}/{quote(name, safe='')}"
         self._check_written(self._call("replace", "PUT", path, body), name)
 
+    def delete(self, kind: str, name: str) -> None:
+        """Delete an object if it exists."""
+        reply = self._call("delete", "DELETE", f"{OBJECTS_PATH}{kind}/{quote(name, safe='')}")
+        if reply.status not in (200, 204, 404):
+            raise StoreUnavailable(f"the store returned status {reply.status}")
+
     def replace_status(self, kind: str, name: str, status: Any, revision: int) -> None:
         """Replace the status of an object; raises `Conflict` unless it still has `revision`."""
         metadata = {"name": name, "revision": revision}
--- a/src/jacinthcove/targets/sockets.py
+++ b/src/jacinthcove/targets/sockets.py
@@ -23,6 +23,10 @@
     """No connection to the target could be opened, so it received nothing."""
 
 
+class TargetNotListening(TargetUnreachable):
+    """No process listens at the address of the target."""
+
+
 class TargetStalled(TargetFailed):
     """The target sent no data or made no progress for the stall timeout."""
 
@@ -43,7 +47,9 @@
         )
     except OSError as error:
         sock.close()
-        raise TargetUnreachable(f"cannot connect to {address}: {error}") from error
+        refused = isinstance(error, ConnectionRefusedError)
+        failure = TargetNotListening if refused else TargetUnreachable
+        raise failure(f"cannot connect to {address}: {error}") from error
     return sock
 
 
--- /dev/null
+++ b/tests/gateway/test_quarantine.py
@@ -0,0 +1,254 @@
+"""Prompt parts that crash engines: evidence over several routers, quarantine and release."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from jacinthcove.clock import ManualClock
+from jacinthcove.codes import ResultCode
+from jacinthcove.errors import PeerUnavailable, StoreUnavailable
+from jacinthcove.gateway.crashevidence import (
+    EVIDENCE_TTL_MS,
+    SUSPECT_CRASHES,
+    CrashEvidence,
+    EngineStart,
+    FirstEvents,
+)
+from jacinthcove.gateway.crashexaminer import EXAMINERS, CrashExaminer
+from jacinthcove.gateway.quarantine import QUARANTINE_MS, Quarantine
+from jacinthcove.mesh.peers import Member
+from tests.gateway.samples import prompt
+
+DEADLY = "dead"
+POPULAR = "popular"
+
+
+def only(*parts):
+    """Return the combination of these parts."""
+    return frozenset(parts)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+class Store:
+    """The parts that all routers of a test see; unavailable while `down`."""
+
+    def __init__(self):
+        self.parts = set()
+        self.down = False
+
+    def _check(self):
+        if self.down:
+            raise StoreUnavailable("down")
+
+    def put(self, part):
+        self._check()
+        self.parts.add(part)
+
+    def delete(self, part):
+        self._check()
+        self.parts.discard(part)
+
+
+class Mesh:
+    """Delivers messages between the routers of a test at once; `cut` ones are unreachable."""
+
+    def __init__(self, ids):
+        self.ids = ids
+        self.handlers = {id: {} for id in ids}
+        self.cut = set()
+
+    def peers_of(self, id):
+        def deliver(member_id, kind, message, timeout_ms=0):
+            if self.cut & {id, member_id}:
+                raise PeerUnavailable(member_id)
+            return self.handlers[member_id][kind](id, message)
+
+        def send(member_id, kind, message):
+            if not self.cut & {id, member_id}:
+                deliver(member_id, kind, message)
+
+        return SimpleNamespace(register=self.handlers[id].__setitem__, call=deliver, send=send)
+
+    def members_of(self, id):
+        alive = tuple(Member(other, "", "", "a") for other in self.ids)
+        return SimpleNamespace(me=Member(id, "", "", "a"), alive=lambda: alive)
+
+
+class Fleet:
+    """Routers with an examiner each; the store's news reach them with `sync`."""
+
+    def __init__(self, clock, count):
+        ids = [f"r{number}" for number in range(count)]
+        self.mesh, self.store = Mesh(ids), Store()
+        self.examiners = {
+            id: CrashExaminer(clock, FirstEvents(clock), Quarantine(clock), self.store)
+            for id in ids
+        }
+        for id, examiner in self.examiners.items():
+            examiner.join(self.mesh.members_of(id), self.mesh.peers_of(id))
+
+    def crash(self, number, witness, *parts):
+        """Let an engine crash while one request with these parts waits there."""
+        self.examiners[witness].report(EngineStart(f"e{number}", 1), [frozenset(parts)])
+
+    def examine(self):
+        for examiner in self.examiners.values():
+            examiner.examine()
+            examiner.upkeep()
+
+    def sync(self):
+        for examiner in self.examiners.values():
+            examiner.quarantine.replace_stored(self.store.parts)
+
+    def refusing(self, *parts):
+        """Return the routers that refuse a request with just these shared parts."""
+        asked = frozenset(parts)
+        return {id for id, item in self.examiners.items() if item.quarantine.find(asked)}
+
+
+@pytest.fixture
+def fleet(clock):
+    return Fleet(clock, 8)
+
+
+def test_a_part_is_quarantined_although_each_router_saw_one_crash(fleet):
+    for number in range(SUSPECT_CRASHES):
+        assert not fleet.refusing(DEADLY)
+        fleet.crash(number, f"r{number}", DEADLY)
+        fleet.examine()
+    assert len(fleet.refusing(DEADLY)) == 8
+    assert fleet.store.parts == {only(DEADLY)}
+
+
+def test_parts_whose_answers_begin_elsewhere_are_not_quarantined(fleet, clock):
+    for number in range(SUSPECT_CRASHES + 2):
+        fleet.crash(number, "r1", DEADLY, POPULAR)
+        clock.advance(10)
+        fleet.examiners["r6"].first_events.record([POPULAR])
+        fleet.examine()
+    assert not fleet.refusing(POPULAR)
+    assert fleet.refusing(DEADLY)
+
+
+def test_an_answer_before_the_first_crash_does_not_clear_a_part(fleet, clock):
+    fleet.examiners["r6"].first_events.record([DEADLY])
+    clock.advance(10)
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, "r1", DEADLY)
+    fleet.examine()
+    assert fleet.refusing(DEADLY)
+
+
+def test_a_sound_part_that_comes_with_a_deadly_one_is_still_served(fleet):
+    """Requests of one caller share their first part, whose other requests are sound."""
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, f"r{number}", POPULAR, DEADLY)
+    fleet.examine()
+    assert len(fleet.refusing(POPULAR, DEADLY)) == 8
+    assert not fleet.refusing(POPULAR)
+
+
+def test_a_crash_by_one_part_of_a_combination_singles_it_out(fleet):
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, f"r{number}", POPULAR, DEADLY)
+    fleet.examine()
+    assert not fleet.refusing(DEADLY, "other")
+    fleet.crash(9, "r6", DEADLY, "other")
+    fleet.examine()
+    assert len(fleet.refusing(DEADLY, "other")) == 8
+    assert not fleet.refusing(POPULAR)
+
+
+def test_several_requests_at_one_crashed_engine_count_once(fleet):
+    for witness in ("r0", "r1", "r2", "r3"):
+        fleet.crash(1, witness, DEADLY)
+    fleet.examine()
+    assert not fleet.refusing(DEADLY)
+
+
+def test_a_router_cut_off_from_the_others_learns_from_the_store(fleet):
+    cut = "r5"
+    fleet.mesh.cut = {cut}
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, f"r{number}", DEADLY)
+    fleet.examine()
+    assert cut not in fleet.refusing(DEADLY)
+    fleet.sync()
+    assert cut in fleet.refusing(DEADLY)
+
+
+def test_an_isolated_router_quarantines_what_it_saw_itself(fleet):
+    fleet.mesh.cut = {"r5"}
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, "r5", DEADLY)
+    fleet.examine()
+    assert fleet.refusing(DEADLY) == {"r5"}
+    assert fleet.store.parts == {only(DEADLY)}
+
+
+def test_a_part_found_while_the_store_is_down_is_stored_later(fleet):
+    fleet.store.down = True
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, "r1", DEADLY)
+    fleet.examine()
+    assert len(fleet.refusing(DEADLY)) == 8
+    fleet.store.down = False
+    fleet.examine()
+    assert fleet.store.parts == {only(DEADLY)}
+
+
+def test_crashes_are_collected_while_one_collecting_router_is_cut_off(fleet):
+    first = fleet.examiners["r0"].examiners()
+    assert len(first) == EXAMINERS
+    fleet.mesh.cut = {first[0]}
+    witnesses = [id for id in fleet.mesh.ids if id not in first]
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, witnesses[number], DEADLY)
+    fleet.examine()
+    assert fleet.refusing(DEADLY) >= set(fleet.mesh.ids) - {first[0]}
+
+
+def test_a_part_is_released_when_an_answer_on_it_begins(fleet):
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, "r1", POPULAR)
+    fleet.examine()
+    fleet.sync()
+    fleet.examiners["r4"].release([only(POPULAR)])
+    fleet.examine()
+    assert not fleet.store.parts
+    fleet.sync()
+    assert not fleet.refusing(POPULAR)
+
+
+def test_the_quarantine_of_a_part_ends(fleet, clock):
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, "r1", DEADLY)
+    fleet.examine()
+    fleet.sync()
+    clock.advance(QUARANTINE_MS + 1)
+    fleet.examine()
+    fleet.sync()
+    assert not fleet.refusing(DEADLY)
+
+
+def test_old_crashes_do_not_count(clock):
+    evidence = CrashEvidence(clock)
+    for number in range(SUSPECT_CRASHES):
+        evidence.record(EngineStart(f"e{number}", 1), [[DEADLY]])
+        clock.advance(EVIDENCE_TTL_MS // 2 + 1)
+    assert evidence.suspects() == []
+
+
+def test_only_requests_with_the_part_are_refused_and_told_not_run(clock):
+    quarantine = Quarantine(clock)
+    quarantine.add_stored(only(DEADLY))
+    refusal = quarantine.refusal_for(prompt(key=DEADLY))
+    assert refusal.code is ResultCode.PART_QUARANTINED
+    assert 0 < refusal.retry_after_ms <= QUARANTINE_MS
+    assert quarantine.refusal_for(prompt(key=POPULAR)) is None
+    quarantine.add_stored(only("own"))
+    assert quarantine.refusal_for(prompt(key=POPULAR)) is None
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -98,6 +98,8 @@
             return self._watch(kind, int(query["watch"]), int(query["wait_ms"]))
         if method == "GET":
             return self._list(kind, query.get("after_rev", ""))
+        if method == "DELETE":
+            return self._delete(kind, name)
         body = orjson.loads(environ["wsgi.input"].read())
         if name.endswith(STATUS_PATH):
             return self._write_status(kind, name.removesuffix(STATUS_PATH), body)
@@ -123,6 +125,12 @@
                 changed.wait()
         return 200, {"events": [], "current_rev": self.revision}
 
+    def _delete(self, kind, name):
+        if (kind, name) not in self.objects:
+            return 404, None
+        self.remove(kind, name)
+        return 200, None
+
     def _write_status(self, kind, name, body):
         old = self.objects.get((kind, name))
         if old is None:
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -7,8 +7,11 @@
 from jacinthcove.gateway.activeconfig import ActiveConfig
 from jacinthcove.gateway.admission import Admission, ColdRateLimit
 from jacinthcove.gateway.application import GatewayApplication
-from jacinthcove.gateway.attempts import AttemptRecorder
+from jacinthcove.gateway.attempts import AttemptObservers, AttemptRecorder
 from jacinthcove.gateway.coldlimit import ColdRateLimiter
+from jacinthcove.gateway.crashevidence import FirstEvents
+from jacinthcove.gateway.crashexaminer import CrashExaminer
+from jacinthcove.gateway.crashwitness import CrashWitness
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.model import (
@@ -21,6 +24,7 @@
     ServiceShare,
 )
 from jacinthcove.gateway.placement import Placement
+from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.server import GatewayServer
@@ -172,6 +176,16 @@
         self.attempts = (*self.attempts, (attempt.end, step))
 
 
+class NoStore:
+    """A store of quarantined parts that keeps nothing."""
+
+    def put(self, part):
+        pass
+
+    def delete(self, part):
+        pass
+
+
 class GatewayTestBed:
     """A gateway with the routes of `ROUTES`; `add` registers a scripted target."""
 
@@ -198,6 +212,9 @@
         self.recorder = Recorder(clock, self.admission.rollouts, self.active_config, self.decisions)
         self.active_config.listeners.append(self.admission.configure)
         self.connections = ConnectionPool(clock, self.metrics)
+        self.quarantine = Quarantine(clock)
+        self.examiner = CrashExaminer(clock, FirstEvents(clock), self.quarantine, NoStore())
+        witness = CrashWitness(self.examiner.first_events, self.quarantine, self.examiner)
         forwarder = Forwarder(
             clock,
             PlatformCodec(),
@@ -205,7 +222,7 @@
             WindowedRetryBudget(clock, 10_000, 0.2, lambda: 50),
             self.connections,
             lambda request: self.active_config.require_fresh(request.workspace),
-            self.recorder,
+            AttemptObservers(self.recorder, witness),
         )
         self.application = GatewayApplication(
             clock,
