--- a/src/jacinthcove/gateway/exchange.py
+++ b/src/jacinthcove/gateway/exchange.py
@@ -77,9 +77,9 @@
         return body
 
     def read_events(self, response: TargetResponse) -> Iterator[bytes]:
-        """Yield chunks of whole events, and a rest at the end of a complete stream.
+        """Yield chunks of whole events; raises `TargetFailed` if the stream is incomplete.
 
-        Raises `TargetFailed` if the stream is incomplete.
+        It may end with its connection, so one that ends inside an event counts as broken off.
         """
         buffered = bytearray()
         while True:
@@ -100,8 +100,8 @@
                 raise TargetFailed(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         if not response.message_complete:
             raise TargetFailed(f"{self.address} broke off before the end of its stream")
-        if buffered:
-            yield bytes(buffered)
+        if buffered.strip():
+            raise TargetFailed(f"{self.address} broke off inside an event")
 
     def return_to_pool(self, response: TargetResponse, keep_alive_ms: int) -> None:
         """Return the connection to the pool if the response allows its reuse."""
