Follow the targets beside an entry that cannot be read

Reported by another operator: one odd entry among those of the engines, and machines ended or stopped following the list. It happened here: a number too large, bytes that are no UTF-8 or very deep nesting made the whole response unreadable, which counts as an unavailable store, so routers kept their old targets for good. An entry nested 254 to 1,024 deep was read, but could not be encoded for other routers, so none of them got news of any kind; the repr of a deep field exceeded the recursion limit in the middle of the list. An id or address with a line break would have gone into a header, a start beyond 64 bits into a report.

A response with an unreadable part is now read member by member, and only what is unreadable becomes null; what cannot be encoded for others becomes null as well. Entries with numbers above 2^53, ids that fit no header and addresses that are no IPv4 address name no target.

The VM list of the product's own interface is written by the platform alone and still read as a whole.

--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -1,5 +1,7 @@
 """Decodes the objects of the platform's store into the product's types."""
 
+import re
+from ipaddress import IPv4Address
 from typing import Any
 
 from jacinthcove.gateway.model import (
@@ -15,6 +17,11 @@
 from jacinthcove.gateway.targets import TargetRecord
 from jacinthcove.store.kinds import KindObject
 
+# Larger numbers are not exact in JSON and do not fit into messages between routers.
+MAX_NUMBER = 2**53
+MAX_DESCRIBED_CHARS = 40
+_ID = re.compile(r"[!-~]{1,200}")
+_PORT = re.compile(r"[0-9]{1,5}")
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 _ROLLOUT_STATE_BY_NAME = {
     "running": RolloutState.RUNNING,
@@ -29,11 +36,14 @@
         raise ValueError("the entry is not an object")
     state = spec.get("state")
     if not isinstance(state, str) or state not in _DRAINING_BY_STATE:
-        raise ValueError(f"unknown state {state!r}")
+        raise ValueError(f"unknown state {_describe(state)}")
+    if not _ID.fullmatch(name):
+        raise ValueError(f"the id cannot be sent in a header: {_describe(name)}")
     address = _text(spec, "address")
     ip, _, port = address.rpartition(":")
-    if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"address is not IP:PORT: {address!r}")
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65_536:
+        raise ValueError(f"address is not IP:PORT: {_describe(address)}")
+    IPv4Address(ip)
     return TargetRecord(
         id=name,
         service=_text(spec, "service"),
@@ -140,14 +150,16 @@
 def _text(spec: dict[str, Any], field: str) -> str:
     value = spec.get(field)
     if not isinstance(value, str) or not value:
-        raise ValueError(f"{field} is {value!r}")
+        raise ValueError(f"{field} is {_describe(value)}")
     return value
 
 
 def _number(spec: dict[str, Any], field: str, default: float | None = None) -> float:
     value = spec.get(field, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise ValueError(f"{field} is {value!r}")
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{field} is {_describe(value)}")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"{field} is {value}")
     return float(value)
 
 
@@ -156,3 +168,10 @@
     if value < 1 or value != int(value):
         raise ValueError(f"{field} is {value!r}")
     return int(value)
+
+
+def _describe(value: Any) -> str:
+    """Return a value for an error message; of lists and objects, which may be deep, the type."""
+    if isinstance(value, list | dict):
+        return f"a {type(value).__name__}"
+    return repr(value)[:MAX_DESCRIBED_CHARS]
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -46,6 +46,13 @@
 WATCHED_STREAM_S = 3.0
 
 
+def _mesh_address(registration: KindObject) -> str:
+    """Return the mesh address of a router, an empty string if its registration is malformed."""
+    spec = registration.spec
+    address = spec.get("mesh") if isinstance(spec, dict) else None
+    return address if isinstance(address, str) else ""
+
+
 class Fleet:
     """Finds the other routers and exchanges load reports, store changes and rollouts."""
 
@@ -226,7 +233,8 @@
         counted_after_ms = SETTLE_MS if self.may_be_first_start else WINDOW_MS
         self.counted_from_ms = self.clock.now() + counted_after_ms
         self.registered_ids = frozenset(item.name for item in listing.objects)
-        found = [str(item.spec["mesh"]) for item in listing.objects if item.name != me.id]
+        others = [item for item in listing.objects if item.name != me.id]
+        found = [address for item in others if (address := _mesh_address(item))]
         return list(dict.fromkeys([*self.settings.seeds, *found]))
 
     def _ensure_registered(self, spec: dict[str, str]) -> KindObject:
--- a/src/jacinthcove/platform/storeclient.py
+++ b/src/jacinthcove/platform/storeclient.py
@@ -8,9 +8,12 @@
 
 from jacinthcove.errors import Conflict, StoreUnavailable
 from jacinthcove.platform.names import OBJECTS_PATH, STATUS_PATH
+from jacinthcove.store import lenientjson
 from jacinthcove.store.connections import Connections, NoReply, Reply
 from jacinthcove.store.kinds import Change, HistoryGone, KindObject, Listing, WatchResult
 
+# Members of responses whose own members are read one by one if the response has an unreadable part.
+CONTAINERS = frozenset(("items", "events", "object", "metadata"))
 # The response of a watch may arrive this much later than its wait ends.
 WATCH_SLACK_MS = 600
 
@@ -154,7 +157,7 @@
         if reply.status not in (200, 201):
             raise StoreUnavailable(f"the store returned status {reply.status}")
         try:
-            return orjson.loads(reply.body)
+            return lenientjson.loads(reply.body, CONTAINERS)
         except orjson.JSONDecodeError as error:
             raise StoreUnavailable(f"the response of the store is not JSON: {error}") from error
 
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import Any
 
 import orjson
 import structlog
@@ -49,6 +50,14 @@
 MAX_DIGEST_AGE_MS = 2_400
 
 
+def _encode_json(value: Any) -> bytes:
+    """Encode what a store object holds; what is nested too deeply to be encoded becomes null."""
+    try:
+        return orjson.dumps(value)
+    except TypeError:
+        return b"null"
+
+
 def encode_result(result: WatchResult) -> pb.StoreNews:
     """Encode a watch result for another router."""
     message = pb.StoreNews(revision=result.revision, age_ms=result.relay_age_ms)
@@ -58,8 +67,8 @@
             name=item.name,
             revision=item.revision,
             created_revision=item.created_revision,
-            spec=orjson.dumps(item.spec),
-            status=orjson.dumps(item.status),
+            spec=_encode_json(item.spec),
+            status=_encode_json(item.status),
             deleted=change.deleted,
         )
     return message
--- a/tests/platform/test_platform_decode.py
+++ b/tests/platform/test_platform_decode.py
@@ -155,3 +155,34 @@
     assert (prompt.input_tokens, prompt.output_tokens, prompt.own_tokens) == (1_460, 80, 250)
     assert [part.id for part in prompt.parts] == ["5c1e07a2", "91bd3f06", "e4402b7d"]
     assert decode_prompt("", "").share_cost_tokens == 0
+
+
+ODD_ENTRIES = {
+    "deep list": {"service": [[[["x"]]] * 3]},
+    "port out of range": {"address": "10.0.0.1:70000"},
+    "port with other digits": {"address": "10.0.0.1:８０８０"},
+    "no IP": {"address": "a b\r\nX-Tenant: other:80"},
+    "number too large": {"cold_left_ms": 1e300},
+    "start too large": {"born": 2.0**64},
+    "slots too large": {"slots": 1e18},
+}
+
+
+@pytest.mark.parametrize("what", sorted(ODD_ENTRIES))
+def test_an_odd_entry_names_no_target(what):
+    with pytest.raises(ValueError):
+        decode_target("i-1", ENTRY | ODD_ENTRIES[what])
+
+
+def test_an_id_that_would_break_a_header_names_no_target():
+    with pytest.raises(ValueError, match="header"):
+        decode_target("i-1\r\nX-Tenant: other", ENTRY)
+
+
+def test_the_reason_for_a_very_deep_entry_can_be_logged():
+    deep = current = []
+    for _ in range(5_000):
+        current.append([])
+        current = current[0]
+    with pytest.raises(ValueError, match="a list"):
+        decode_target("i-1", ENTRY | {"service": deep})
