--- a/tests/platform/test_connection_reuse.py
+++ b/tests/platform/test_connection_reuse.py
@@ -19,6 +19,7 @@
 )
 
 from jacinthcove.clock import ManualClock
+from jacinthcove.gateway import targets
 from jacinthcove.platform import names
 from jacinthcove.targets import pool
 
@@ -215,6 +216,43 @@
     assert len(target.connections) == 2
 
 
+REPEATED_REFUSALS = {
+    "with the earlier id": lambda head: response(
+        head, b"", "503 Busy", f"{names.NOT_RUN}: 1\r\n{KEEP_ALIVE}"
+    ),
+    "without an id": lambda head: not_run(head, extra=KEEP_ALIVE),
+    "421": lambda head: response(head, b"", "421 Misdirected Request", KEEP_ALIVE),
+}
+
+
+@pytest.mark.parametrize("what", sorted(REPEATED_REFUSALS))
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_refusal_written_again_does_not_refuse_the_next_request(
+    no_pause, monkeypatch, add, call, what, answered
+):
+    """The target runs the next request, whose caller must not be told that it did not run."""
+    monkeypatch.setattr(targets, "UNREACHABLE_MAX_PAUSE_MS", 0)
+    refusals = {}
+
+    def script(target, sock, head):
+        if sock not in refusals:
+            refusals[sock] = REPEATED_REFUSALS[what](head)
+            sock.sendall(refusals[sock])
+            return True
+        sock.sendall(refusals[sock])
+        if answered:
+            keep_alive_script()(target, sock, head)
+        return answered
+
+    first = add(script)
+    assert call()[0] == 503
+    second = add(keep_alive_script(), id="t2")
+    status = call("/publish2/7")
+    assert status == (200, True) if answered else status[0] in (502, 504)
+    assert len(first.seen) == 2
+    assert not second.seen
+
+
 def test_new_target_at_same_address_gets_no_old_connection(bed, add, call):
     target = add(keep_alive_script())
     call()
