Split what routers report about their callers from the exchange of load reports

CallerCounts holds the open requests and the states of all routers and says which of them should get no more callers; nothing else changes.

--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -7,13 +7,14 @@
 collector candidates are all silent reports to the others directly.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 import gevent
 import structlog
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.callercounts import NO_CALLERS, CallerCounts, callers_from_report
 from jacinthcove.gateway.collectors import Collectors
 from jacinthcove.gateway.digests import (
     NO_CONTRIBUTION,
@@ -22,7 +23,7 @@
     NoStoreNews,
     StoreNewsRelay,
 )
-from jacinthcove.gateway.load import REPORT_LIFETIME_MS, PeerLoad
+from jacinthcove.gateway.load import PeerLoad
 from jacinthcove.gateway.loadreports import (
     PERIOD_MS,
     REFRESH_MS,
@@ -30,13 +31,6 @@
     LoadReporter,
     ReceiverGroup,
 )
-from jacinthcove.gateway.overload import (
-    NO_CALLERS,
-    RouterCallers,
-    callers_from_report,
-    may_be_overloaded,
-    overloaded,
-)
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.gateway.workspaceusage import TICK_MS, decode_usage
@@ -87,7 +81,7 @@
         self.cross_domain_period_ms = float(PERIOD_MS)
         # Incarnation and sequence number of the newest report by source.
         self.last_received: dict[str, tuple[int, int]] = {}
-        self.callers_by_router: dict[str, RouterCallers] = {}
+        self.callers = CallerCounts(clock, members, self.reporter)
         # The source whose sums are used, by other failure domain.
         self.source_by_domain: dict[str, str] = {}
         # Sums of other failure domains to forward with the next bundle.
@@ -164,7 +158,7 @@
         if not self._record_sequence(sender, message):
             return
         now = self.clock.now()
-        self.callers_by_router[sender] = callers_from_report(message, now)
+        self.callers.record(sender, message)
         self._record_targets(message)
         for item in message.targets:
             target = self.registry.states.get(item.target_id)
@@ -219,7 +213,7 @@
         now = self.clock.now()
         own = self.digest_totals.own if source == self.digest_totals.source else NO_CONTRIBUTION
         for report in bundle.included:
-            self.callers_by_router[report.router] = callers_from_report(report, now)
+            self.callers.record(report.router, report)
             if report.router == self.members.me.id:
                 own = self.history.find(report.sequence)
             elif report.router in self.direct_reporters:
@@ -229,47 +223,6 @@
         if own is not NO_CONTRIBUTION:
             self.news.record_news(sender, bundle.news, own.sent_at)
 
-    def open_requests(self) -> dict[str, int]:
-        """Return the open requests of this router and of those with a recent report, by id."""
-        return self._open_requests(self._recent_callers())
-
-    def _open_requests(self, callers: Mapping[str, RouterCallers]) -> dict[str, int]:
-        counts = {router: item.open_requests for router, item in callers.items()}
-        return counts | {self.members.me.id: self.reporter.reported_open_requests}
-
-    def not_accepting(self) -> frozenset[str]:
-        """Return the other routers that recently reported that they accept no callers."""
-        return frozenset(router for router, item in self._recent_callers().items() if item.away)
-
-    def _recent_callers(self) -> dict[str, RouterCallers]:
-        since = self.clock.now() - REPORT_LIFETIME_MS
-        return {
-            router: item
-            for router, item in self.callers_by_router.items()
-            if item.reported_at >= since and self.members.get(router) is not None
-        }
-
-    def overloaded(self) -> frozenset[str]:
-        """Return the routers that have more callers than they can carry."""
-        callers = self._recent_callers()
-        late = {router for router, item in callers.items() if item.late}
-        if self.reporter.is_late():
-            late.add(self.members.me.id)
-        return overloaded(self._open_requests(callers), late)
-
-    def is_crowded(self) -> bool:
-        """Return whether this router has more callers than it can carry.
-
-        Called for each response, so most calls must not look at the reports of all routers.
-        """
-        me = self.members.me.id
-        reported = self.callers_by_router.get(me, NO_CALLERS)
-        if not may_be_overloaded(
-            self.reporter.reported_open_requests, self.reporter.is_late() or reported.late
-        ):
-            return False
-        return me in self.overloaded()
-
     def same_domain_bundle(self) -> pb.LoadBundle:
         """Return the bundle for this failure domain: its own sum and those of other domains."""
         shares, self.cross_domain_sums = self.cross_domain_sums, []
--- a/src/jacinthcove/gateway/overload.py
+++ b/src/jacinthcove/gateway/overload.py
@@ -6,11 +6,9 @@
 """
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
 from statistics import median
 
 from jacinthcove.clock import Clock
-from jacinthcove.mesh import mesh_pb2 as pb
 
 # A router is overloaded above this multiple of the median of open requests, or if it is late. With
 # `MIN_OPEN_REQUESTS` or fewer only a late one is.
@@ -26,27 +24,6 @@
 MAX_EXCLUDED_FRACTION = 1 / 3
 
 
-@dataclass(frozen=True)
-class RouterCallers:
-    """What a router reported about its callers at `reported_at` (monotonic ms).
-
-    `away`: it accepts no callers. `late`: it has more work than it can keep up with.
-    """
-
-    open_requests: int
-    away: bool
-    late: bool
-    reported_at: int
-
-
-NO_CALLERS = RouterCallers(open_requests=0, away=False, late=False, reported_at=0)
-
-
-def callers_from_report(message: pb.LoadShare | pb.IncludedReport, now: int) -> RouterCallers:
-    """Convert the caller fields of a load report that was received at `now`."""
-    return RouterCallers(message.open_requests, message.away, message.late, now)
-
-
 def may_be_overloaded(open_requests: int, late: bool) -> bool:
     """Return whether a router can be overloaded at all; needs no data of other routers."""
     return late or open_requests > MIN_OPEN_REQUESTS
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -142,18 +142,18 @@
         """Return the routers to name in the directory; empty before this router has joined."""
         if self.exchange is None or not self.joined:
             return []
-        excluded = self.exchange.overloaded() | self.exchange.not_accepting()
+        excluded = self.exchange.callers.overloaded() | self.exchange.callers.not_accepting()
         if not self.accepts_callers():
             excluded |= {self.members.me.id}
         return [item for item in self.alive_routers() if item.router not in excluded]
 
     def is_left_out(self) -> bool:
         """Return whether this router is overloaded while others have room for its callers."""
-        return self.exchange is not None and self.exchange.is_crowded()
+        return self.exchange is not None and self.exchange.callers.is_crowded()
 
     def alive_routers(self) -> list[Candidate]:
         """Return all routers in the state ALIVE, this one included."""
-        loads = self.exchange.open_requests() if self.exchange is not None else {}
+        loads = self.exchange.callers.open_requests() if self.exchange is not None else {}
         return [
             Candidate(member.id, member.caller_address, member.failure_domain, loads.get(member.id))
             for member in self.members.alive()
