--- a/src/jacinthcove/gateway/shedding.py
+++ b/src/jacinthcove/gateway/shedding.py
@@ -1,8 +1,8 @@
 """Refuses requests on new connections of an overloaded router without parsing them.
 
-A full refusal costs as much processor time as a tenth of a served request, so that a router with
-many times the callers that it can serve would only refuse. This answers a request that has arrived
-whole with a prepared response; the others take the usual way.
+To parse a request costs so much processor time that a router with many times the callers that it
+can serve would only refuse. This answers a request that has arrived whole with a prepared response;
+the others take the usual way.
 """
 
 import re
