Wait for the refusal that a test is about, not for any refusal

Traced: the first 503 was that of a late router (request_shed, 207 ms late, code 216), after which the router was still ready. The tests that wait for a refusal now wait for its result code, which is stricter.

--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -3,11 +3,13 @@
 import socket
 
 import gevent
+import orjson
 import pytest
 from store_standin import StoreStandin, eventually
 from test_platform_decode import CONFIG, ENTRY, SETTINGS
 from wire_bed import KEY, ScriptedTarget, read_response, request, response
 
+from jacinthcove.codes import ResultCode
 from jacinthcove.gateway.coldlimit import WINDOW_MS
 from jacinthcove.gateway.exchange import Exchange
 from jacinthcove.gateway.loopdelay import REJECT_ALL_DELAY_MS
@@ -40,6 +42,15 @@
         return read_response(sock)
 
 
+def refusal_code(router):
+    """Send one request and return the result code of its refusal, None if it is served.
+
+    A late router refuses with a code of its own, so the status does not tell the reason.
+    """
+    status, _, body = http(router.settings.caller_listen)
+    return None if status == 200 else orjson.loads(body)["code"]
+
+
 def get(address, path):
     return http(address, raw=f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
 
@@ -124,7 +135,7 @@
         "i-1",
         ENTRY | {"service": "ledger", "address": ledger.address, "state": "draining"},
     )
-    eventually(lambda: http(router.settings.caller_listen)[0] == 503)
+    eventually(lambda: refusal_code(router) == ResultCode.NO_TARGET)
     seen = len(ledger.seen)
     assert http(router.settings.caller_listen)[0] == 503
     assert len(ledger.seen) == seen
@@ -135,7 +146,7 @@
     router = start()
     eventually(router.ready)
     store.put("evacuations", "a", {})
-    eventually(lambda: http(router.settings.caller_listen)[0] == 503)
+    eventually(lambda: refusal_code(router) == ResultCode.NO_TARGET)
     store.remove("evacuations", "a")
     eventually(lambda: http(router.settings.caller_listen)[0] == 200)
 
@@ -146,7 +157,7 @@
     eventually(router.ready)
     router.active_config.max_age_ms = 2_500
     store.fault = lambda environ: (503, None)
-    eventually(lambda: http(router.settings.caller_listen)[0] == 503)
+    eventually(lambda: refusal_code(router) == ResultCode.CONFIGURATION_STALE)
     assert not router.ready()
     seen = len(ledger.seen)
     assert http(router.settings.caller_listen)[0] == 503
