Crashes at the same time are no evidence against a prompt part

Found on reading the quarantine again: when many engines crash at once (a failure domain without power) or crash at whatever they are asked, no answer begins on the popular parts either for some seconds, so three crashes would have put them into quarantine for ten minutes, and nobody would have been served after the engines were back.

Crashes within 250 ms of each other count as one, by the first report of each engine; nothing is quarantined while no answer begins at any router; and at most 32 combinations are.

Three of the new tests fail without these checks (engines that crash at the same time, without any answer, the bound). The tests before space the crashes and let other answers begin.

--- a/src/jacinthcove/gateway/crashevidence.py
+++ b/src/jacinthcove/gateway/crashevidence.py
@@ -1,8 +1,9 @@
 """Finds the prompt parts that crash engines, from the requests that engines had when they crashed.
 
 An engine that begins to write an answer on such a part crashes, so no answer on it ever begins. A
-part is suspect if requests with it waited for their first event at several engines that crashed,
-and no answer on it has begun since the first of these crashes.
+part is suspect if requests with it waited for their first event at engines that crashed one after
+the other, and no answer on it has begun since the first of these crashes. Engines that crash at the
+same time have another cause in common.
 
 Parts that came only together cannot be told apart, so they are suspect as a combination. Sound
 requests with one of them are still served, and a crash by one of them alone singles it out.
@@ -16,8 +17,9 @@
 
 Combination = frozenset[str]
 
-# Crashes of different starts of engines after which a part is suspect.
+# Crashes after which a part is suspect, and the time in which several count as one.
 SUSPECT_CRASHES = 3
+SAME_CRASH_MS = 250
 # Older crashes do not count.
 EVIDENCE_TTL_MS = 600_000
 MAX_PARTS = 16_384
@@ -51,10 +53,11 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self.begun_at: dict[str, int] = {}
+        self.last_begun_at: int | None = None
 
     def record(self, parts: Iterable[str]) -> None:
         """Record that an answer on these parts has begun."""
-        now = self.clock.now()
+        now = self.last_begun_at = self.clock.now()
         for part in parts:
             self.begun_at.pop(part, None)
             self.begun_at[part] = now
@@ -66,6 +69,10 @@
         begun_at = self.begun_at.get(part)
         return begun_at is not None and begun_at >= time
 
+    def any_begun_since(self, time: int) -> bool:
+        """Return whether any answer has begun at `time` (monotonic ms) or later."""
+        return self.last_begun_at is not None and self.last_begun_at >= time
+
 
 class CrashEvidence:
     """The requests that waited at crashed engines, over all routers that report here."""
@@ -90,12 +97,22 @@
     def suspects(self) -> list[str]:
         """Return the suspect parts, those with the most crashes first."""
         since = self.clock.now() - EVIDENCE_TTL_MS
+        crashed_at: dict[EngineStart, int] = {}
         engines: dict[str, set[EngineStart]] = {}
         for item in self.victims:
-            for part in item.parts if item.reported_at >= since else ():
+            if item.reported_at < since:
+                continue
+            # The oldest report comes first; a late router may report the same crash again.
+            crashed_at.setdefault(item.engine, item.reported_at)
+            for part in item.parts:
                 engines.setdefault(part, set()).add(item.engine)
-        found = [part for part in engines if len(engines[part]) >= SUSPECT_CRASHES]
-        return sorted(found, key=lambda part: (-len(engines[part]), part))
+        counts = {
+            part: count_separate(crashed_at[engine] for engine in found)
+            for part, found in engines.items()
+            if len(found) >= SUSPECT_CRASHES
+        }
+        suspects = [part for part, count in counts.items() if count >= SUSPECT_CRASHES]
+        return sorted(suspects, key=lambda part: (-counts[part], part))
 
     def combination(self, part: str) -> Combination:
         """Return a suspect part with those parts that were in all requests with it."""
@@ -105,3 +122,12 @@
         """Return the time since the first crash of a suspect part."""
         first = min(item.reported_at for item in self.victims if part in item.parts)
         return self.clock.now() - first
+
+
+def count_separate(times: Iterable[int]) -> int:
+    """Return the number of crashes, of which those within `SAME_CRASH_MS` count as one."""
+    count, last = 0, None
+    for time in sorted(times):
+        if last is None or time - last >= SAME_CRASH_MS:
+            count, last = count + 1, time
+    return count
--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -38,6 +38,8 @@
 MAX_ASKED = 128
 MAX_SUSPECTS = 64
 QUERY_TIMEOUT_MS = 400
+# More combinations than this are not quarantined: something else is wrong with the engines.
+MAX_QUARANTINED = 32
 # Time between two examinations, and between two attempts to bring the store up to date.
 EXAMINE_INTERVAL_MS = 100
 UPKEEP_INTERVAL_MS = 1_000
@@ -132,8 +134,7 @@
     def on_query(self, sender: str, message: pb.BegunQuery) -> pb.BegunReply:
         """Return the parts on which an answer has begun here; handles `BEGUN_QUERY`."""
         del sender
-        asked = zip(message.parts, message.ages_ms, strict=False)
-        return pb.BegunReply(parts=self._begun_here(dict(asked)))
+        return self._answer(dict(zip(message.parts, message.ages_ms, strict=False)))
 
     def on_notice(self, sender: str, message: pb.QuarantineNotice) -> None:
         """Refuse what an examiner has found; handles `QUARANTINE_NOTICE`."""
@@ -145,12 +146,6 @@
         self.evidence.record(engine, requests)
         self.new_evidence.set()
 
-    def _begun_here(self, ages_ms: dict[str, int]) -> list[str]:
-        now = self.clock.now()
-        return [
-            part for part, age in ages_ms.items() if self.first_events.begun_since(part, now - age)
-        ]
-
     def _examine_loop(self) -> None:
         while True:
             self.new_evidence.wait()
@@ -164,15 +159,24 @@
         if not suspects:
             return
         ages_ms = {part: self.evidence.age_ms(part) for part in suspects}
-        begun = set(self._begun_here(ages_ms))
-        asked = {part: age for part, age in ages_ms.items() if part not in begun}
-        if asked:
-            begun |= self._begun_elsewhere(asked)
-        self.evidence.clear(begun)
+        replies = [self._answer(ages_ms), *self._ask_others(ages_ms)]
+        self.evidence.clear(part for reply in replies for part in reply.parts)
+        if not any(reply.any_begun for reply in replies):
+            log.warning("no_answer_begins", suspects=suspects)
+            return
         found = {self.evidence.combination(part) for part in self._new_suspects()}
         for combination in found:
             self._quarantine(combination)
 
+    def _answer(self, ages_ms: dict[str, int]) -> pb.BegunReply:
+        """Return on which parts, and whether on any at all, an answer has begun here."""
+        now = self.clock.now()
+        begun = [
+            part for part, age in ages_ms.items() if self.first_events.begun_since(part, now - age)
+        ]
+        any_begun = self.first_events.any_begun_since(now - max(ages_ms.values(), default=0))
+        return pb.BegunReply(parts=begun, any_begun=any_begun)
+
     def _new_suspects(self) -> list[str]:
         """Return the suspect parts whose requests are not refused yet."""
         return [
@@ -181,18 +185,18 @@
             if not self.quarantine.find(self.evidence.combination(part))
         ]
 
-    def _begun_elsewhere(self, ages_ms: dict[str, int]) -> set[str]:
+    def _ask_others(self, ages_ms: dict[str, int]) -> list[pb.BegunReply]:
         if self.members is None or self.peers is None:
-            return set()
+            return []
         me = self.members.me.id
         others = [member.id for member in self.members.alive() if member.id != me]
         message = pb.BegunQuery(parts=list(ages_ms), ages_ms=list(ages_ms.values()))
-        begun: set[str] = set()
+        replies: list[pb.BegunReply] = []
 
         def ask(router: str) -> None:
             assert self.peers is not None
             try:
-                begun.update(self.peers.call(router, BEGUN_QUERY, message, QUERY_TIMEOUT_MS).parts)
+                replies.append(self.peers.call(router, BEGUN_QUERY, message, QUERY_TIMEOUT_MS))
             except PeerUnavailable as error:
                 log.debug("begun_query_failed", router=router, reason=str(error))
 
@@ -200,9 +204,12 @@
         for router in random.sample(others, min(len(others), MAX_ASKED)):
             pool.spawn(ask, router)
         pool.join()
-        return begun
+        return replies
 
     def _quarantine(self, combination: Combination) -> None:
+        if len(self.quarantine) >= MAX_QUARANTINED:
+            log.error("quarantine_full", parts=sorted(combination))
+            return
         self.quarantine.add_found(combination)
         if self.members is not None and self.peers is not None:
             notice = pb.QuarantineNotice(parts=sorted(combination))
--- a/src/jacinthcove/gateway/quarantine.py
+++ b/src/jacinthcove/gateway/quarantine.py
@@ -39,6 +39,9 @@
     def __contains__(self, combination: Combination) -> bool:
         return combination in self.stored_since or combination in self.unstored_since
 
+    def __len__(self) -> int:
+        return len(self.stored_since) + len(self.unstored_since)
+
     def replace_stored(self, combinations: Collection[Combination]) -> None:
         """Replace the combinations that the store lists."""
         for combination in self.stored_since.keys() - set(combinations):
