A crash by a known part is no evidence against what waits beside it

A crash at which a request had all parts of a combination in quarantine now counts only against the parts of known combinations, which a crash by one of them alone still singles out.

test_crashes_by_a_known_part_do_not_count_against_parts_that_wait_beside_it failed before.

--- a/src/jacinthcove/gateway/crashevidence.py
+++ b/src/jacinthcove/gateway/crashevidence.py
@@ -10,7 +10,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from jacinthcove.clock import Clock
@@ -94,9 +94,17 @@
         )
         self.victims = deque((item for item in remaining if item.parts), MAX_VICTIMS)
 
-    def suspects(self) -> list[str]:
-        """Return the suspect parts, those with the most crashes first."""
+    def suspects(self, known: Collection[Combination] = ()) -> list[str]:
+        """Return the suspect parts, those with the most crashes first.
+
+        A crash at which a request had all parts of a `known` combination is explained by it, and
+        counts against the parts of known combinations only.
+        """
         since = self.clock.now() - EVIDENCE_TTL_MS
+        explained = {
+            item.engine for item in self.victims if any(found <= item.parts for found in known)
+        }
+        known_parts = frozenset().union(*known)
         crashed_at: dict[EngineStart, int] = {}
         engines: dict[str, set[EngineStart]] = {}
         for item in self.victims:
@@ -104,7 +112,7 @@
                 continue
             # The oldest report comes first; a late router may report the same crash again.
             crashed_at.setdefault(item.engine, item.reported_at)
-            for part in item.parts:
+            for part in item.parts & known_parts if item.engine in explained else item.parts:
                 engines.setdefault(part, set()).add(item.engine)
         counts = {
             part: count_separate(crashed_at[engine] for engine in found)
--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -181,7 +181,7 @@
         """Return the suspect parts whose requests are not refused yet."""
         return [
             part
-            for part in self.evidence.suspects()[:MAX_SUSPECTS]
+            for part in self.evidence.suspects(self.quarantine.combinations())[:MAX_SUSPECTS]
             if not self.quarantine.find(self.evidence.combination(part))
         ]
 
--- a/src/jacinthcove/gateway/quarantine.py
+++ b/src/jacinthcove/gateway/quarantine.py
@@ -83,10 +83,13 @@
         since = self.clock.boot() - QUARANTINE_MS
         return [combination for combination, at in self.stored_since.items() if at <= since]
 
+    def combinations(self) -> list[Combination]:
+        """Return all combinations in quarantine."""
+        return [*self.stored_since, *self.unstored_since]
+
     def find(self, parts: Combination) -> list[Combination]:
         """Return the combinations in quarantine of which all parts are among `parts`."""
-        known = (*self.stored_since, *self.unstored_since)
-        return [combination for combination in known if combination <= parts]
+        return [combination for combination in self.combinations() if combination <= parts]
 
     def refusal_for(self, prompt: PromptShape) -> RequestRefused | None:
         """Return a refusal with a code that means not executed if a combination matches."""
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -170,6 +170,19 @@
     assert not fleet.refusing(POPULAR)
 
 
+def test_crashes_by_a_known_part_do_not_count_against_parts_that_wait_beside_it(fleet):
+    """Requests with the deadly part that were sent before go on crashing engines for a while."""
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, "r1", DEADLY)
+    fleet.examine()
+    for number in range(10, 10 + 2 * SUSPECT_CRASHES):
+        fleet.clock.advance(SAME_CRASH_MS)
+        fleet.examiners["r2"].report(EngineStart(f"e{number}", 1), [only(DEADLY), only("rare")])
+        fleet.examiners["r7"].first_events.record(["sound"])
+        fleet.examine()
+    assert not fleet.refusing("rare")
+
+
 def test_several_requests_at_one_crashed_engine_count_once(fleet):
     for witness in ("r0", "r1", "r2", "r3"):
         fleet.crash(1, witness, DEADLY)
