--- a/src/jacinthcove/gateway/crashevidence.py
+++ b/src/jacinthcove/gateway/crashevidence.py
@@ -19,7 +19,7 @@
 
 # Crashes after which a part is suspect, and the time in which several count as one.
 SUSPECT_CRASHES = 3
-SAME_CRASH_MS = 250
+SAME_CRASH_MS = 100
 # Older crashes do not count.
 EVIDENCE_TTL_MS = 600_000
 MAX_PARTS = 16_384
