Quarantine the largest combination that explains the crashes

The examiner takes the largest combination first and looks again: what it explains counts against no other part. A part of a known combination becomes suspect by itself once it waits at a crash that the combination does not explain.

--- a/src/jacinthcove/gateway/crashevidence.py
+++ b/src/jacinthcove/gateway/crashevidence.py
@@ -97,8 +97,8 @@
     def suspects(self, known: Collection[Combination] = ()) -> list[str]:
         """Return the suspect parts, those with the most crashes first.
 
-        A crash at which a request had all parts of a `known` combination is explained by it, and
-        counts against the parts of known combinations only.
+        A crash at which a request had all parts of a `known` combination is explained by it. It
+        counts only against parts of known combinations that also have a crash without explanation.
         """
         since = self.clock.now() - EVIDENCE_TTL_MS
         explained = {
@@ -107,17 +107,21 @@
         known_parts = frozenset().union(*known)
         crashed_at: dict[EngineStart, int] = {}
         engines: dict[str, set[EngineStart]] = {}
+        unexplained: set[str] = set()
         for item in self.victims:
             if item.reported_at < since:
                 continue
             # The oldest report comes first; a late router may report the same crash again.
             crashed_at.setdefault(item.engine, item.reported_at)
-            for part in item.parts & known_parts if item.engine in explained else item.parts:
+            counted = item.parts & known_parts if item.engine in explained else item.parts
+            for part in counted:
                 engines.setdefault(part, set()).add(item.engine)
+            if item.engine not in explained:
+                unexplained |= item.parts
         counts = {
             part: count_separate(crashed_at[engine] for engine in found)
             for part, found in engines.items()
-            if len(found) >= SUSPECT_CRASHES
+            if len(found) >= SUSPECT_CRASHES and part in unexplained
         }
         suspects = [part for part, count in counts.items() if count >= SUSPECT_CRASHES]
         return sorted(suspects, key=lambda part: (-counts[part], part))
--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -164,9 +164,14 @@
         if not any(reply.any_begun for reply in replies):
             log.warning("no_answer_begins", suspects=suspects)
             return
-        found = {self.evidence.combination(part) for part in self._new_suspects()}
-        for combination in found:
-            self._quarantine(combination)
+        while suspects := self._new_suspects():
+            if len(self.quarantine) >= MAX_QUARANTINED:
+                log.error("quarantine_full", suspects=suspects)
+                return
+            # The largest one refuses the fewest sound requests, and explains crashes at which one
+            # of its parts was waiting alone.
+            found = {self.evidence.combination(part) for part in suspects}
+            self._quarantine(max(found, key=lambda item: (len(item), sorted(item))))
 
     def _answer(self, ages_ms: dict[str, int]) -> pb.BegunReply:
         """Return on which parts, and whether on any at all, an answer has begun here."""
@@ -207,9 +212,6 @@
         return replies
 
     def _quarantine(self, combination: Combination) -> None:
-        if len(self.quarantine) >= MAX_QUARANTINED:
-            log.error("quarantine_full", parts=sorted(combination))
-            return
         self.quarantine.add_found(combination)
         if self.members is not None and self.peers is not None:
             notice = pb.QuarantineNotice(parts=sorted(combination))
