Examine crashes only where all reports arrive

Each router also examined what it had seen itself, which is a part of each crash: the router of a sound request that waited beside a deadly one saw three crashes with the part of their caller and nothing that explained them.

A report is now a call. A router that reaches one of the two examiners keeps nothing; one that reaches neither examines its own crashes, as before.

test_a_sound_request_that_waits_beside_a_deadly_one_does_not_condemn_its_caller failed before.

--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -3,8 +3,8 @@
 A router sees only its own requests at an engine that crashed. It reports their prompt parts to two
 examiners, which are the same for all routers. An examiner asks the other routers whether an answer
 on a suspect part has begun. If none has, it announces the part, or the combination of parts, to all
-routers and puts it into the store, where routers that start or were cut off find it. An isolated
-router examines its own crashes.
+routers and puts it into the store, where routers that start or were cut off find it. A router that
+reaches no examiner examines its own crashes.
 """
 
 import random
@@ -99,17 +99,30 @@
         """Report a crash of an engine and the shared parts of the requests that waited there."""
         parts = [sorted(request) for request in requests]
         log.info("engine_crashed", target=engine.target_id, requests=parts)
-        self._record(engine, requests)
-        if self.members is None or self.peers is None:
-            return
         message = pb.CrashReport(
             target_id=engine.target_id,
             started_at=engine.started_at,
             requests=[pb.PromptParts(parts=item) for item in parts],
         )
-        for examiner in self.examiners():
-            if examiner != self.members.me.id:
-                self.peers.send(examiner, CRASH_REPORT, message)
+        # What a router sees itself is only a part of each crash, and misleads.
+        if not self._send_to_examiners(message):
+            self._record(engine, requests)
+
+    def _send_to_examiners(self, message: pb.CrashReport) -> bool:
+        """Send a report to all examiners; return whether one of them has it."""
+        if self.members is None or self.peers is None:
+            return False
+        peers, delivered = self.peers, []
+
+        def send(examiner: str) -> None:
+            try:
+                peers.call(examiner, CRASH_REPORT, message, QUERY_TIMEOUT_MS)
+                delivered.append(examiner)
+            except PeerUnavailable as error:
+                log.warning("crash_not_reported", router=examiner, reason=str(error))
+
+        gevent.joinall([gevent.spawn(send, examiner) for examiner in self.examiners()])
+        return bool(delivered)
 
     def release(self, combinations: Collection[Combination]) -> None:
         """Release combinations, because an answer on all of their parts has begun."""
@@ -125,11 +138,12 @@
         ids = [member.id for member in self.members.alive()]
         return rendezvous.ranked("crashes", ids)[:EXAMINERS]
 
-    def on_report(self, sender: str, message: pb.CrashReport) -> None:
+    def on_report(self, sender: str, message: pb.CrashReport) -> pb.Empty:
         """Record a crash that another router saw; handles `CRASH_REPORT`."""
         del sender
         requests = [frozenset(item.parts) for item in message.requests]
         self._record(EngineStart(message.target_id, message.started_at), requests)
+        return pb.Empty()
 
     def on_query(self, sender: str, message: pb.BegunQuery) -> pb.BegunReply:
         """Return the parts on which an answer has begun here; handles `BEGUN_QUERY`."""
