--- a/src/jacinthcove/gateway/codec.py
+++ b/src/jacinthcove/gateway/codec.py
@@ -29,13 +29,24 @@
     FOREIGN = "foreign"
 
 
+@dataclass(frozen=True)
+class RateStatement:
+    """What a response says about the requests per second that its target takes, None: no limit."""
+
+    per_s: float | None = None
+
+
+NO_LIMIT = RateStatement()
+
+
 @dataclass(frozen=True)
 class ResponseHead:
     """Status and headers of a target's response; `headers` are those to send to the caller.
 
     `leaving` means that the target is about to stop. `retry_after_ms` is how long it refuses
     requests from this router, 0 if it does not say. `keep_alive_ms` is how long it keeps the
-    connection open for another request, 0 if it closes it or does not say.
+    connection open for another request, 0 if it closes it or does not say. `limit` is what it says
+    about the requests that it takes from all routers together, None if that cannot be read.
     """
 
     status: int
@@ -45,6 +56,7 @@
     leaving: bool = False
     retry_after_ms: int = 0
     keep_alive_ms: int = 0
+    limit: RateStatement | None = NO_LIMIT
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -8,6 +8,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.load import TargetLoad
+from jacinthcove.gateway.statedlimits import StatedLimits
 from jacinthcove.targets.pool import TargetKey
 
 log = structlog.get_logger()
@@ -168,6 +169,7 @@
         # report this late or never, and a removed entry can return, so the announcement is kept
         # when the state of the target is removed.
         self.leaving_starts: dict[str, int] = {}
+        self.stated_limits = StatedLimits(clock)
 
     def replace_all(self, records: Iterable[TargetRecord], revision: int, after_gap: bool) -> None:
         """Replace all entries by a complete list.
--- a/src/jacinthcove/platform/codec.py
+++ b/src/jacinthcove/platform/codec.py
@@ -9,7 +9,15 @@
 
 from jacinthcove.codes import ResultCode, http_status
 from jacinthcove.errors import RequestRefused
-from jacinthcove.gateway.codec import Execution, Headers, RawRequest, RefusalResponse, ResponseHead
+from jacinthcove.gateway.codec import (
+    NO_LIMIT,
+    Execution,
+    Headers,
+    RateStatement,
+    RawRequest,
+    RefusalResponse,
+    ResponseHead,
+)
 from jacinthcove.gateway.model import GatewayRequest, PromptPart, PromptShape
 from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.routes import RouteTable
@@ -33,6 +41,7 @@
 MAX_RETRY_AFTER_MS = 60_000
 MAX_LOGGED_CHARS = 40
 _RETRY_AFTER_S = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 _KEEP_ALIVE_TIMEOUT_S = re.compile(r"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)
 # Methods whose requests carry Content-Length even when the body is empty.
 _BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
@@ -143,6 +152,7 @@
             leaving=response.get(names.LEAVING) == names.LEAVING_YES,
             retry_after_ms=decode_retry_after(response) if status == 503 else 0,
             keep_alive_ms=decode_keep_alive_ms(response),
+            limit=decode_limit(response),
         )
 
     def refusal(self, refusal: RequestRefused) -> RefusalResponse:
@@ -166,6 +176,18 @@
     return min(MAX_RETRY_AFTER_MS, math.ceil(float(text) * 1_000))
 
 
+def decode_limit(response: TargetResponse) -> RateStatement | None:
+    """Return the limit that a target states in a response, None if it cannot be read."""
+    value = response.get(names.REQUESTS_PER_S)
+    if value is None:
+        return NO_LIMIT
+    text = str(value).strip()
+    if not _DECIMAL.fullmatch(text):
+        log.warning("target_limit_unreadable", value=text[:MAX_LOGGED_CHARS])
+        return None
+    return RateStatement(float(text))
+
+
 def decode_keep_alive_ms(response: TargetResponse) -> int:
     """Return how long a target keeps an idle connection open in ms, 0 if it does not say."""
     value = response.get(names.KEEP_ALIVE)
--- a/src/jacinthcove/platform/names.py
+++ b/src/jacinthcove/platform/names.py
@@ -22,6 +22,8 @@
 # Response header of a target that is about to stop.
 LEAVING = "Server-Leaving"
 LEAVING_YES = "1"
+# Response header of a target: the requests per second that it takes from all routers together.
+REQUESTS_PER_S = "Server-Limit"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "token"
 
