Take the rate limits of targets out of admission

Admission knew one limit, that of cold targets. A target's own limit holds over the fleet in the same way, so the quota, the window and the reservation become a rule that both can use. The limiter no longer knows which sends count; the tests that used its try_send check the same in two calls, and one more plays a warm target that turns cold through admission. No change of behaviour.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -13,13 +13,12 @@
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
-from jacinthcove.gateway.coldlimit import ColdRateLimiter
-from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.model import GatewayRequest, GatewayService, RoutingConfig
 from jacinthcove.gateway.placement import Choice, Placement, RejectReason
 from jacinthcove.gateway.rollouts import Rollouts, VersionPlan
 from jacinthcove.gateway.sampling import MAX_COMPARED
 from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targetrates import TargetRates
 from jacinthcove.gateway.targets import TargetRegistry, TargetState
 from jacinthcove.observe.decisions import DecisionLog
 
@@ -42,14 +41,6 @@
 LOGGED_TARGETS = 10
 
 
-@dataclass(frozen=True)
-class ColdRateLimit:
-    """Allowed rate of a cold target: `factor` times its configured rate plus `slack` per second."""
-
-    factor: float
-    slack: float
-
-
 @dataclass(frozen=True)
 class PendingRequest:
     """A request that waits for a target, until `give_up_at` (monotonic ms) at the latest.
@@ -76,9 +67,7 @@
         registry: TargetRegistry,
         placement: Placement,
         ledger: ShareLedger,
-        cold_limiter: ColdRateLimiter,
-        cold_rate_limit: ColdRateLimit,
-        fleet: FleetQuota,
+        rates: TargetRates,
         decisions: DecisionLog,
         rollouts: Rollouts,
         rng: random.Random | None = None,
@@ -87,9 +76,7 @@
         self.registry = registry
         self.placement = placement
         self.ledger = ledger
-        self.cold_limiter = cold_limiter
-        self.cold_rate_limit = cold_rate_limit
-        self.fleet = fleet
+        self.rates = rates
         self.decisions = decisions
         self.rollouts = rollouts
         self.rng = rng or random.Random()
@@ -102,7 +89,7 @@
 
     def configure(self, config: RoutingConfig) -> None:
         """Apply the services and latency goals of a new configuration."""
-        self.services = config.services
+        self.services = self.rates.services = config.services
         goals: dict[str, int] = {}
         for route in config.routes:
             for share in route.services:
@@ -211,7 +198,7 @@
         """
         if not self.registry.may_send(target):
             return False
-        return self.cold_limiter.try_send(target.record.id, request.id, self._cold_limit(target))
+        return self.rates.try_send(request.id, target)
 
     def release(
         self, request: GatewayRequest, target: TargetState, not_executed: bool = False
@@ -221,7 +208,7 @@
         `not_executed` if no target executed it; its tokens are then credited to the workspace.
         """
         target.load.end(request.id)
-        self.cold_limiter.cancel(target.record.id, request.id)
+        self.rates.cancel(request.id, target)
         if not_executed:
             self.ledger.record_rejection(request.workspace, request.prompt.share_cost_tokens)
 
@@ -253,7 +240,7 @@
         now = self.clock.now()
         ready = [t for t in usable if t.paused_until <= now]
         reachable = [t for t in ready if t.unreachable_until <= now] or ready
-        targets = [t for t in reachable if self._cold_allows(t)]
+        targets = [t for t in reachable if self.rates.allows(t)]
         if usable and not targets:
             return RejectReason.FULL
         if known.engine is None:
@@ -269,32 +256,16 @@
             self.ledger.given_tokens_per_s,
         )
 
-    def _cold_allows(self, target: TargetState) -> bool:
-        limit = self._cold_limit(target)
-        return limit is None or self.cold_limiter.allows(target.record.id, limit)
-
-    def _cold_limit(self, target: TargetState) -> int | None:
-        """Return this router's limit of requests per second to a target, None if it is not cold."""
-        service = self.services.get(target.record.service)
-        if service is None or service.cold_requests_per_s <= 0:
-            return None
-        if target.cold_until <= self.clock.now():
-            return None
-        rate = (
-            service.cold_requests_per_s * self.cold_rate_limit.factor + self.cold_rate_limit.slack
-        )
-        return self.fleet.quota(target.record.id, rate)
-
     def _reserve(self, request: GatewayRequest, choice: Choice) -> None:
         target = choice.target
-        self.cold_limiter.reserve(target.record.id, request.id)
+        self.rates.reserve(request.id, target)
         self._log_cold(request, target)
         target.load.begin(request.id, choice.unread_tokens, choice.memory_tokens)
         target.record_parts([part.id for part in request.prompt.parts[:-1]], own=True)
 
     def _log_cold(self, request: GatewayRequest, target: TargetState) -> None:
         """Log the quota that allowed a request to a cold target."""
-        limit = self._cold_limit(target)
+        limit = self.rates.cold_quota(target)
         if limit is None:
             return
         self.decisions.log_decision(
@@ -303,7 +274,7 @@
             target=target.record.id,
             target_revision=target.revision,
             cold_ms=target.cold_until - self.clock.now(),
-            routers=self.fleet.routers,
+            routers=self.rates.fleet.routers,
             limit=limit,
         )
 
--- /dev/null
+++ b/src/jacinthcove/gateway/targetrates.py
@@ -0,0 +1,96 @@
+"""Limits on the requests to a target that hold for all routers together.
+
+When a failure domain returns with cold targets, all routers send to them at once, and a target that
+has just started fails well above its cold rate. Each router keeps to its own quota of the rate.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jacinthcove.clock import Clock
+from jacinthcove.gateway.fleetquota import FleetQuota
+from jacinthcove.gateway.model import GatewayService
+from jacinthcove.gateway.ratelimiter import TargetRateLimiter
+from jacinthcove.gateway.targets import TargetState
+
+# A little over a second, because requests may take different times to arrive.
+COLD_WINDOW_MS = 1_150
+
+
+@dataclass(frozen=True)
+class ColdRateLimit:
+    """Allowed rate of a cold target: `factor` times its configured rate plus `slack` per second."""
+
+    factor: float
+    slack: float
+
+
+@dataclass(frozen=True)
+class RateRule:
+    """One kind of limit; `quota` returns this router's part of it, None without a limit.
+
+    `counts_always`: requests count before there is a limit too.
+    """
+
+    limiter: TargetRateLimiter
+    quota: Callable[[TargetState], int | None]
+    counts_always: bool
+
+
+class TargetRates:
+    """Decides which requests of this router may go to a target with a limit."""
+
+    def __init__(self, clock: Clock, fleet: FleetQuota, cold_rate_limit: ColdRateLimit):
+        self.clock = clock
+        self.fleet = fleet
+        self.cold_rate_limit = cold_rate_limit
+        self.services: dict[str, GatewayService] = {}
+        # A target may restart and be cold again, so requests to warm targets count too.
+        cold = RateRule(TargetRateLimiter(clock, COLD_WINDOW_MS), self.cold_quota, True)
+        self.rules = (cold,)
+
+    def allows(self, target: TargetState) -> bool:
+        """Return whether another request may select a target."""
+        for rule in self.rules:
+            quota = rule.quota(target)
+            if quota is not None and not rule.limiter.allows(target.record.id, quota):
+                return False
+        return True
+
+    def reserve(self, request_id: str, target: TargetState) -> None:
+        """Count a request that selected a target and is not sent yet."""
+        for rule in self.rules:
+            rule.limiter.reserve(target.record.id, request_id)
+
+    def cancel(self, request_id: str, target: TargetState) -> None:
+        """Remove the reservation of a request; does nothing if it was sent."""
+        for rule in self.rules:
+            rule.limiter.cancel(target.record.id, request_id)
+
+    def try_send(self, request_id: str, target: TargetState) -> bool:
+        """Turn a reservation into a send.
+
+        Returns False if the request would exceed a limit and must not be sent.
+        """
+        self.cancel(request_id, target)
+        target_id = target.record.id
+        quotas = [rule.quota(target) for rule in self.rules]
+        for rule, quota in zip(self.rules, quotas, strict=True):
+            if quota is not None and not rule.limiter.allows_send(target_id, quota):
+                return False
+        for rule, quota in zip(self.rules, quotas, strict=True):
+            if rule.counts_always or quota is not None:
+                rule.limiter.record_sent(target_id)
+        return True
+
+    def cold_quota(self, target: TargetState) -> int | None:
+        """Return this router's quota of requests per second to a target, None if it is not cold."""
+        service = self.services.get(target.record.service)
+        if service is None or service.cold_requests_per_s <= 0:
+            return None
+        if target.cold_until <= self.clock.now():
+            return None
+        rate = (
+            service.cold_requests_per_s * self.cold_rate_limit.factor + self.cold_rate_limit.slack
+        )
+        return self.fleet.quota(target.record.id, rate)
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -9,8 +9,7 @@
 
 from jacinthcove.clock import ManualClock
 from jacinthcove.errors import PeerUnavailable, RequestRefused
-from jacinthcove.gateway.admission import Admission, ColdRateLimit, PendingRequest
-from jacinthcove.gateway.coldlimit import ColdRateLimiter
+from jacinthcove.gateway.admission import Admission, PendingRequest
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.loadexchange import LoadExchange
 from jacinthcove.gateway.loadreports import CROSS_DOMAIN_PERIOD_MS, PERIOD_MS, ReceiverGroup
@@ -26,6 +25,7 @@
 from jacinthcove.gateway.placement import Choice, Placement
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targetrates import ColdRateLimit, TargetRates
 from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
 from jacinthcove.gateway.workspaceusage import TICK_MS
 from jacinthcove.lab.engine import EngineSpeed, LabEngine
@@ -103,9 +103,7 @@
             self.registry,
             Placement(domain, rng=rng),
             self.ledger,
-            ColdRateLimiter(clock),
-            ColdRateLimit(1.0, 0.0),
-            quota,
+            TargetRates(clock, quota, ColdRateLimit(1.0, 0.0)),
             DecisionLog(clock, Metrics(), lines_per_s=0),
             Rollouts(clock, self.registry),
             rng,
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -10,10 +10,9 @@
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.activeconfig import RETRY_ELSEWHERE_MS, ActiveConfig
-from jacinthcove.gateway.admission import Admission, ColdRateLimit
+from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.application import GatewayApplication
 from jacinthcove.gateway.attempts import AttemptObservers, AttemptRecorder
-from jacinthcove.gateway.coldlimit import ColdRateLimiter
 from jacinthcove.gateway.crashevidence import FirstEvents
 from jacinthcove.gateway.crashexaminer import CrashExaminer
 from jacinthcove.gateway.crashwitness import CrashWitness
@@ -28,6 +27,7 @@
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.server import GatewayServer
 from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targetrates import ColdRateLimit, TargetRates
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.observe.arrivals import ArrivalLog, EngineStats
 from jacinthcove.observe.decisions import DecisionLog
@@ -128,9 +128,7 @@
             self.registry,
             Placement(settings.failure_domain, self.fleet.cross_domain_delay_ms),
             self.ledger,
-            ColdRateLimiter(clock),
-            _cold_rate_limit(bounds),
-            self.fleet.fleet_quota,
+            TargetRates(clock, self.fleet.fleet_quota, _cold_rate_limit(bounds)),
             self.decisions,
             self.rollouts,
         )
@@ -259,7 +257,7 @@
         """Apply changed bounds; addresses stay as they were at the start."""
         self.settings = replace(self.settings, bounds=settings.bounds)
         self.active_config.max_age_ms = settings.bounds.revoke_ms - REVOKE_MARGIN_MS
-        self.admission.cold_rate_limit = _cold_rate_limit(settings.bounds)
+        self.admission.rates.cold_rate_limit = _cold_rate_limit(settings.bounds)
         self.budget.window_ms = settings.bounds.retry_window_ms
         self.budget.ratio = settings.bounds.retry_ratio * RETRY_RATIO_FRACTION
 
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -11,7 +11,6 @@
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.gateway.coldlimit import WINDOW_MS
 from jacinthcove.gateway.digests import NoStoreNews, StoreNewsRelay
 from jacinthcove.gateway.directory import Candidate
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
@@ -21,6 +20,7 @@
 from jacinthcove.gateway.rolloutdriver import RolloutDriver
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targetrates import COLD_WINDOW_MS
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.mesh.links import PeerLinks
 from jacinthcove.mesh.members import Membership
@@ -230,7 +230,7 @@
             except Conflict:
                 raise StoreUnavailable("another writer changed the registration") from None
         listing = self.store_client.list_all(ROUTERS_KIND)
-        counted_after_ms = SETTLE_MS if self.may_be_first_start else WINDOW_MS
+        counted_after_ms = SETTLE_MS if self.may_be_first_start else COLD_WINDOW_MS
         self.counted_from_ms = self.clock.now() + counted_after_ms
         self.registered_ids = frozenset(item.name for item in listing.objects)
         others = [item for item in listing.objects if item.name != me.id]
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -5,14 +5,15 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
-from jacinthcove.gateway.admission import Admission, ColdRateLimit
-from jacinthcove.gateway.coldlimit import ColdRateLimiter
+from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.placement import Placement
+from jacinthcove.gateway.ratelimiter import TargetRateLimiter
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targetrates import COLD_WINDOW_MS, ColdRateLimit, TargetRates
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
@@ -36,7 +37,7 @@
     old = sorted(f"r{number}" for number in range(before))
     new = sorted(old + [f"r{number}x" for number in range(added)])
     clock = ManualClock()
-    limits = {router: ColdRateLimiter(clock) for router in new}
+    limits = {router: TargetRateLimiter(clock, COLD_WINDOW_MS) for router in new}
     quotas = {router: FleetQuota(clock, router) for router in new}
     learns_at = {r: rng.uniform(0, MAX_LEARN_MS) if r in old else SETTLE_MS for r in new}
     sent = []
@@ -45,7 +46,8 @@
             if time >= learns_at[router] or router in old:
                 quotas[router].set_routers(new if time >= learns_at[router] else old)
             quota = quotas[router].quota("t1", RATE_PER_S)
-            if limit.allows("t1", quota) and limit.try_send("t1", "q", quota):
+            if limit.allows("t1", quota) and limit.allows_send("t1", quota):
+                limit.record_sent("t1")
                 sent.append(time)
         clock.advance(STEP_MS)
     assert max_per_second(sent) <= ALLOWED_PER_S
@@ -69,9 +71,7 @@
         registry,
         Placement("a"),
         ShareLedger(clock, 4_000),
-        ColdRateLimiter(clock),
-        ColdRateLimit(1.0, 0.0),
-        quotas,
+        TargetRates(clock, quotas, ColdRateLimit(1.0, 0.0)),
         DecisionLog(clock, Metrics()),
         rollouts,
     )
@@ -107,3 +107,14 @@
     forwarder.check_may_send(first, target)
     with pytest.raises(TargetUnreachable):
         forwarder.check_may_send(second, target)
+
+
+def test_requests_to_a_warm_target_count_when_it_turns_cold(clock, forwarder):
+    admission = forwarder.admission
+    admission.registry.put(record(), 1)
+    first, second = request(clock, "q1"), request(clock, "q2")
+    forwarder.check_may_send(first, decide(admission, first).target)
+    admission.registry.put(record(cold_for_ms=10_000), 2)
+    assert decide(admission, second) is None
+    clock.advance(COLD_WINDOW_MS)
+    assert decide(admission, second) is not None
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -3,9 +3,10 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
-from jacinthcove.gateway.coldlimit import WINDOW_MS, ColdRateLimiter
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
+from jacinthcove.gateway.ratelimiter import TargetRateLimiter
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
+from jacinthcove.gateway.targetrates import COLD_WINDOW_MS
 
 
 @pytest.fixture
@@ -51,10 +52,11 @@
 
 
 def test_no_second_has_more_requests_than_the_limit(clock):
-    limit = ColdRateLimiter(clock)
+    limit = TargetRateLimiter(clock, COLD_WINDOW_MS)
     sent = []
-    for number in range(4_000):
-        if limit.allows("t1", 3) and limit.try_send("t1", f"q{number}", 3):
+    for _ in range(4_000):
+        if limit.allows("t1", 3) and limit.allows_send("t1", 3):
+            limit.record_sent("t1")
             sent.append(clock.now())
         clock.advance(1)
     assert len(sent) > 9
@@ -62,17 +64,17 @@
 
 
 def test_sends_to_a_warm_target_count_when_it_turns_cold(clock):
-    limit = ColdRateLimiter(clock)
-    for number in range(5):
-        assert limit.try_send("t1", f"q{number}", None)
+    limit = TargetRateLimiter(clock, COLD_WINDOW_MS)
+    for _ in range(5):
+        limit.record_sent("t1")
     assert not limit.allows("t1", 3)
-    assert not limit.try_send("t1", "q5", 3)
-    clock.advance(WINDOW_MS)
+    assert not limit.allows_send("t1", 3)
+    clock.advance(COLD_WINDOW_MS)
     assert limit.allows("t1", 3)
 
 
 def test_a_cancelled_reservation_allows_another_request(clock):
-    limit = ColdRateLimiter(clock)
+    limit = TargetRateLimiter(clock, COLD_WINDOW_MS)
     limit.reserve("t1", "q1")
     assert not limit.allows("t1", 1)
     limit.cancel("t1", "q1")
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -10,9 +10,9 @@
 from wire_bed import KEY, ScriptedTarget, read_response, request, response
 
 from jacinthcove.codes import ResultCode
-from jacinthcove.gateway.coldlimit import WINDOW_MS
 from jacinthcove.gateway.exchange import Exchange
 from jacinthcove.gateway.loopdelay import REJECT_ALL_DELAY_MS
+from jacinthcove.gateway.targetrates import COLD_WINDOW_MS
 from jacinthcove.platform import fleet
 from jacinthcove.platform.daemon import PlatformRouter
 from jacinthcove.platform.settings import decode_settings
@@ -223,7 +223,7 @@
     router.stop_now()
     again = start()
     eventually(lambda: again.fleet.counted_from_ms is not None)
-    assert again.fleet.counted_from_ms - again.clock.now() <= WINDOW_MS
+    assert again.fleet.counted_from_ms - again.clock.now() <= COLD_WINDOW_MS
 
 
 def test_stopping_router_finishes_open_requests(start, operator, ledger):
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -5,10 +5,9 @@
 
 from jacinthcove.clock import SystemClock
 from jacinthcove.gateway.activeconfig import ActiveConfig
-from jacinthcove.gateway.admission import Admission, ColdRateLimit
+from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.application import GatewayApplication
 from jacinthcove.gateway.attempts import AttemptObservers, AttemptRecorder
-from jacinthcove.gateway.coldlimit import ColdRateLimiter
 from jacinthcove.gateway.crashevidence import FirstEvents
 from jacinthcove.gateway.crashexaminer import CrashExaminer
 from jacinthcove.gateway.crashwitness import CrashWitness
@@ -29,6 +28,7 @@
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.server import GatewayServer
 from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.targetrates import ColdRateLimit, TargetRates
 from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
@@ -203,9 +203,7 @@
             self.registry,
             Placement("a"),
             ShareLedger(clock, 4_000),
-            ColdRateLimiter(clock),
-            ColdRateLimit(1.0, 0.0),
-            quota,
+            TargetRates(clock, quota, ColdRateLimit(1.0, 0.0)),
             self.decisions,
             Rollouts(clock, self.registry),
         )
