Keep to the limits that targets state, over the fleet

Callers saw nothing, engines did: on an engine that had stated 7.3 requests a second got 58 in 4 s (49 allowed), with deeper caps 31 of 15 allowed (LIMIT). Cause: no decision knew the limit. A line for each response showed that the routers had heard of nearly all limits within 0.9 s and sent on.

Each router now keeps to its quota of a stated limit, counted over 4 s, as it does with the rate of cold targets. Routers tell each other in their load reports what a target said last, so one that starts, is cut off or has no quota of a target knows its limit and its end. A limit ends with a response that has none, to a request sent after the limit was stated, or with the start of the target that stated it. What no target takes is refused at once.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -189,7 +189,11 @@
 
     def _capacity_at(self, service: str) -> int:
         """Return the earliest time (monotonic ms) at which a target may have capacity."""
-        return self.clock.now() + max(MIN_POLL_INTERVAL_MS, self.registry.paused_for_ms(service))
+        blocked_ms = max(
+            self.registry.paused_for_ms(service),
+            self.rates.blocked_ms(self.registry.usable(service)),
+        )
+        return self.clock.now() + max(MIN_POLL_INTERVAL_MS, blocked_ms)
 
     def may_send(self, request: GatewayRequest, target: TargetState) -> bool:
         """Return whether a request may be sent to its target now, and if so count it as sent.
@@ -242,7 +246,7 @@
         reachable = [t for t in ready if t.unreachable_until <= now] or ready
         targets = [t for t in reachable if self.rates.allows(t)]
         if usable and not targets:
-            return RejectReason.FULL
+            return RejectReason.RATE_LIMITED if reachable else RejectReason.FULL
         if known.engine is None:
             return self.placement.choose_plain(request, targets)
         return self.placement.choose_engine(
@@ -317,9 +321,11 @@
         if reason is RejectReason.OVER_SHARE:
             message = "the workspace is over its share"
             return RequestRefused(ResultCode.NO_CAPACITY, message, TOO_SLOW_RETRY_AFTER_MS)
+        message = "no target can start the request in time"
+        if reason is RejectReason.RATE_LIMITED:
+            message = "the limits of the targets allow no more requests at present"
         fraction = self.rng.uniform(RETRY_AFTER_MIN_FRACTION, RETRY_AFTER_MAX_FRACTION)
         retry_after_ms = round(
             fraction * request.route.latency_goal_ms
         ) + self.registry.paused_for_ms(service)
-        message = "no target can start the request in time"
         return RequestRefused(ResultCode.NO_CAPACITY, message, retry_after_ms)
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -182,6 +182,11 @@
         for item in message.targets:
             if item.leaving:
                 self.registry.mark_leaving(item.target_id, item.started_at)
+            if item.HasField("limit"):
+                per_s = None if item.limit.lifted else item.limit.per_s
+                self.registry.stated_limits.record_report(
+                    item.target_id, item.started_at, per_s, item.limit.age_ms
+                )
             target = self.registry.states.get(item.target_id)
             if target is not None:
                 target.record_parts(item.parts)
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -1,13 +1,14 @@
 """Builds load reports, which hold the changes since the last report to the same receivers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.digests import OwnContribution
 from jacinthcove.gateway.load import PeerLoad, TargetLoad
 from jacinthcove.gateway.shares import ShareLedger
-from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
+from jacinthcove.gateway.statedlimits import StatedLimit
+from jacinthcove.gateway.targets import TargetRecord, TargetRegistry, TargetState
 from jacinthcove.gateway.workspaceusage import UsageByWorkspace, WorkspaceUsage, encode_usage
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member, Members
@@ -27,9 +28,26 @@
     unread_tokens: int
     memory_tokens: int
     leaving: bool
+    # The limit of the target, None if it stated none or lifted it.
+    limit_per_s: float | None
     sent_at: int
 
 
+@dataclass(frozen=True)
+class TargetReport:
+    """What a router reports about a target.
+
+    `leaving`: the target said that it leaves. `limit` is what it last said about its own limit.
+    `parts` are cacheable blocks of prompt prefixes that were sent to it since the last report.
+    """
+
+    record: TargetRecord
+    load: PeerLoad
+    leaving: bool
+    limit: StatedLimit | None
+    parts: list[str]
+
+
 class ReceiverGroup:
     """What was last sent to a group of routers that all receive the same reports."""
 
@@ -38,47 +56,41 @@
         self.usage: dict[str, tuple[WorkspaceUsage, int]] = {}
         self.sent_at = -1
 
-    def add_load(
-        self,
-        message: pb.LoadShare,
-        record: TargetRecord,
-        load: PeerLoad,
-        leaving: bool,
-        parts: list[str],
-        now: int,
-    ) -> None:
-        """Add the load of a target to `message` if it changed or is due for a refresh.
-
-        `parts` are cacheable blocks of prompt prefixes that were sent to the target since the last
-        report.
-        """
-        target = record.id
+    def add_load(self, message: pb.LoadShare, report: TargetReport, now: int) -> None:
+        """Add the report about a target to `message` if it changed or is due for a refresh."""
+        target = report.record.id
+        load, limit = report.load, report.limit
         sent_before = self.loads.get(target)
-        values = (load.running, load.unread_tokens, load.memory_tokens, leaving)
+        state = SentLoad(
+            load.running,
+            load.unread_tokens,
+            load.memory_tokens,
+            report.leaving,
+            limit.per_s if limit is not None else None,
+            now,
+        )
+        idle = not (load.running or load.unread_tokens or load.memory_tokens or report.leaving)
+        silent = idle and limit is None
         if sent_before is None:
-            changed = any(values)
+            changed = not silent
         else:
-            before = (
-                sent_before.running,
-                sent_before.unread_tokens,
-                sent_before.memory_tokens,
-                sent_before.leaving,
-            )
-            changed = before != values or (any(values) and now - sent_before.sent_at >= REFRESH_MS)
-        if not changed and not parts:
+            refresh = not silent and now - sent_before.sent_at >= REFRESH_MS
+            changed = refresh or replace(state, sent_at=sent_before.sent_at) != sent_before
+        if not changed and not report.parts:
             return
-        if any(values):
-            self.loads[target] = SentLoad(*values, now)
-        else:
+        if silent:
             self.loads.pop(target, None)
+        else:
+            self.loads[target] = state
         message.targets.add(
             target_id=target,
             running=load.running,
             unread_tokens=load.unread_tokens,
             memory_tokens=load.memory_tokens,
-            parts=parts,
-            leaving=leaving,
-            started_at=record.started_at if leaving else 0,
+            parts=report.parts,
+            leaving=report.leaving,
+            started_at=report.record.started_at if report.leaving or limit else 0,
+            limit=encode_limit(limit, now) if limit is not None else None,
         )
 
     def add_usage(
@@ -143,10 +155,8 @@
         """Return what changed at this router since the last report to `group`."""
         message, since, now = self._begin(group)
         for state in self.registry.states.values():
-            load = own_load(state.load, now)
             parts = state.parts_sent_since(since)
-            leaving = state.record.id in self.registry.leaving_starts
-            group.add_load(message, state.record, load, leaving, parts, now)
+            group.add_load(message, self._report(state, own_load(state.load, now), parts), now)
         group.add_usage(message, self.ledger.own.sum(), now)
         return message
 
@@ -170,13 +180,18 @@
         message, since, now = self._begin(group)
         for state in self.registry.states.values():
             sent = [*parts.get(state.record.id, ()), *state.parts_sent_since(since)]
-            load = state.load.sum_with(others)
-            leaving = state.record.id in self.registry.leaving_starts
             unique_parts = list(dict.fromkeys(sent))
-            group.add_load(message, state.record, load, leaving, unique_parts, now)
+            load = state.load.sum_with(others)
+            group.add_load(message, self._report(state, load, unique_parts), now)
         group.add_usage(message, self.ledger.sum_with(others), now)
         return message
 
+    def _report(self, state: TargetState, load: PeerLoad, parts: list[str]) -> TargetReport:
+        record = state.record
+        leaving = record.id in self.registry.leaving_starts
+        limit = self.registry.stated_limits.find(record.id, record.started_at)
+        return TargetReport(record, load, leaving, limit, parts)
+
     def _begin(self, group: ReceiverGroup) -> tuple[pb.LoadShare, int, int]:
         self.sequence += 1
         since, group.sent_at = group.sent_at, self.clock.now()
@@ -191,6 +206,15 @@
         return message, since, group.sent_at
 
 
+def encode_limit(limit: StatedLimit, now: int) -> pb.StatedLimit:
+    """Encode what a target last said about its limit."""
+    return pb.StatedLimit(
+        per_s=limit.per_s or 0.0,
+        age_ms=max(0, now - limit.said_at),
+        lifted=limit.per_s is None,
+    )
+
+
 def own_load(load: TargetLoad, now: int) -> PeerLoad:
     """Return the load of a target that comes from this router's own requests."""
     return PeerLoad(len(load.own), load.own_memory_tokens, load.own_unread_tokens, now)
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -79,6 +79,8 @@
 
     NO_TARGET = "no_target"
     FULL = "full"
+    # Set by admission: each target has a limit, and this router has used its quotas.
+    RATE_LIMITED = "rate_limited"
     # No target with capacity would finish before the caller's deadline.
     TOO_SLOW = "too_slow"
     # Set by admission: the workspace has used its share while other workspaces wait.
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -103,7 +103,7 @@
             self.registry,
             Placement(domain, rng=rng),
             self.ledger,
-            TargetRates(clock, quota, ColdRateLimit(1.0, 0.0)),
+            TargetRates(clock, quota, ColdRateLimit(1.0, 0.0), self.registry.stated_limits),
             DecisionLog(clock, Metrics(), lines_per_s=0),
             Rollouts(clock, self.registry),
             rng,
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -128,7 +128,12 @@
             self.registry,
             Placement(settings.failure_domain, self.fleet.cross_domain_delay_ms),
             self.ledger,
-            TargetRates(clock, self.fleet.fleet_quota, _cold_rate_limit(bounds)),
+            TargetRates(
+                clock,
+                self.fleet.fleet_quota,
+                _cold_rate_limit(bounds),
+                self.registry.stated_limits,
+            ),
             self.decisions,
             self.rollouts,
         )
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -71,7 +71,7 @@
         registry,
         Placement("a"),
         ShareLedger(clock, 4_000),
-        TargetRates(clock, quotas, ColdRateLimit(1.0, 0.0)),
+        TargetRates(clock, quotas, ColdRateLimit(1.0, 0.0), registry.stated_limits),
         DecisionLog(clock, Metrics()),
         rollouts,
     )
--- a/tests/platform/test_target_signals.py
+++ b/tests/platform/test_target_signals.py
@@ -15,6 +15,11 @@
     return responds_with(lambda head: not_run(head, status, f"{names.RETRY_AFTER}: {value}\r\n"))
 
 
+def stream_script(extra=""):
+    """Return a script of a target that sends a stream of one event."""
+    return responds_with(lambda head: stream_head(head, extra) + chunk(event(1)) + b"0\r\n\r\n")
+
+
 def test_leaving_target_gets_no_more_requests(bed):
     leaving = bed.add(
         "t1", "ledger", responds_with(lambda head: response(head, extra=LEAVING_HEADER))
@@ -140,6 +145,78 @@
     assert len(moved.seen) == 2
 
 
+def limit_header(value):
+    return f"{names.REQUESTS_PER_S}: {value}\r\n"
+
+
+def limited_script(value):
+    """Return a script of a target that answers and states the requests per second it takes."""
+    return responds_with(lambda head: response(head, extra=limit_header(value)))
+
+
+def test_target_gets_no_more_requests_than_the_limit_that_it_states(bed):
+    limited = bed.add("t1", "ledger", limited_script("0.5"))
+    statuses = [bed.call("/publish/7", id=f"q{number}")[0] for number in range(6)]
+    assert statuses == [200, 200, 200, 503, 503, 503]
+    assert len(limited.seen) == 3
+
+
+def test_request_beyond_the_limits_of_all_targets_is_refused_at_once(bed):
+    bed.add("t1", "ledger", limited_script("0.25"))
+    for number in range(2):
+        bed.call("/publish/7", id=f"q{number}")
+    started = gevent.get_hub().loop.now()
+    status, headers, _ = bed.call("/publish/7", id="q2")
+    assert (status, 0 < float(headers["retry-after"]) < 0.2) == (503, True)
+    assert gevent.get_hub().loop.now() - started < 0.04
+
+
+def test_other_targets_serve_what_a_limited_one_does_not_take(bed):
+    limited = bed.add("t1", "models", stream_script(limit_header("0.25")))
+    bed.add("t2", "models", stream_script())
+    statuses = [bed.call("/draft/7", id=f"q{number}")[0] for number in range(30)]
+    assert statuses == [200] * 30
+    assert len(limited.seen) <= 2
+
+
+def test_response_without_a_limit_lifts_it(bed):
+    target = bed.add("t1", "ledger", limited_script("0.5"))
+    bed.call("/publish/7")
+    gevent.sleep(0.01)
+    target.script = responds_with(response)
+    statuses = [bed.call("/publish/7", id=f"q{number}")[0] for number in range(1, 6)]
+    assert statuses == [200] * 5
+
+
+def test_rejection_without_a_limit_does_not_lift_it(bed, no_pause):
+    target = bed.add("t1", "ledger", limited_script("0.5"))
+    bed.call("/publish/7")
+    target.script = responds_with(not_run)
+    for number in range(1, 6):
+        assert bed.call("/publish/7", id=f"q{number}")[0] == 503
+    assert len(target.seen) == 3
+
+
+@pytest.mark.parametrize(
+    "value", ["-3", "", "nan", "1,5", "inf", "0x3", "1e3", "7.3 7.3", "9" * 400]
+)
+def test_unreadable_limit_changes_nothing(bed, value):
+    target = bed.add("t1", "ledger", limited_script("0.5"))
+    bed.call("/publish/7")
+    target.script = limited_script(value)
+    statuses = [bed.call("/publish/7", id=f"q{number}")[0] for number in range(1, 5)]
+    assert statuses == [200, 200, 503, 503]
+
+
+def test_limit_of_a_target_at_a_reused_address_is_ignored(bed):
+    moved = responds_with(
+        lambda head: not_run(head, "421 Misdirected Request", limit_header("0.25"))
+    )
+    bed.add("t1", "ledger", moved)
+    bed.call("/publish/7")
+    assert not bed.registry.stated_limits.by_target
+
+
 def test_tokens_of_a_rejected_request_do_not_count_as_given(bed):
     bed.add("t1", "models", responds_with(not_run))
     assert bed.call("/draft/7", extra=f"{names.TOKEN_COUNTS}: 100,10\r\n")[0] == 503
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -203,7 +203,7 @@
             self.registry,
             Placement("a"),
             ShareLedger(clock, 4_000),
-            TargetRates(clock, quota, ColdRateLimit(1.0, 0.0)),
+            TargetRates(clock, quota, ColdRateLimit(1.0, 0.0), self.registry.stated_limits),
             self.decisions,
             Rollouts(clock, self.registry),
         )
