Play engines with stated limits in the policy laboratory

Two loads: six of nine engines state a limit of about half their rate, and all nine. The simulation now also asks whether a request may still be sent, as the forwarder does; roomy and few-slots play as before.

--- a/src/jacinthcove/lab/scenarios.py
+++ b/src/jacinthcove/lab/scenarios.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 
 from jacinthcove.gateway.model import EngineCapacity
-from jacinthcove.lab.simulation import LabFleet
+from jacinthcove.lab.simulation import LabFleet, LimitedEngines
 from jacinthcove.lab.traffic import HotWorkspace, Load, RequestKind
 
 KINDS = (
@@ -54,6 +54,18 @@
     "roomy": Scenario(
         scaled(SMALL_KINDS, 1.0), LabFleet(engines=9, capacity=EngineCapacity(64, 518_000))
     ),
+    "limited": Scenario(
+        scaled(SMALL_KINDS, 1.6),
+        LabFleet(
+            engines=9, capacity=EngineCapacity(64, 518_000), limited=LimitedEngines(6, 4.0, 5_000)
+        ),
+    ),
+    "all-limited": Scenario(
+        scaled(SMALL_KINDS, 1.6),
+        LabFleet(
+            engines=9, capacity=EngineCapacity(64, 518_000), limited=LimitedEngines(9, 4.0, 5_000)
+        ),
+    ),
     "few-slots": Scenario(scaled(MANY_KINDS, 1.0, workspaces=30), MANY_ENGINES_FLEET),
     "few-slots-hot": Scenario(
         scaled(MANY_KINDS, 0.8, workspaces=30, hot=(HotWorkspace(0, 6.0, 6_000, 14_000),)),
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -42,6 +42,15 @@
 MAX_RETRY_DELAY_FRACTION = 1 / 3
 
 
+@dataclass(frozen=True)
+class LimitedEngines:
+    """The first `count` engines state a limit of `per_s` from `from_ms` of the simulation on."""
+
+    count: int
+    per_s: float
+    from_ms: int
+
+
 @dataclass(frozen=True)
 class LabFleet:
     """The simulated fleet; routers and engines are assigned to failure domains round-robin."""
@@ -53,6 +62,7 @@
     speed: EngineSpeed = EngineSpeed()
     # Pairs of an engine's index and the ms of the simulation at which it fails.
     lost_engines: tuple[tuple[int, int], ...] = ()
+    limited: LimitedEngines | None = None
     # Interval of load reports to routers in the same failure domain, and to those in others.
     same_domain_period_ms: int = PERIOD_MS
     cross_domain_period_ms: int = CROSS_DOMAIN_PERIOD_MS
@@ -139,6 +149,8 @@
     request: GatewayRequest | None = None
     router: LabRouter | None = None
     choice: Choice | None = None
+    # Monotonic ms at which it was sent to its engine.
+    sent_at: int = 0
     first_token_at: float | None = None
 
 
@@ -253,7 +265,11 @@
 
     def _send(self, now: float, sim_call: SimulatedCall, choice: Choice) -> None:
         assert sim_call.request is not None and sim_call.router is not None
-        sim_call.choice = choice
+        sim_call.choice, sim_call.sent_at = choice, self.clock.now()
+        if not sim_call.router.admission.may_send(sim_call.request, choice.target):
+            sim_call.router.admission.release(sim_call.request, choice.target, not_executed=True)
+            self.results.add_refused(sim_call.call)
+            return
         engine = self.engines.get(choice.target.record.id)
         if engine is None:
             self.results.add_refused(sim_call.call)
@@ -291,6 +307,15 @@
         sim_call.choice.target.load.on_first_event(id)
         assert sim_call.router is not None and sim_call.request is not None
         sim_call.router.admission.record_response_start(sim_call.request)
+        per_s = self._stated_limit(now, sim_call.choice.target.record.id)
+        limits = sim_call.router.registry.stated_limits
+        limits.record_response(sim_call.choice.target.record.id, 0, per_s, sim_call.sent_at)
+
+    def _stated_limit(self, now: float, engine_id: str) -> float | None:
+        limited = self.fleet.limited
+        if limited is None or now < limited.from_ms or int(engine_id[1:]) >= limited.count:
+            return None
+        return limited.per_s
 
     def _on_response_end(self, now: float, id: str) -> None:
         sim_call = self.in_flight.pop(id, None)
