Leave the limits of targets to long prompts

Hypothesis: a stated limit counts requests, not tokens, so short prompts that use it up push the long ones to the engines without a limit, which they fill.

--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -12,6 +12,7 @@
 from enum import Enum
 from random import Random
 
+from jacinthcove.gateway.limitcost import LimitCost
 from jacinthcove.gateway.load import LoadSnapshot
 from jacinthcove.gateway.model import EngineCapacity, GatewayRequest, PromptShape
 from jacinthcove.gateway.prefixcache import (
@@ -193,7 +194,8 @@
 class Placement:
     """Chooses among the usable targets of one service.
 
-    `cross_domain_delay_ms` returns the extra delay of reports from other failure domains.
+    `cross_domain_delay_ms` returns the extra delay of reports from other failure domains, `limited`
+    whether a target states a limit on its requests.
     """
 
     def __init__(
@@ -201,10 +203,12 @@
         failure_domain: str,
         cross_domain_delay_ms: Callable[[], float] = lambda: 0.0,
         rng: Random | None = None,
+        limited: Callable[[TargetState], bool] = lambda target: False,
     ):
         self.failure_domain = failure_domain
         self.cross_domain_delay_ms = cross_domain_delay_ms
         self.rng = rng or Random()
+        self.limit_cost = LimitCost(limited)
         self.sizes = PartSizes()
 
     def choose_engine(
@@ -247,6 +251,7 @@
             return RejectReason.TOO_SLOW
         crossing_cost = cross_domain_cost_ms(request)
         best = min(in_time, key=lambda item: self._cost(item, engine.slots, crossing_cost))
+        self.limit_cost.record(best.target, best.unread_tokens)
         if not any(item.has_all_parts for item in without_capacity):
             return best
         return replace(best, holder_saves_ms=copy_ms(best))
@@ -336,6 +341,7 @@
             + copy_ms(choice)
             + UTILIZATION_COST_MS * choice.running / max(1, slots)
             + self._target_penalty(target, crossing_cost)
+            + self.limit_cost.cost_ms(target, choice.unread_tokens)
         )
 
     def _target_penalty(self, target: TargetState, crossing_cost: float) -> float:
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -232,6 +232,11 @@
             del self.leaving_starts[next(iter(self.leaving_starts))]
         log.info("target_said_leaving", target=target_id, started_at=started_at)
 
+    def has_stated_limit(self, state: TargetState) -> bool:
+        """Return whether a target states a limit on its requests at present."""
+        record = state.record
+        return self.stated_limits.per_s(record.id, record.started_at) is not None
+
     def _forget_leaving(self, before: TargetRecord, record: TargetRecord) -> None:
         """Remove the announcement of a target that has returned or started again."""
         started_at = self.leaving_starts.get(record.id)
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -111,7 +111,7 @@
         self.admission = Admission(
             clock,
             self.registry,
-            Placement(domain, rng=rng),
+            Placement(domain, rng=rng, limited=self.registry.has_stated_limit),
             self.ledger,
             TargetRates(clock, quota, ColdRateLimit(1.0, 0.0), self.registry.stated_limits),
             DecisionLog(clock, Metrics(), lines_per_s=0),
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -126,7 +126,11 @@
         self.admission = Admission(
             clock,
             self.registry,
-            Placement(settings.failure_domain, self.fleet.cross_domain_delay_ms),
+            Placement(
+                settings.failure_domain,
+                self.fleet.cross_domain_delay_ms,
+                limited=self.registry.has_stated_limit,
+            ),
             self.ledger,
             TargetRates(
                 clock,
--- a/tests/gateway/test_gateway_placement.py
+++ b/tests/gateway/test_gateway_placement.py
@@ -241,3 +241,25 @@
         clock.now(),
         registry.draining_targets("models"),
     )
+
+
+def test_short_prompts_leave_the_limit_of_a_target_to_long_ones(clock):
+    limited, free = target(clock, "t1"), target(clock, "t2")
+    placement = Placement("a", limited=lambda state: state is limited)
+    lengths = [100, 200, 150, 3_000, 120, 2_500, 180, 90]
+    for number in range(400):
+        length = lengths[number % len(lengths)]
+        asked = prompt(shared=0, own=length)
+        chosen = choose(placement, clock, [limited, free], prompt=asked, id=f"q{number}").target
+        if number >= 200:
+            assert chosen is (limited if length > 1_000 else free), length
+
+
+def test_short_prompts_use_the_limit_of_a_target_when_the_others_are_busy(clock):
+    limited, free = target(clock, "t1"), target(clock, "t2")
+    placement = Placement("a", limited=lambda state: state is limited)
+    for number in range(20):
+        choose(placement, clock, [free], prompt=prompt(shared=0, own=3_000), id=f"q{number}")
+    busy(free, 300)
+    chosen = choose(placement, clock, [limited, free], prompt=prompt(shared=0, own=100))
+    assert chosen.target is limited
