--- a/src/jacinthcove/gateway/limitcost.py
+++ b/src/jacinthcove/gateway/limitcost.py
@@ -6,11 +6,13 @@
 
 from collections.abc import Callable
 
+from jacinthcove.gateway.model import PromptShape
 from jacinthcove.gateway.targets import TargetState
 
-# The cost as a multiple of the prefill time that a prompt has below the mean.
+# The cost as a multiple of the prefill time that a prompt has below the mean. Only tokens that no
+# other request shares count, because they are the same at each target.
 LIMITED_WEIGHT = 2.0
-# Weight of one prompt in the moving average of the tokens to prefill.
+# Weight of one prompt in the moving average.
 MEAN_WEIGHT = 0.02
 
 
@@ -19,18 +21,18 @@
 
     def __init__(self, limited: Callable[[TargetState], bool]):
         self.limited = limited
-        # Moving average of the tokens to prefill for a request, by service.
-        self.mean_unread_tokens: dict[str, float] = {}
+        # Moving average of the tokens that a request does not share, by service.
+        self.mean_own_tokens: dict[str, float] = {}
 
-    def record(self, target: TargetState, unread_tokens: int) -> None:
-        """Add a prompt that a target has to prefill to the mean."""
+    def record(self, target: TargetState, prompt: PromptShape) -> None:
+        """Add a prompt that is sent to a target to the mean."""
         service = target.record.service
-        mean = self.mean_unread_tokens.get(service, unread_tokens)
-        self.mean_unread_tokens[service] = mean + MEAN_WEIGHT * (unread_tokens - mean)
+        mean = self.mean_own_tokens.get(service, prompt.own_tokens)
+        self.mean_own_tokens[service] = mean + MEAN_WEIGHT * (prompt.own_tokens - mean)
 
-    def cost_ms(self, target: TargetState, unread_tokens: int) -> float:
+    def cost_ms(self, target: TargetState, prompt: PromptShape) -> float:
         """Return the cost in ms of waiting; it is negative for a prompt above the mean."""
         if not self.limited(target):
             return 0.0
-        mean = self.mean_unread_tokens.get(target.record.service, unread_tokens)
-        return LIMITED_WEIGHT * (mean - unread_tokens) / target.load.tokens_per_ms
+        mean = self.mean_own_tokens.get(target.record.service, prompt.own_tokens)
+        return LIMITED_WEIGHT * (mean - prompt.own_tokens) / target.load.tokens_per_ms
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -250,8 +250,8 @@
         if not in_time:
             return RejectReason.TOO_SLOW
         crossing_cost = cross_domain_cost_ms(request)
-        best = min(in_time, key=lambda item: self._cost(item, engine.slots, crossing_cost))
-        self.limit_cost.record(best.target, best.unread_tokens)
+        best = min(in_time, key=lambda item: self._cost(item, prompt, engine.slots, crossing_cost))
+        self.limit_cost.record(best.target, prompt)
         if not any(item.has_all_parts for item in without_capacity):
             return best
         return replace(best, holder_saves_ms=copy_ms(best))
@@ -333,7 +333,7 @@
                 best = (cost, Choice(target, 0, 0, 0.0, running))
         return best[1] if best is not None else RejectReason.FULL
 
-    def _cost(self, choice: Choice, slots: int, crossing_cost: float) -> float:
+    def _cost(self, choice: Choice, prompt: PromptShape, slots: int, crossing_cost: float) -> float:
         target = choice.target
         return (
             choice.wait_ms
@@ -341,7 +341,7 @@
             + copy_ms(choice)
             + UTILIZATION_COST_MS * choice.running / max(1, slots)
             + self._target_penalty(target, crossing_cost)
-            + self.limit_cost.cost_ms(target, choice.unread_tokens)
+            + self.limit_cost.cost_ms(target, prompt)
         )
 
     def _target_penalty(self, target: TargetState, crossing_cost: float) -> float:
