Weigh the length of prompts at the targets without a limit

Hypothesis: what a long prompt costs is the wait of the prompts behind it at a busy target, so its cost belongs to the targets without a limit, with the parts that each of them lacks. Choice moves to a module of its own.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -13,8 +13,9 @@
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
+from jacinthcove.gateway.choice import Choice, RejectReason
 from jacinthcove.gateway.model import GatewayRequest, GatewayService, RoutingConfig
-from jacinthcove.gateway.placement import Choice, Placement, RejectReason
+from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.rollouts import Rollouts, VersionPlan
 from jacinthcove.gateway.sampling import MAX_COMPARED
 from jacinthcove.gateway.shares import ShareLedger
--- a/src/jacinthcove/gateway/codec.py
+++ b/src/jacinthcove/gateway/codec.py
@@ -9,8 +9,8 @@
 from typing import Protocol
 
 from jacinthcove.errors import RequestRefused
+from jacinthcove.gateway.choice import Choice
 from jacinthcove.gateway.model import GatewayRequest
-from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.routes import RouteTable
 from jacinthcove.targets.response import TargetResponse
 
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -11,11 +11,11 @@
 from jacinthcove.codes import ResultClass, ResultCode, result_class
 from jacinthcove.errors import JacinthcoveError, RequestRefused, TargetFailed
 from jacinthcove.gateway.admission import Admission
+from jacinthcove.gateway.choice import Choice
 from jacinthcove.gateway.codec import Execution, GatewayCodec, Headers, ResponseHead
 from jacinthcove.gateway.exchange import Exchange, last_event_id
 from jacinthcove.gateway.firstevents import FirstEventKey
 from jacinthcove.gateway.model import GatewayRequest, RetrySafety
-from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.retrypolicy import (
     AttemptOutcome,
--- a/src/jacinthcove/gateway/limitcost.py
+++ b/src/jacinthcove/gateway/limitcost.py
@@ -1,18 +1,16 @@
-"""The cost of using the limit of a target that states one.
+"""The cost of long prompts at targets without a limit, while others of the service state one.
 
-Each request uses part of such a limit, whatever its length. So long prompts prefer targets with a
-limit, and short ones avoid them as long as others have room.
+A stated limit counts requests, not tokens. So long prompts should go to the targets with a limit,
+and short ones to the others, where the prompts behind a long one would wait for it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from jacinthcove.gateway.model import PromptShape
 from jacinthcove.gateway.targets import TargetState
 
-# The cost as a multiple of the prefill time that a prompt has below the mean. Only tokens that no
-# other request shares count, because they are the same at each target.
-LIMITED_WEIGHT = 2.0
-# Weight of one prompt in the moving average.
+# The cost as a multiple of the prefill time that a prompt has above the mean.
+PROMPT_WEIGHT = 2.0
+# Weight of one prompt in the moving average of the tokens to prefill.
 MEAN_WEIGHT = 0.02
 
 
@@ -21,18 +19,24 @@
 
     def __init__(self, limited: Callable[[TargetState], bool]):
         self.limited = limited
-        # Moving average of the tokens that a request does not share, by service.
-        self.mean_own_tokens: dict[str, float] = {}
+        # Moving average of the tokens to prefill for a request, by service.
+        self.mean_unread_tokens: dict[str, float] = {}
 
-    def record(self, target: TargetState, prompt: PromptShape) -> None:
-        """Add a prompt that is sent to a target to the mean."""
-        service = target.record.service
-        mean = self.mean_own_tokens.get(service, prompt.own_tokens)
-        self.mean_own_tokens[service] = mean + MEAN_WEIGHT * (prompt.own_tokens - mean)
+    def limited_ids(self, targets: Iterable[TargetState]) -> frozenset[str]:
+        """Return the ids of the targets that state a limit."""
+        return frozenset(target.record.id for target in targets if self.limited(target))
 
-    def cost_ms(self, target: TargetState, prompt: PromptShape) -> float:
-        """Return the cost in ms of waiting; it is negative for a prompt above the mean."""
-        if not self.limited(target):
+    def record(self, target: TargetState, unread_tokens: int) -> None:
+        """Add a prompt that a target has to prefill to the mean."""
+        service = target.record.service
+        mean = self.mean_unread_tokens.get(service, unread_tokens)
+        self.mean_unread_tokens[service] = mean + MEAN_WEIGHT * (unread_tokens - mean)
+
+    def cost_ms(
+        self, target: TargetState, unread_tokens: int, limited_ids: frozenset[str]
+    ) -> float:
+        """Return the cost in ms of waiting; it is negative for a prompt below the mean."""
+        if not limited_ids or target.record.id in limited_ids:
             return 0.0
-        mean = self.mean_own_tokens.get(target.record.service, prompt.own_tokens)
-        return LIMITED_WEIGHT * (mean - prompt.own_tokens) / target.load.tokens_per_ms
+        mean = self.mean_unread_tokens.get(target.record.service, unread_tokens)
+        return PROMPT_WEIGHT * (unread_tokens - mean) / target.load.tokens_per_ms
--- a/src/jacinthcove/gateway/placement.py
+++ b/src/jacinthcove/gateway/placement.py
@@ -9,9 +9,9 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
-from enum import Enum
 from random import Random
 
+from jacinthcove.gateway.choice import Choice, RejectReason
 from jacinthcove.gateway.limitcost import LimitCost
 from jacinthcove.gateway.load import LoadSnapshot
 from jacinthcove.gateway.model import EngineCapacity, GatewayRequest, PromptShape
@@ -75,52 +75,6 @@
 }
 
 
-class RejectReason(Enum):
-    """Why no target was chosen; the value appears in the log."""
-
-    NO_TARGET = "no_target"
-    FULL = "full"
-    # Set by admission: each target has a limit, and this router has used its quotas.
-    RATE_LIMITED = "rate_limited"
-    # No target with capacity would finish before the caller's deadline.
-    TOO_SLOW = "too_slow"
-    # Set by admission: the workspace has used its share while other workspaces wait.
-    OVER_SHARE = "over_share"
-
-
-@dataclass(frozen=True)
-class Choice:
-    """A target that may get the request, with the inputs of the decision.
-
-    - `unread_tokens`: prompt tokens that the target has to prefill.
-    - `memory_tokens`: memory that the request will use, without shared parts.
-    - `wait_ms`, `running`, `used_tokens`: wait, in-flight requests and used memory at the target.
-    - `fetched_tokens`: missing shared tokens that the engine at `fetch_from` should provide.
-    - `reread_tokens`: missing shared tokens that the target prefills without being their owner.
-    - `holder_saves_ms`: copy cost that is saved by waiting for a holder of the parts that has no
-      capacity now; 0 if there is none.
-    """
-
-    target: TargetState
-    unread_tokens: int
-    memory_tokens: int
-    wait_ms: float
-    running: int
-    used_tokens: int = 0
-    fetched_tokens: int = 0
-    reread_tokens: int = 0
-    fetch_from: str = ""
-    holder_saves_ms: float = 0.0
-
-    @property
-    def has_all_parts(self) -> bool:
-        """Return whether no part is copied or prefilled again.
-
-        This also holds for the owner of missing parts, which prefills them first.
-        """
-        return not (self.fetched_tokens or self.reread_tokens)
-
-
 @dataclass(frozen=True)
 class ComparedTargets:
     """The targets that one choice compares, and those that may only hand out shared parts.
@@ -135,6 +89,19 @@
     owner: TargetState | None
 
 
+@dataclass(frozen=True)
+class CostTerms:
+    """What the costs of all choices for one request depend on.
+
+    `crossing_ms` is the cost of another failure domain, `limited_ids` are the targets that state a
+    limit.
+    """
+
+    slots: int
+    crossing_ms: float
+    limited_ids: frozenset[str]
+
+
 @dataclass(frozen=True)
 class PrefixHolders:
     """Which engines have the shared parts of one prompt; dictionaries are by target id.
@@ -249,9 +216,13 @@
         in_time = [item for item in with_capacity if finishes_in_time(item, prompt, left_ms)]
         if not in_time:
             return RejectReason.TOO_SLOW
-        crossing_cost = cross_domain_cost_ms(request)
-        best = min(in_time, key=lambda item: self._cost(item, prompt, engine.slots, crossing_cost))
-        self.limit_cost.record(best.target, prompt)
+        costs = CostTerms(
+            engine.slots,
+            cross_domain_cost_ms(request),
+            self.limit_cost.limited_ids(compared.targets),
+        )
+        best = min(in_time, key=lambda item: self._cost(item, costs))
+        self.limit_cost.record(best.target, best.unread_tokens)
         if not any(item.has_all_parts for item in without_capacity):
             return best
         return replace(best, holder_saves_ms=copy_ms(best))
@@ -333,15 +304,15 @@
                 best = (cost, Choice(target, 0, 0, 0.0, running))
         return best[1] if best is not None else RejectReason.FULL
 
-    def _cost(self, choice: Choice, prompt: PromptShape, slots: int, crossing_cost: float) -> float:
+    def _cost(self, choice: Choice, costs: CostTerms) -> float:
         target = choice.target
         return (
             choice.wait_ms
             + target.load.prefill_ms(choice.unread_tokens)
             + copy_ms(choice)
-            + UTILIZATION_COST_MS * choice.running / max(1, slots)
-            + self._target_penalty(target, crossing_cost)
-            + self.limit_cost.cost_ms(target, prompt)
+            + UTILIZATION_COST_MS * choice.running / max(1, costs.slots)
+            + self._target_penalty(target, costs.crossing_ms)
+            + self.limit_cost.cost_ms(target, choice.unread_tokens, costs.limited_ids)
         )
 
     def _target_penalty(self, target: TargetState, crossing_cost: float) -> float:
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -10,6 +10,7 @@
 from jacinthcove.clock import ManualClock
 from jacinthcove.errors import PeerUnavailable, RequestRefused
 from jacinthcove.gateway.admission import Admission, PendingRequest
+from jacinthcove.gateway.choice import Choice
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.loadexchange import LoadExchange
 from jacinthcove.gateway.loadreports import CROSS_DOMAIN_PERIOD_MS, PERIOD_MS, ReceiverGroup
@@ -22,7 +23,7 @@
     RoutingConfig,
     ServiceShare,
 )
-from jacinthcove.gateway.placement import Choice, Placement
+from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targetrates import ColdRateLimit, TargetRates
--- a/src/jacinthcove/platform/codec.py
+++ b/src/jacinthcove/platform/codec.py
@@ -9,6 +9,7 @@
 
 from jacinthcove.codes import ResultCode, http_status
 from jacinthcove.errors import RequestRefused
+from jacinthcove.gateway.choice import Choice
 from jacinthcove.gateway.codec import (
     NO_LIMIT,
     Execution,
@@ -19,7 +20,6 @@
     ResponseHead,
 )
 from jacinthcove.gateway.model import GatewayRequest, PromptPart, PromptShape
-from jacinthcove.gateway.placement import Choice
 from jacinthcove.gateway.routes import RouteTable
 from jacinthcove.platform import names
 from jacinthcove.targets.response import TargetResponse
--- a/tests/gateway/test_gateway_placement.py
+++ b/tests/gateway/test_gateway_placement.py
@@ -3,7 +3,8 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
-from jacinthcove.gateway.placement import Choice, Placement, RejectReason
+from jacinthcove.gateway.choice import Choice, RejectReason
+from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.shares import Standing
 from jacinthcove.gateway.targets import TargetRegistry
 from tests.gateway.samples import GOAL_MS, SHAPE, prompt, record, request, target
