Thin out a workspace far above its share also while it has less

Hypothesis: a workspace that asks for many times its share is let in whole by all routers at once as soon as it falls below the share for a tick, so one whose callers are spread over many routers gets more than its share, and one whose callers keep to few routers only just that.

--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -41,6 +41,10 @@
     OVER = "over"
 
 
+# The least multiple of its share that a workspace may send to the engines.
+MIN_MULTIPLES = {Standing.BEHIND: 2.0, Standing.WITHIN: 1.0, Standing.OVER: MIN_HEADROOM}
+
+
 def max_min_share(demands: list[float], capacity: float) -> float:
     """Return the max-min fair share: the most that any one demand gets.
 
@@ -142,9 +146,11 @@
         queue there ahead of the requests of other workspaces.
         """
         usage = self.window_usage.get(workspace)
-        if usage is None or self.standing(workspace) is not Standing.OVER:
+        if usage is None:
             return 1.0
-        return min(1.0, self.headroom * self.fair_share / max(1, usage.asked))
+        # All routers learn at the same time that a workspace is no longer over its share.
+        least = MIN_MULTIPLES[self.standing(workspace)]
+        return min(1.0, max(least, self.headroom) * self.fair_share / max(1, usage.asked))
 
     def standing(self, workspace: str) -> Standing:
         """Return what a workspace got in the window, compared with its max-min fair share."""
--- a/tests/gateway/test_shares.py
+++ b/tests/gateway/test_shares.py
@@ -141,6 +141,21 @@
     assert ledger.admitted_fraction("small") == 1.0
 
 
+@pytest.mark.parametrize(
+    ("given", "standing", "multiple"),
+    [(450, Standing.WITHIN, 1.0), (300, Standing.BEHIND, 2.0)],
+)
+def test_a_flood_below_its_share_is_not_let_in_whole_by_all_routers_at_once(
+    ledger, clock, given, standing, multiple
+):
+    run(ledger, clock, 8, flood=(10_000, given), other=(10_000, 700), small=(10, 10))
+    ledger.headroom = MIN_HEADROOM
+    assert ledger.standing("flood") is standing
+    expected = multiple * ledger.fair_share
+    assert ledger.admitted_fraction("flood") * 8 * 10_000 == pytest.approx(expected)
+    assert ledger.admitted_fraction("small") == 1.0
+
+
 def test_a_flood_may_use_spare_capacity_while_responses_are_in_time(ledger, clock):
     overload(ledger, clock, 16, late=True)
     before = ledger.admitted_fraction("flood")
