Lend quotas of stated limits to routers that have used theirs

A router that finds no target for a request within its workspace's share asks two others for permits, at most ten times a second. A lender counts a permit as a request that it sent itself, so the sum holds whatever routers know of each other (LIMIT); a permit ends after 500 ms. While it has none left, its own workspaces over their share wait. The two kinds of limits are rules of their own now (raterule.py).

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -18,7 +18,7 @@
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.rollouts import Rollouts, VersionPlan
 from jacinthcove.gateway.sampling import MAX_COMPARED
-from jacinthcove.gateway.shares import ShareLedger
+from jacinthcove.gateway.shares import ShareLedger, Standing
 from jacinthcove.gateway.targetrates import TargetRates
 from jacinthcove.gateway.targets import TargetRegistry, TargetState
 from jacinthcove.observe.decisions import DecisionLog
@@ -85,12 +85,14 @@
         self.services: dict[str, GatewayService] = {}
         # Returns whether this router has more work than it can keep up with.
         self.is_late: Callable[[], bool] = lambda: False
+        # Called for each request within its workspace's share that finds no target.
+        self.on_shortage: Callable[[str, str], None] = lambda service, request_id: None
         # Ids of the requests that wait for a target.
         self.waiting: set[str] = set()
 
     def configure(self, config: RoutingConfig) -> None:
         """Apply the services and latency goals of a new configuration."""
-        self.services = self.rates.services = config.services
+        self.services = self.rates.cold.services = config.services
         goals: dict[str, int] = {}
         for route in config.routes:
             for share in route.services:
@@ -170,6 +172,8 @@
             raise self._rejection(RejectReason.OVER_SHARE, request, service)
         result = self._choose(request, service, pending.avoid, pending.plan)
         if isinstance(result, RejectReason):
+            if self.ledger.standing(request.workspace) is not Standing.OVER:
+                self.on_shortage(service, request.id)
             # Each check costs the same CPU time as the first, which a late router cannot afford.
             no_wait = result is RejectReason.TOO_SLOW or self.is_late()
             if no_wait or self._capacity_at(service) >= give_up_at:
@@ -243,9 +247,11 @@
         self, request: GatewayRequest, known: GatewayService, usable: list[TargetState]
     ) -> Choice | RejectReason:
         now = self.clock.now()
+        standing = self.ledger.standing(request.workspace)
         ready = [t for t in usable if t.paused_until <= now]
         reachable = [t for t in ready if t.unreachable_until <= now] or ready
-        targets = [t for t in reachable if self.rates.allows(t)]
+        over_share = standing is Standing.OVER
+        targets = [t for t in reachable if self.rates.allows(t, over_share)]
         if usable and not targets:
             return RejectReason.RATE_LIMITED if reachable else RejectReason.FULL
         if known.engine is None:
@@ -255,7 +261,7 @@
             targets,
             known.engine,
             self.min_goals_ms.get(known.name, request.route.latency_goal_ms),
-            self.ledger.standing(request.workspace),
+            standing,
             now,
             self.registry.draining_targets(known.name),
             self.ledger.given_tokens_per_s,
@@ -270,7 +276,7 @@
 
     def _log_cold(self, request: GatewayRequest, target: TargetState) -> None:
         """Log the quota that allowed a request to a cold target."""
-        limit = self.rates.cold_quota(target)
+        limit = self.rates.cold.quota(target)
         if limit is None:
             return
         self.decisions.log_decision(
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -24,9 +24,10 @@
     ServiceShare,
 )
 from jacinthcove.gateway.placement import Placement
+from jacinthcove.gateway.raterule import ColdRateLimit
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
-from jacinthcove.gateway.targetrates import ColdRateLimit, TargetRates
+from jacinthcove.gateway.targetrates import TargetRates
 from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
 from jacinthcove.gateway.workspaceusage import TICK_MS
 from jacinthcove.lab.engine import EngineSpeed, LabEngine
--- a/src/jacinthcove/mesh/kinds.py
+++ b/src/jacinthcove/mesh/kinds.py
@@ -25,6 +25,7 @@
 CRASH_REPORT = "crash_report"
 BEGUN_QUERY = "begun_query"
 QUARANTINE_NOTICE = "quarantine_notice"
+PERMIT_PULL = "permit_pull"
 
 
 @dataclass(frozen=True)
@@ -56,4 +57,5 @@
     CRASH_REPORT: MessageTypes(pb.CrashReport, pb.Empty),
     BEGUN_QUERY: MessageTypes(pb.BegunQuery, pb.BegunReply),
     QUARANTINE_NOTICE: MessageTypes(pb.QuarantineNotice, pb.Empty),
+    PERMIT_PULL: MessageTypes(pb.PermitPull, pb.PermitReply),
 }
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -21,14 +21,17 @@
 from jacinthcove.gateway.loopdelay import LoopDelay
 from jacinthcove.gateway.model import GatewayRequest, RetrySafety
 from jacinthcove.gateway.overload import CallerRelief
+from jacinthcove.gateway.permits import PermitExchange
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.quarantine import Quarantine
+from jacinthcove.gateway.raterule import ColdRateLimit
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.server import GatewayServer
 from jacinthcove.gateway.shares import ShareLedger
-from jacinthcove.gateway.targetrates import ColdRateLimit, TargetRates
+from jacinthcove.gateway.targetrates import TargetRates
 from jacinthcove.gateway.targets import TargetRegistry
+from jacinthcove.mesh.peers import Members, Peers
 from jacinthcove.observe.arrivals import ArrivalLog, EngineStats
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
@@ -198,13 +201,20 @@
             self._watch(ROLLOUTS_KIND, ROLLOUTS_WAIT_MS, RolloutFollower(self.rollouts)),
             self._watch(QUARANTINE_KIND, QUARANTINE_WAIT_MS, QuarantineFollower(self.quarantine)),
         ]
-        self.fleet.listeners += [self.source.join, self.examiner.join]
+        self.permits: PermitExchange | None = None
+        self.fleet.listeners += [self.source.join, self.examiner.join, self._start_permits]
         self.fleet.news = self.source
 
     def _watch(self, kind: str, wait_ms: int, follower: Follower) -> KindWatch:
         changes = self.changelogs[kind] = ChangeLog(self.clock)
         return KindWatch(self.source, self.clock, kind, wait_ms, follower, changes)
 
+    def _start_permits(self, members: Members, peers: Peers) -> None:
+        rule = self.admission.rates.stated
+        self.permits = PermitExchange(self.clock, members, peers, self.registry, rule)
+        self.admission.on_shortage = self.permits.record_shortage
+        self.permits.start()
+
     def start(self) -> None:
         """Serve at once; without a configuration every request is refused as not executed."""
         log.info("router_starting", settings=self.settings.id)
@@ -254,6 +264,8 @@
         self.server.stop_accepting()
         self.loop_delay.close()
         self.examiner.close()
+        if self.permits is not None:
+            self.permits.close()
         self.fleet.close()
         self.connections.close()
         for watch in self.watches:
@@ -266,7 +278,7 @@
         """Apply changed bounds; addresses stay as they were at the start."""
         self.settings = replace(self.settings, bounds=settings.bounds)
         self.active_config.max_age_ms = settings.bounds.revoke_ms - REVOKE_MARGIN_MS
-        self.admission.rates.cold_rate_limit = _cold_rate_limit(settings.bounds)
+        self.admission.rates.cold.rate_limit = _cold_rate_limit(settings.bounds)
         self.budget.window_ms = settings.bounds.retry_window_ms
         self.budget.ratio = settings.bounds.retry_ratio * RETRY_RATIO_FRACTION
 
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -17,10 +17,10 @@
 from jacinthcove.gateway.loadexchange import LoadExchange
 from jacinthcove.gateway.loadreports import PERIOD_MS
 from jacinthcove.gateway.partexchange import PartsExchange
+from jacinthcove.gateway.raterule import COLD_WINDOW_MS
 from jacinthcove.gateway.rolloutdriver import RolloutDriver
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
-from jacinthcove.gateway.targetrates import COLD_WINDOW_MS
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.mesh.links import PeerLinks
 from jacinthcove.mesh.members import Membership
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -10,10 +10,11 @@
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
+from jacinthcove.gateway.raterule import COLD_WINDOW_MS, ColdRateLimit
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
-from jacinthcove.gateway.targetrates import COLD_WINDOW_MS, ColdRateLimit, TargetRates
+from jacinthcove.gateway.targetrates import TargetRates
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -5,8 +5,8 @@
 from jacinthcove.clock import ManualClock
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
+from jacinthcove.gateway.raterule import COLD_WINDOW_MS
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
-from jacinthcove.gateway.targetrates import COLD_WINDOW_MS
 
 
 @pytest.fixture
--- a/tests/gateway/test_stated_limits.py
+++ b/tests/gateway/test_stated_limits.py
@@ -8,8 +8,9 @@
 from jacinthcove.clock import ManualClock
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
+from jacinthcove.gateway.raterule import COLD_WINDOW_MS, ColdRateLimit
 from jacinthcove.gateway.statedlimits import LIFTED_TTL_MS, LIMIT_TTL_MS, StatedLimits
-from jacinthcove.gateway.targetrates import COLD_WINDOW_MS, ColdRateLimit, TargetRates
+from jacinthcove.gateway.targetrates import TargetRates
 from tests.gateway.exchange_bed import Fleet, load_exchange
 from tests.gateway.samples import target
 
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -12,7 +12,7 @@
 from jacinthcove.codes import ResultCode
 from jacinthcove.gateway.exchange import Exchange
 from jacinthcove.gateway.loopdelay import REJECT_ALL_DELAY_MS
-from jacinthcove.gateway.targetrates import COLD_WINDOW_MS
+from jacinthcove.gateway.raterule import COLD_WINDOW_MS
 from jacinthcove.platform import fleet
 from jacinthcove.platform.daemon import PlatformRouter
 from jacinthcove.platform.settings import decode_settings
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -24,11 +24,12 @@
 )
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.quarantine import Quarantine
+from jacinthcove.gateway.raterule import ColdRateLimit
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.server import GatewayServer
 from jacinthcove.gateway.shares import ShareLedger
-from jacinthcove.gateway.targetrates import ColdRateLimit, TargetRates
+from jacinthcove.gateway.targetrates import TargetRates
 from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
