Look for the rest of the fleet every half second after the start

Cause: a router that joins stops at the first router that answers. Routers that start together answer each other, and what they lack is looked for every 5 s only. Callers would be sent to a part of the fleet for that time; after the loss of all VMs all routers start together. Now it is every 0.5 s in the first 10 s. test_routers_that_joined_in_pairs_soon_find_the_others failed before.

--- a/src/jacinthcove/mesh/prober.py
+++ b/src/jacinthcove/mesh/prober.py
@@ -27,6 +27,10 @@
 # While no member is suspect, only dead members can expire, which is not urgent.
 IDLE_EXPIRY_PERIOD_S = 1.0
 REJOIN_PERIOD_S = 5.0
+# Routers that start together may each join only some of the others, so for a time after its start a
+# router looks for the rest more often.
+SETTLING_MS = 10_000
+SETTLING_REJOIN_PERIOD_S = 0.5
 JOIN_TIMEOUT_MS = 2_000
 JOIN_RETRY_PERIOD_S = 0.5
 MAX_JOIN_SEEDS = 3
@@ -91,6 +95,7 @@
         self.urgent_send: gevent.Greenlet | None = None
         self.next_urgent_at = 0
         self.running_lost_probes = 0
+        self.started_at = members.clock.now()
         self.greenlets: list[gevent.Greenlet] = []
         self.log = structlog.get_logger()
         peers.register(PROBE, self.handle_probe)
@@ -100,10 +105,11 @@
 
     def start(self) -> None:
         """Start the background loops; they also contact seeds that are not members yet."""
+        self.started_at = self.members.clock.now()
         loops: list[tuple[Callable[[], Any], Callable[[], float]]] = [
             (self.probe_next, self.probe_period_s),
             (self.members.expire, self.expiry_period_s),
-            (self.contact_unreachable, lambda: REJOIN_PERIOD_S),
+            (self.contact_unreachable, self.rejoin_period_s),
             (self.exchange_tables, self.exchange_period_s),
         ]
         self.greenlets = [gevent.spawn(self._repeat, *loop) for loop in loops]
@@ -149,6 +155,11 @@
         suspects = self.members.others(MemberState.SUSPECT)
         return EXPIRY_PERIOD_S if suspects else IDLE_EXPIRY_PERIOD_S
 
+    def rejoin_period_s(self) -> float:
+        """Return the time between two contacts of unknown or dead members, shorter at first."""
+        settling = self.members.clock.now() - self.started_at < SETTLING_MS
+        return SETTLING_REJOIN_PERIOD_S if settling else REJOIN_PERIOD_S
+
     def exchange_period_s(self) -> float:
         """Return the time between exchanges of whole tables, longer in a large fleet."""
         size = RECORD_BYTES * len(self.members.table)
--- a/tests/mesh/test_members_fuzz.py
+++ b/tests/mesh/test_members_fuzz.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import replace
 
+import gevent
 import hypothesis.strategies as st
 import pytest
 from hypothesis import Phase, settings
@@ -269,3 +270,20 @@
     # At an equal incarnation, others keep the former address until they detect it as dead.
     assert raises_incarnation_on_restart(Membership)
     assert not raises_incarnation_on_restart(IgnoresFormerIncarnation)
+
+
+def test_routers_that_joined_in_pairs_soon_find_the_others():
+    """Routers that start together stop joining at the first answer."""
+    clock, network = ManualClock(), FakeNetwork()
+    addresses = [f"10.0.0.{i}:1" for i in range(NODES)]
+    tables = [Membership(Member(f"r{i}", a, a, "fd", 1), clock) for i, a in enumerate(addresses)]
+    probers = [Prober(t, FakePeers(network, t), addresses, rng=seeded()) for t in tables]
+    for i, prober in enumerate(probers):
+        assert prober.contact(addresses[i ^ 1], 100)
+        prober.start()
+    assert all(len(table.alive()) == 2 for table in tables)
+    with gevent.Timeout(3):
+        while any(len(table.alive()) < NODES for table in tables):
+            gevent.sleep(0.05)
+    for prober in probers:
+        prober.close()
