Compare revisions of the store only within one copy

Cause: readers, relay routers and the store compare revisions that were given out twice. A reader above the store's revision hears nothing until the numbers have passed it, and then misses what lies between. A revision carries the era of its copy now (Store-Era), also in the messages between routers. A response of a newer era makes all kinds be listed again at once, an older one is not used, and a relay router of another era is not followed. The lines name the era (store_restored, older_copy_listed, store_lost).

test_every_router_hears_of_changes_after_the_store_came_back_from_an_older_copy and test_watch_does_not_miss_changes_whose_revisions_were_given_out_before fail when the era of the stand-in does not rise, which is what the code before saw.

--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -202,6 +202,7 @@
             self._watch(QUARANTINE_KIND, QUARANTINE_WAIT_MS, QuarantineFollower(self.quarantine)),
         ]
         self.permits: PermitExchange | None = None
+        self.store_client.on_restored.append(self._on_store_restored)
         self.fleet.listeners += [self.source.join, self.examiner.join, self._start_permits]
         self.fleet.news = self.source
 
@@ -215,6 +216,11 @@
         self.admission.on_shortage = self.permits.record_shortage
         self.permits.start()
 
+    def _on_store_restored(self, era: int) -> None:
+        """List all kinds again; the watch that saw it first must not end itself."""
+        for watch in self.watches:
+            gevent.spawn(watch.restart, era)
+
     def start(self) -> None:
         """Serve at once; without a configuration every request is refused as not executed."""
         log.info("router_starting", settings=self.settings.id)
--- a/src/jacinthcove/platform/followers.py
+++ b/src/jacinthcove/platform/followers.py
@@ -13,7 +13,7 @@
 )
 from jacinthcove.platform.names import ROLLOUTS_KIND
 from jacinthcove.platform.storeclient import PlatformStoreClient
-from jacinthcove.store.kinds import Change, KindObject, Listing
+from jacinthcove.store.kinds import Change, Gap, KindObject, Listing
 
 log = structlog.get_logger()
 
@@ -26,9 +26,9 @@
     def __init__(self, active_config: ActiveConfig):
         self.active_config = active_config
 
-    def on_list(self, listing: Listing, after_outage: bool) -> None:
+    def on_list(self, listing: Listing, gap: Gap) -> None:
         """Apply the configuration if it is among the listed objects."""
-        del after_outage
+        del gap
         for item in listing.objects:
             self._apply(item)
 
@@ -60,10 +60,10 @@
     def __init__(self, registry: TargetRegistry):
         self.registry = registry
 
-    def on_list(self, listing: Listing, after_outage: bool) -> None:
+    def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known state by the listed objects."""
         records = [record for item in listing.objects if (record := self._decode(item))]
-        self.registry.replace_all(records, listing.revision, after_outage)
+        self.registry.replace_all(records, listing.revision.number, gap is not Gap.NONE)
 
     def on_change(self, change: Change, in_outage: bool) -> None:
         """Apply one change."""
@@ -93,9 +93,9 @@
         self.registry = registry
         self.domains: frozenset[str] = frozenset()
 
-    def on_list(self, listing: Listing, after_outage: bool) -> None:
+    def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known state by the listed objects."""
-        del after_outage
+        del gap
         self._set(frozenset(item.name for item in listing.objects))
 
     def on_change(self, change: Change, in_outage: bool) -> None:
@@ -118,9 +118,9 @@
     def __init__(self, rollouts: Rollouts):
         self.rollouts = rollouts
 
-    def on_list(self, listing: Listing, after_outage: bool) -> None:
+    def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known state by the listed objects."""
-        del after_outage
+        del gap
         decoded = (self._decode(item) for item in listing.objects)
         self.rollouts.replace_all([item for item in decoded if item is not None])
 
--- a/src/jacinthcove/platform/names.py
+++ b/src/jacinthcove/platform/names.py
@@ -58,6 +58,8 @@
 DRAINED_DOMAINS_KIND = "evacuations"
 ROLLOUTS_KIND = "rollouts"
 STATUS_PATH = "/status"
+# Response header of the store: rises each time that it comes back from an older copy.
+STORE_ERA = "Store-Era"
 # Kinds that the router itself defines.
 ROUTERS_KIND = "jacinthcove-routers"
 SECRETS_KIND = "jacinthcove-secrets"
--- a/src/jacinthcove/platform/quarantinestore.py
+++ b/src/jacinthcove/platform/quarantinestore.py
@@ -9,7 +9,7 @@
 from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.platform.names import QUARANTINE_KIND
 from jacinthcove.platform.storeclient import PlatformStoreClient
-from jacinthcove.store.kinds import Change, KindObject, Listing
+from jacinthcove.store.kinds import Change, Gap, KindObject, Listing
 
 log = structlog.get_logger()
 
@@ -42,9 +42,9 @@
         self.quarantine = quarantine
         self.combination_by_name: dict[str, Combination] = {}
 
-    def on_list(self, listing: Listing, after_outage: bool) -> None:
+    def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known combinations by the listed ones."""
-        del after_outage
+        del gap
         found = {item.name: parts for item in listing.objects if (parts := _decode(item))}
         self.combination_by_name = found
         self.quarantine.replace_stored(found.values())
--- a/src/jacinthcove/platform/storeclient.py
+++ b/src/jacinthcove/platform/storeclient.py
@@ -1,17 +1,30 @@
 """Client of the platform's store, which holds objects by kind and name."""
 
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
 import orjson
+import structlog
 
 from jacinthcove.errors import Conflict, StoreUnavailable
-from jacinthcove.platform.names import OBJECTS_PATH, STATUS_PATH
+from jacinthcove.platform.names import OBJECTS_PATH, STATUS_PATH, STORE_ERA
 from jacinthcove.store import lenientjson
 from jacinthcove.store.connections import Connections, NoReply, Reply
-from jacinthcove.store.kinds import Change, HistoryGone, KindObject, Listing, WatchResult
-
+from jacinthcove.store.kinds import (
+    Change,
+    HistoryGone,
+    KindObject,
+    Listing,
+    StoreRevision,
+    WatchResult,
+)
+
+log = structlog.get_logger()
+
+MAX_ERA = 2**53
 # Members of responses whose own members are read one by one if the response has an unreadable part.
 CONTAINERS = frozenset(("items", "events", "object", "metadata"))
 # The response of a watch may arrive this much later than its wait ends.
@@ -29,12 +42,21 @@
     )
 
 
+@dataclass(frozen=True)
+class _Page:
+    """The body of a response to a read, and the era that it belongs to."""
+
+    data: Any
+    era: int
+
+
 class PlatformStoreClient:
     """Calls the store; every call raises `StoreUnavailable` when no usable response arrives.
 
     The effect of a write without a response is unknown. `calls` counts the calls by operation. Each
     kind is read on connections of its own, so that a duplicated response is never taken for that of
-    another kind.
+    another kind. `era` rises each time that the store comes back from an older copy; `on_restored`
+    are called then.
     """
 
     def __init__(self, address: str, timeout_ms: int):
@@ -43,6 +65,9 @@
         self.connections = Connections(address, timeout_ms)
         self.read_connections: dict[str, Connections] = {}
         self.calls: Counter[str] = Counter()
+        # None before the first response.
+        self.era: int | None = None
+        self.on_restored: list[Callable[[int], None]] = []
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -52,34 +77,41 @@
     def list_all(self, kind: str) -> Listing:
         """Return all objects of `kind`, read page by page, at the revision of the first page."""
         objects: list[KindObject] = []
-        revision: int | None = None
+        revision: StoreRevision | None = None
         page_query: list[str] = []
         while True:
-            data = self._read(kind, page_query)
+            page = self._read(kind, page_query)
             try:
-                objects += [_decode_object(item) for item in data["items"]]
-                revision = int(data["current_rev"]) if revision is None else revision
-                more = bool(data.get("has_more"))
+                objects += [_decode_object(item) for item in page.data["items"]]
+                if revision is None:
+                    revision = StoreRevision(page.era, int(page.data["current_rev"]))
+                more = bool(page.data.get("has_more"))
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreUnavailable(f"the list of {kind} is malformed: {error!r}") from error
+            if page.era != revision.era:
+                raise StoreUnavailable(f"the list of {kind} is from two copies of the store")
             if not more or not objects:
                 return Listing(tuple(objects), revision)
             page_query = [f"after_rev={quote(objects[-1].name, safe='')}"]
 
-    def watch(self, kind: str, revision: int, wait_ms: int) -> WatchResult:
+    def watch(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         """Wait up to `wait_ms` for changes after `revision`; raises `HistoryGone` if too old."""
-        query = [f"watch={revision}", f"wait_ms={wait_ms}"]
-        data = self._read(kind, query, wait_ms)
+        query = [f"watch={revision.number}", f"wait_ms={wait_ms}"]
+        page = self._read(kind, query, wait_ms)
+        if page.era != revision.era:
+            raise HistoryGone(f"the history of {kind} is that of another copy of the store")
         try:
             changes = [
                 Change(_decode_object(event["object"]), bool(event["deleted"]))
-                for event in data["events"]
+                for event in page.data["events"]
             ]
-            current = int(data["current_rev"])
+            current = StoreRevision(page.era, int(page.data["current_rev"]))
         except (KeyError, TypeError, ValueError) as error:
             raise StoreUnavailable(f"the changes of {kind} are malformed: {error!r}") from error
         if current < revision:
-            raise StoreUnavailable(f"changes of {kind} at {current} are older than {revision}")
+            raise StoreUnavailable(
+                f"changes of {kind} at {current.number} are older than {revision.number}"
+            )
         return WatchResult(changes, current, 0 if changes else wait_ms)
 
     def get(self, kind: str, name: str) -> KindObject | None:
@@ -124,7 +156,7 @@
         path = f"{OBJECTS_PATH}{kind}/{quote(name, safe='')}{STATUS_PATH}"
         self._check_written(self._call("replace_status", "PUT", path, body), name)
 
-    def _read(self, kind: str, query: list[str], wait_ms: int = 0) -> Any:
+    def _read(self, kind: str, query: list[str], wait_ms: int = 0) -> _Page:
         path = f"{OBJECTS_PATH}{kind}" + (f"?{'&'.join(query)}" if query else "")
         call = "watch" if wait_ms else "list"
         if kind not in self.read_connections:
@@ -135,7 +167,7 @@
         )
         if reply.status == 410:
             raise HistoryGone(f"the history of {kind} is gone")
-        return self._decode_body(reply)
+        return _Page(self._decode_body(reply), decode_era(reply))
 
     def _call(
         self,
@@ -149,9 +181,21 @@
         self.calls[call] += 1
         headers = {"Content-Type": "application/json"} if body else None
         try:
-            return (pool or self.connections).request(method, path, body, headers, timeout_ms)
+            reply = (pool or self.connections).request(method, path, body, headers, timeout_ms)
         except NoReply as error:
             raise StoreUnavailable(str(error)) from error
+        self._record_era(decode_era(reply))
+        return reply
+
+    def _record_era(self, era: int) -> None:
+        """Record the era of a response; raises `StoreUnavailable` if it is from an older copy."""
+        if self.era is not None and era < self.era:
+            raise StoreUnavailable(f"a response of era {era} came after one of era {self.era}")
+        before, self.era = self.era, era
+        if before is not None and era > before:
+            log.warning("store_restored", era=era, before=before)
+            for listener in self.on_restored:
+                listener(era)
 
     def _decode_body(self, reply: Reply) -> Any:
         if reply.status not in (200, 201):
@@ -166,3 +210,11 @@
             raise Conflict(name, 0)
         if reply.status not in (200, 201):
             raise StoreUnavailable(f"the store returned status {reply.status}")
+
+
+def decode_era(reply: Reply) -> int:
+    """Return the era that a response of the store names, 0 if it names none."""
+    text = reply.headers.get(STORE_ERA.lower(), "0").strip()
+    if not text.isascii() or not text.isdigit() or int(text) > MAX_ERA:
+        raise StoreUnavailable(f"unreadable {STORE_ERA}: {text[:40]!r}")
+    return int(text)
--- a/src/jacinthcove/store/changelog.py
+++ b/src/jacinthcove/store/changelog.py
@@ -8,7 +8,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.errors import StoreUnavailable
-from jacinthcove.store.kinds import Change, WatchResult
+from jacinthcove.store.kinds import Change, StoreRevision, WatchResult
 
 # Readers ask at least every few seconds; one that is further behind asks the store.
 MAX_BATCHES = 256
@@ -18,7 +18,7 @@
 class ChangeBatch:
     """The changes of one store response, up to `revision`."""
 
-    revision: int
+    revision: StoreRevision
     changes: Sequence[Change]
 
 
@@ -31,15 +31,14 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self.watches_store = False
-        self.base_revision = 0
-        self.revision = 0
+        self.base_revision = self.revision = StoreRevision(0, 0)
         # The revision of the last change of this kind; `revision` also rises with other kinds.
-        self.changed_revision = 0
+        self.changed_revision = self.revision
         self.known_at = 0
         self.batches: deque[ChangeBatch] = deque()
         self.changed = Event()
 
-    def restart(self, revision: int, known_at: int) -> None:
+    def restart(self, revision: StoreRevision, known_at: int) -> None:
         """Drop all batches and start at `revision`, from which the store gave a full list."""
         self.base_revision = self.revision = self.changed_revision = revision
         self.known_at = known_at
@@ -47,7 +46,7 @@
         self.watches_store = True
         self._wake_readers()
 
-    def add(self, since: int, result: WatchResult, known_at: int) -> None:
+    def add(self, since: StoreRevision, result: WatchResult, known_at: int) -> None:
         """Add the result of a store watch that began at revision `since`."""
         if not self.watches_store or since != self.revision:
             self.restart(since, known_at)
@@ -66,7 +65,7 @@
             self.watches_store = False
             self._wake_readers()
 
-    def since(self, revision: int, wait_ms: int) -> WatchResult:
+    def since(self, revision: StoreRevision, wait_ms: int) -> WatchResult:
         """Return the changes after `revision`, waiting up to `wait_ms` for the first one.
 
         A batch may begin before `revision`; its changes, applied in order, lead to the same state.
@@ -74,7 +73,8 @@
         """
         ends_at = self.clock.boot() + wait_ms
         while True:
-            if not self.watches_store or revision < self.base_revision:
+            same_era = revision.era == self.revision.era
+            if not self.watches_store or not same_era or revision < self.base_revision:
                 raise StoreUnavailable("this router does not have the changes since that revision")
             changes = [
                 change
--- a/src/jacinthcove/store/kinds.py
+++ b/src/jacinthcove/store/kinds.py
@@ -2,13 +2,25 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any, Protocol
 
 from jacinthcove.errors import JacinthcoveError
 
 
+@dataclass(frozen=True, order=True)
+class StoreRevision:
+    """A revision of the store; `era` rises each time that it comes back from an older copy.
+
+    The numbers of lost changes are given out again, so numbers of different eras do not compare.
+    """
+
+    era: int
+    number: int
+
+
 class HistoryGone(JacinthcoveError):  # noqa: N818 - names an outcome
-    """The store no longer keeps the changes since a revision; the reader has to list again."""
+    """The store does not have the changes since a revision; the reader has to list again."""
 
 
 @dataclass(frozen=True)
@@ -30,7 +42,17 @@
     """All objects of a kind, as of store revision `revision` or later."""
 
     objects: tuple[KindObject, ...]
-    revision: int
+    revision: StoreRevision
+
+
+class Gap(Enum):
+    """What came between a list and what its reader knew before."""
+
+    NONE = "none"
+    # An outage, in which entries of living targets may have expired.
+    OUTAGE = "outage"
+    # The store came back from an older copy, so the last changes may not be written again yet.
+    OLDER_COPY = "older_copy"
 
 
 @dataclass(frozen=True)
@@ -50,7 +72,7 @@
     """
 
     changes: Sequence[Change]
-    revision: int
+    revision: StoreRevision
     waited_ms: int = 0
     relay_age_ms: int | None = None
 
@@ -61,5 +83,5 @@
     def list_all(self, kind: str) -> Listing:
         """Return all objects of `kind`."""
 
-    def watch(self, kind: str, revision: int, wait_ms: int) -> WatchResult:
+    def watch(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         """Wait up to `wait_ms` for changes after `revision`; may raise `HistoryGone`."""
--- a/src/jacinthcove/store/kindwatch.py
+++ b/src/jacinthcove/store/kindwatch.py
@@ -10,7 +10,15 @@
 from jacinthcove.clock import Clock
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.store.changelog import ChangeLog
-from jacinthcove.store.kinds import Change, HistoryGone, KindSource, Listing, WatchResult
+from jacinthcove.store.kinds import (
+    Change,
+    Gap,
+    HistoryGone,
+    KindSource,
+    Listing,
+    StoreRevision,
+    WatchResult,
+)
 
 log = structlog.get_logger()
 
@@ -28,8 +36,8 @@
 class Follower(Protocol):
     """Receives the objects of a kind and their changes; times are boot milliseconds."""
 
-    def on_list(self, listing: Listing, after_outage: bool) -> None:
-        """Replace all objects; `after_outage` says that missing ones may merely have expired."""
+    def on_list(self, listing: Listing, gap: Gap) -> None:
+        """Replace all objects; `gap` says why known ones may be missing or older than known."""
 
     def on_change(self, change: Change, in_outage: bool) -> None:
         """Apply one change; `in_outage` says that a deleted object may merely have expired."""
@@ -59,8 +67,10 @@
         self.wait_ms = wait_ms
         self.follower = follower
         self.changes = changes or ChangeLog(clock)
-        self.revision: int | None = None
+        self.revision: StoreRevision | None = None
         self.listed = False
+        # The era of the last list.
+        self.listed_era: int | None = None
         self.delay_next_watch = False
         self.lost_at: int | None = None
         self.outage_ended_at: int | None = None
@@ -75,12 +85,20 @@
         """Stop the greenlet."""
         self.task.close()
 
+    def restart(self, era: int) -> None:
+        """List again, because the store came back from an older copy as of `era`."""
+        if self.revision is not None and self.revision.era < era:
+            self.task.close()
+            self.revision = None
+            self.changes.stop()
+            self.task.start()
+
     def _run(self) -> None:
         while True:
             try:
                 self._list_or_watch()
             except HistoryGone:
-                log.info("store_history_gone", kind=self.kind, revision=self.revision)
+                log.info("store_history_gone", kind=self.kind, **self._position())
                 self.revision = None
             except StoreUnavailable as error:
                 self._on_failure(error)
@@ -93,7 +111,7 @@
         known_at = self.clock.boot()
         if self.revision is None:
             listing = self.source.list_all(self.kind)
-            self.follower.on_list(listing, self._entries_may_expire())
+            self.follower.on_list(listing, self._gap_before(listing))
             self.revision = listing.revision
             self.listed = True
             self.changes.restart(listing.revision, known_at)
@@ -106,7 +124,7 @@
         self.follower.on_confirmed(known_at)
         self._on_success()
 
-    def _apply(self, result: WatchResult, since: int, sent_at: int) -> int:
+    def _apply(self, result: WatchResult, since: StoreRevision, sent_at: int) -> int:
         """Apply changes after revision `since`; return the boot ms at which they were complete."""
         for change in result.changes:
             self.follower.on_change(change, self._entries_may_expire())
@@ -121,6 +139,15 @@
         self.changes.add(since, result, known_at)
         return known_at
 
+    def _gap_before(self, listing: Listing) -> Gap:
+        before, self.listed_era = self.listed_era, listing.revision.era
+        if before is not None and listing.revision.era > before:
+            # Entries are written again as after an outage.
+            self.outage_ended_at = self.clock.boot()
+            log.warning("older_copy_listed", kind=self.kind, revision=listing.revision.number)
+            return Gap.OLDER_COPY
+        return Gap.OUTAGE if self._entries_may_expire() else Gap.NONE
+
     def _entries_may_expire(self) -> bool:
         now = self.clock.boot()
         if self.lost_at is not None:
@@ -136,15 +163,22 @@
         if lost_ms >= OUTAGE_MS:
             self.outage_ended_at = now
         self.lost_at = None
-        log.info("store_regained", kind=self.kind, revision=self.revision, lost_ms=lost_ms)
+        log.info("store_regained", kind=self.kind, **self._position(), lost_ms=lost_ms)
 
     def _on_failure(self, error: StoreUnavailable) -> None:
         self.changes.stop()
         if self.lost_at is None:
             self.lost_at = self.clock.boot()
-            log.warning("store_lost", kind=self.kind, revision=self.revision, reason=str(error))
+            log.warning("store_lost", kind=self.kind, **self._position(), reason=str(error))
         # A new list after the outage shows which entries expired meanwhile.
         self.revision = None
         retry_ms = min(MAX_RETRY_MS, MIN_RETRY_MS << min(self.failures, 6))
         self.failures += 1
         gevent.sleep(retry_ms * random.uniform(0.5, 1.0) / 1000)
+
+    def _position(self) -> dict[str, int | None]:
+        """Return the known revision for a log line."""
+        known = self.revision
+        if known is None:
+            return {"revision": None, "era": None}
+        return {"revision": known.number, "era": known.era}
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -25,7 +25,15 @@
 from jacinthcove.mesh.peers import Members, Peers
 from jacinthcove.scheduling import rendezvous
 from jacinthcove.store.changelog import ChangeLog
-from jacinthcove.store.kinds import Change, KindObject, KindSource, Listing, WatchResult
+from jacinthcove.store.kinds import (
+    Change,
+    HistoryGone,
+    KindObject,
+    KindSource,
+    Listing,
+    StoreRevision,
+    WatchResult,
+)
 
 log = structlog.get_logger()
 
@@ -60,7 +68,9 @@
 
 def encode_result(result: WatchResult) -> pb.StoreNews:
     """Encode a watch result for another router."""
-    message = pb.StoreNews(revision=result.revision, age_ms=result.relay_age_ms)
+    message = pb.StoreNews(
+        revision=result.revision.number, era=result.revision.era, age_ms=result.relay_age_ms
+    )
     for change in result.changes:
         item = change.object
         message.changes.add(
@@ -94,7 +104,8 @@
         ]
     except orjson.JSONDecodeError as error:
         raise StoreUnavailable(f"the changes from another router are malformed: {error}") from error
-    return WatchResult(changes, message.revision, relay_age_ms=message.age_ms)
+    revision = StoreRevision(message.era, message.revision)
+    return WatchResult(changes, revision, relay_age_ms=message.age_ms)
 
 
 @dataclass(frozen=True)
@@ -102,7 +113,7 @@
     """The revision of a kind that a router reported, current at boot time `known_at`."""
 
     router: str
-    revision: int
+    revision: StoreRevision
     known_at: int
 
 
@@ -110,7 +121,7 @@
 class PendingWatch:
     """A watch that waits for a digest with a revision above `revision`."""
 
-    revision: int
+    revision: StoreRevision
     newer: Event
 
 
@@ -139,7 +150,7 @@
         """Return all objects of `kind` from the store."""
         return self.direct.list_all(kind)
 
-    def watch(self, kind: str, revision: int, wait_ms: int) -> WatchResult:
+    def watch(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         """Wait for changes after `revision`; may raise `HistoryGone` or `StoreUnavailable`."""
         relay = self.relay_router()
         if relay is not None and relay == self._own_id():
@@ -156,7 +167,7 @@
                 log.info("store_asked_directly", kind=kind, router=relay, reason=str(error))
         return self._watch_directly(kind, revision, wait_ms)
 
-    def _watch_directly(self, kind: str, revision: int, wait_ms: int) -> WatchResult:
+    def _watch_directly(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         """Watch the store, or pull from fallback routers while it rejects this router."""
         if self.clock.now() < self.fallback_until:
             found = self._pull_from_fallback(kind, revision, wait_ms)
@@ -172,7 +183,9 @@
             log.warning("store_asked_through_others", kind=kind, reason=str(error))
             return found
 
-    def _pull_from_fallback(self, kind: str, revision: int, wait_ms: int) -> WatchResult | None:
+    def _pull_from_fallback(
+        self, kind: str, revision: StoreRevision, wait_ms: int
+    ) -> WatchResult | None:
         for router in self.fallback_routers():
             try:
                 return self._pull(router, kind, revision, wait_ms)
@@ -199,7 +212,12 @@
         """Return the revisions to send in load digests, for kinds watched in the store itself."""
         now = self.clock.boot()
         return [
-            pb.KindNews(kind=kind, revision=log.changed_revision, age_ms=max(0, now - log.known_at))
+            pb.KindNews(
+                kind=kind,
+                revision=log.changed_revision.number,
+                era=log.changed_revision.era,
+                age_ms=max(0, now - log.known_at),
+            )
             for kind, log in self.logs.items()
             if log.watches_store
         ]
@@ -207,15 +225,16 @@
     def record_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
         """Record the revisions in a router's digest, taken at boot time `asked_at` or later."""
         for item in news:
+            revision = StoreRevision(item.era, item.revision)
             self.digest_revisions[item.kind] = DigestRevision(
-                router, item.revision, asked_at - item.age_ms
+                router, revision, asked_at - item.age_ms
             )
             pending = self.pending_watches.get(item.kind)
-            if pending is not None and item.revision > pending.revision:
+            if pending is not None and revision > pending.revision:
                 pending.newer.set()
 
     def _wait_for_digest(
-        self, relay: str, kind: str, revision: int, wait_ms: int
+        self, relay: str, kind: str, revision: StoreRevision, wait_ms: int
     ) -> WatchResult | None:
         """Wait for digests of the relay router instead of a pull.
 
@@ -251,16 +270,25 @@
         if changes is None:
             return pb.StoreNews(unknown=True)
         try:
-            result = changes.since(message.revision, min(message.wait_ms, PULL_WAIT_MS))
+            revision = StoreRevision(message.era, message.revision)
+            result = changes.since(revision, min(message.wait_ms, PULL_WAIT_MS))
         except StoreUnavailable:
-            return pb.StoreNews(unknown=True)
+            return pb.StoreNews(unknown=True, era=changes.revision.era)
         return encode_result(result)
 
-    def _pull(self, router: str, kind: str, revision: int, wait_ms: int) -> WatchResult:
+    def _pull(self, router: str, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         assert self.peers is not None
         wait_ms = min(PULL_WAIT_MS, int(wait_ms * PULL_WAIT_FRACTION))
-        message = pb.StorePull(kind=kind, revision=revision, wait_ms=wait_ms)
-        return decode_result(self.peers.call(router, STORE_PULL, message, wait_ms + PULL_MARGIN_MS))
+        message = pb.StorePull(
+            kind=kind, revision=revision.number, era=revision.era, wait_ms=wait_ms
+        )
+        reply = self.peers.call(router, STORE_PULL, message, wait_ms + PULL_MARGIN_MS)
+        if reply.era > revision.era:
+            raise HistoryGone(f"{router} knows that the store came back from an older copy")
+        result = decode_result(reply)
+        if result.revision.era < revision.era:
+            raise StoreUnavailable(f"{router} does not know that the store was restored")
+        return result
 
     def _own_id(self) -> str:
         return self.members.me.id if self.members is not None else ""
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from jacinthcove.platform.names import OBJECTS_PATH, STATUS_PATH
+from jacinthcove.platform.names import OBJECTS_PATH, STATUS_PATH, STORE_ERA
 
 PAGE = 3
 SOON_S = 5.0
@@ -24,6 +24,7 @@
     """Serves objects by kind and name; `fault(environ)` may delay a call or return its response."""
 
     def __init__(self):
+        self.era = 1
         self.revision = 1
         self.objects = {}
         self.history = []
@@ -72,6 +73,17 @@
         self.history.clear()
         self._notify_watches()
 
+    def copy(self):
+        """Return a copy of what the store holds, to come back from."""
+        return self.revision, dict(self.objects), list(self.history)
+
+    def restore(self, copy):
+        """Come back from a copy: revisions since are given out again in a new era."""
+        self.revision, objects, history = copy
+        self.objects, self.history = dict(objects), list(history)
+        self.era += 1
+        self._notify_watches()
+
     def _record_change(self, kind, item, deleted):
         self.history.append((self.revision, kind, {"object": item, "deleted": deleted}))
         self._notify_watches()
@@ -84,7 +96,8 @@
         self.calls.append((environ["REQUEST_METHOD"], environ["PATH_INFO"]))
         status, body = self.fault(environ) or self._respond(environ)
         data = b"" if body is None else orjson.dumps(body)
-        start_response(f"{status} x", [("Content-Length", str(len(data)))])
+        headers = [("Content-Length", str(len(data))), (STORE_ERA, str(self.era))]
+        start_response(f"{status} x", headers)
         return [data]
 
     def _respond(self, environ):
@@ -112,15 +125,16 @@
         return 200, {"items": items, "has_more": more, "current_rev": self.revision}
 
     def _watch(self, kind, revision, wait_ms):
-        if revision < self.compacted_revision:
+        if not self.compacted_revision <= revision <= self.revision:
             return 410, None
+        era = self.era
         with gevent.Timeout(wait_ms / 1000, False):
             while True:
                 changed = self.changed
                 events = [e for at, k, e in self.history if at > revision and k == kind]
                 if events:
                     return 200, {"events": events, "current_rev": self.revision}
-                if revision < self.compacted_revision:
+                if revision < self.compacted_revision or self.era != era:
                     return 410, None
                 changed.wait()
         return 200, {"events": [], "current_rev": self.revision}
--- a/tests/platform/test_duplicated_store_responses.py
+++ b/tests/platform/test_duplicated_store_responses.py
@@ -7,6 +7,7 @@
 
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.platform.storeclient import PlatformStoreClient
+from jacinthcove.store.kinds import StoreRevision
 
 
 class DuplicatingStore:
@@ -74,9 +75,9 @@
 def test_watch_response_older_than_known_revision_is_rejected(store):
     bodies = {"servers": {"events": [], "current_rev": 7}}
     store_client = PlatformStoreClient(store(bodies).address, 500)
-    assert store_client.watch("servers", 5, 50).revision == 7
+    assert store_client.watch("servers", StoreRevision(0, 5), 50).revision.number == 7
     with pytest.raises(StoreUnavailable):
-        store_client.watch("servers", 9, 50)
+        store_client.watch("servers", StoreRevision(0, 9), 50)
 
 
 def test_get_rejects_an_object_with_another_name(store):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -11,7 +11,7 @@
 from jacinthcove.platform.followers import TargetFollower
 from jacinthcove.platform.storeclient import PlatformStoreClient
 from jacinthcove.store.changelog import ChangeLog
-from jacinthcove.store.kinds import Change, KindObject, WatchResult
+from jacinthcove.store.kinds import Change, KindObject, StoreRevision, WatchResult
 from jacinthcove.store.kindwatch import KindWatch
 from jacinthcove.store.relay import decode_result, encode_result
 
@@ -75,13 +75,14 @@
 def test_a_deep_object_does_not_keep_the_others_from_other_routers():
     deep = orjson.loads(b"[" * 800 + b"]" * 800)
     changes = [Change(KindObject(name, 2, spec), False) for name, spec in (("a", deep), ("b", 1))]
-    passed_on = decode_result(encode_result(WatchResult(changes, 2)))
+    passed_on = decode_result(encode_result(WatchResult(changes, StoreRevision(1, 2))))
     assert [change.object.spec for change in passed_on.changes] == [None, 1]
 
 
 def test_the_log_of_changes_keeps_a_deep_object():
     log = ChangeLog(SystemClock())
-    log.restart(1, 0)
+    log.restart(StoreRevision(1, 1), 0)
     deep = orjson.loads(b"[" * 800 + b"]" * 800)
-    log.add(1, WatchResult([Change(KindObject("a", 2, deep), False)], 2), 0)
-    assert log.since(1, 0).revision == 2
+    change = Change(KindObject("a", 2, deep), False)
+    log.add(StoreRevision(1, 1), WatchResult([change], StoreRevision(1, 2)), 0)
+    assert log.since(StoreRevision(1, 1), 0).revision == StoreRevision(1, 2)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -7,7 +7,7 @@
 from jacinthcove.clock import SystemClock
 from jacinthcove.errors import Conflict, StoreUnavailable
 from jacinthcove.platform.storeclient import PlatformStoreClient
-from jacinthcove.store.kinds import HistoryGone
+from jacinthcove.store.kinds import Gap, HistoryGone, StoreRevision
 from jacinthcove.store.kindwatch import OUTAGE_MS, KindWatch
 
 WAIT_MS = 150
@@ -21,9 +21,9 @@
         self.lists = []
         self.confirmed = 0
 
-    def on_list(self, listing, after_outage):
+    def on_list(self, listing, gap):
         self.names = {item.name for item in listing.objects}
-        self.lists.append(after_outage)
+        self.lists.append(gap)
 
     def on_change(self, change, in_outage):
         name = {change.object.name}
@@ -100,7 +100,7 @@
     store.put("things", "a", 1)
     store.forget()
     with pytest.raises(HistoryGone):
-        store_client.watch("things", 1, WAIT_MS)
+        store_client.watch("things", StoreRevision(store.era, 1), WAIT_MS)
 
 
 def test_watch_delivers_changes_of_its_kind(store, watch, recorder):
@@ -110,7 +110,7 @@
     eventually(lambda: recorder.names == {"a"})
     store.remove("things", "a")
     eventually(lambda: not recorder.names)
-    assert recorder.lists == [False]
+    assert recorder.lists == [Gap.NONE]
 
 
 def test_many_changes_are_read_with_few_calls(store, watch, recorder):
@@ -137,7 +137,52 @@
     store.put("things", "b", 1)
     store.forget()
     eventually(lambda: recorder.names == {"b"})
-    assert not any(recorder.lists)
+    assert set(recorder.lists) == {Gap.NONE}
+
+
+def test_watch_does_not_miss_changes_whose_revisions_were_given_out_before(store, watch, recorder):
+    store.put("things", "kept", 1)
+    eventually(lambda: recorder.names == {"kept"})
+    copy = store.copy()
+    store.put("things", "lost", 1)
+    eventually(lambda: recorder.names == {"kept", "lost"})
+    store.fault = lambda environ: (503, None)
+    eventually(lambda: watch.lost_at is not None)
+    store.restore(copy)
+    for number in range(3):
+        store.put("things", f"n{number}", 1)
+    store.fault = lambda environ: None
+    eventually(lambda: recorder.names == {"kept", "n0", "n1", "n2"})
+    assert recorder.lists[-1] is Gap.OLDER_COPY
+
+
+def test_response_of_the_copy_before_is_not_used(store, store_client):
+    store.put("things", "a", 1)
+    store.era = 2
+    store_client.list_all("things")
+    store.era = 1
+    with pytest.raises(StoreUnavailable):
+        store_client.list_all("things")
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "\u0661", "9" * 30])
+def test_unreadable_era_counts_as_store_unavailable(store, store_client, era):
+    store.era = era
+    with pytest.raises(StoreUnavailable):
+        store_client.list_all("things")
+
+
+def test_list_does_not_join_pages_of_two_copies(store, store_client):
+    for number in range(5):
+        store.put("things", f"n{number}", number)
+
+    def fault(environ):
+        if "after_rev" in environ["QUERY_STRING"]:
+            store.era = 2
+
+    store.fault = fault
+    with pytest.raises(StoreUnavailable):
+        store_client.list_all("things")
 
 
 def test_watch_without_response_is_replaced(store, watch, recorder):
@@ -156,12 +201,12 @@
     silent.set()
 
 
-@pytest.mark.parametrize(("outage_ms", "lapsed"), [(100, False), (OUTAGE_MS + 300, True)])
-def test_entries_may_lapse_only_after_a_long_outage(store, watch, recorder, outage_ms, lapsed):
+@pytest.mark.parametrize(("outage_ms", "gap"), [(100, Gap.NONE), (OUTAGE_MS + 300, Gap.OUTAGE)])
+def test_entries_may_lapse_only_after_a_long_outage(store, watch, recorder, outage_ms, gap):
     eventually(lambda: watch.listed)
     store.fault = lambda environ: (503, None)
     eventually(lambda: watch.lost_at is not None)
     gevent.sleep(outage_ms / 1000)
     store.fault = lambda environ: None
     eventually(lambda: len(recorder.lists) == 2)
-    assert recorder.lists[-1] is lapsed
+    assert recorder.lists[-1] is gap
--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -8,7 +8,14 @@
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member
 from jacinthcove.store.changelog import MAX_BATCHES, ChangeLog
-from jacinthcove.store.kinds import Change, HistoryGone, KindObject, Listing, WatchResult
+from jacinthcove.store.kinds import (
+    Change,
+    HistoryGone,
+    KindObject,
+    Listing,
+    StoreRevision,
+    WatchResult,
+)
 from jacinthcove.store.kindwatch import KindWatch
 from jacinthcove.store.relay import MAX_DIGEST_AGE_MS, MIN_ROUTERS, RelayedSource
 
@@ -16,11 +23,16 @@
 IDS = [f"r{number}" for number in range(MIN_ROUTERS)]
 
 
+def at(number, era=1):
+    """Return a revision of the store."""
+    return StoreRevision(era, number)
+
+
 class Store:
     """An in-memory `KindSource` that counts calls and can be made unavailable."""
 
     def __init__(self):
-        self.revision = 1
+        self.revision = at(1)
         self.objects = {}
         self.history = []
         self.calls = 0
@@ -28,8 +40,8 @@
         self.changed = gevent.event.Event()
 
     def put(self, name, spec, deleted=False):
-        self.revision += 1
-        item = KindObject(name, self.revision, spec)
+        self.revision = at(self.revision.number + 1, self.revision.era)
+        item = KindObject(name, self.revision.number, spec)
         if deleted:
             del self.objects[name]
         else:
@@ -38,6 +50,17 @@
         event, self.changed = self.changed, gevent.event.Event()
         event.set()
 
+    def copy(self):
+        return self.revision.number, dict(self.objects), list(self.history)
+
+    def restore(self, copy):
+        """Come back from a copy: the revisions since are given out again in a new era."""
+        number, objects, history = copy
+        self.revision = at(number, self.revision.era + 1)
+        self.objects, self.history = dict(objects), list(history)
+        event, self.changed = self.changed, gevent.event.Event()
+        event.set()
+
     def list_all(self, kind):
         self._count()
         return Listing(tuple(self.objects.values()), self.revision)
@@ -45,14 +68,16 @@
     def watch(self, kind, revision, wait_ms):
         self._count()
         with gevent.Timeout(wait_ms / 1000, False):
-            while not self._since(revision):
+            while revision.era == self.revision.era and not self._since(revision):
                 self.changed.wait()
         self._check()
+        if revision.era != self.revision.era:
+            raise HistoryGone("another copy")
         changes = self._since(revision)
         return WatchResult(changes, self.revision, 0 if changes else wait_ms)
 
     def _since(self, revision):
-        return [change for at, change in self.history if at > revision]
+        return [change for made_at, change in self.history if made_at > revision]
 
     def _count(self):
         self.calls += 1
@@ -110,7 +135,7 @@
         self.specs = {}
         self.known_at = 0
 
-    def on_list(self, listing, after_outage):
+    def on_list(self, listing, gap):
         self.specs = {item.name: item.spec for item in listing.objects}
 
     def on_change(self, change, in_outage):
@@ -206,6 +231,31 @@
     wait_until(lambda: all(r.follower.specs == {"x": 1} for r in fleet if r is not relay))
 
 
+def test_every_router_hears_of_changes_after_the_store_came_back_from_an_older_copy(fleet, store):
+    wait_for_relay(fleet, store)
+    copy = store.copy()
+    for number in range(20):
+        store.put(f"lost-{number}", number)
+    wait_until(lambda: all(len(r.follower.specs) == 20 for r in fleet))
+    store.restore(copy)
+    store.put("new", 1)
+    wait_until(lambda: all(r.follower.specs == {"new": 1} for r in fleet))
+    assert {r.watch.revision for r in fleet} == {store.revision}
+
+
+def test_a_router_that_is_behind_does_not_give_changes_of_the_copy_before(fleet, store):
+    relay = wait_for_relay(fleet, store)
+    reader = next(r for r in fleet if r is not relay)
+    for router in fleet:
+        router.watch.close()
+    newer = at(1, era=store.revision.era + 1)
+    with pytest.raises(StoreUnavailable):
+        reader.source._pull(relay.id, KIND, newer, 100)
+    relay.watch.changes.restart(newer, 0)
+    with pytest.raises(HistoryGone):
+        reader.source._pull(relay.id, KIND, store.revision, 100)
+
+
 def test_small_failure_domain_has_no_relay_router(store, mesh):
     router = Router("r0", store, mesh, IDS[: MIN_ROUTERS - 1])
     assert router.source.relay_router() is None
@@ -219,42 +269,42 @@
 def test_log_returns_changes_since_any_revision_it_covers():
     clock = ManualClock()
     log = ChangeLog(clock)
-    log.restart(10, 0)
-    log.add(10, WatchResult([change("a", 12)], 13), 0)
-    log.add(13, WatchResult([change("a", 15)], 15), 0)
-    assert [c.object.revision for c in log.since(10, 0).changes] == [12, 15]
-    assert [c.object.revision for c in log.since(13, 0).changes] == [15]
-    assert not log.since(15, 0).changes
+    log.restart(at(10), 0)
+    log.add(at(10), WatchResult([change("a", 12)], at(13)), 0)
+    log.add(at(13), WatchResult([change("a", 15)], at(15)), 0)
+    assert [c.object.revision for c in log.since(at(10), 0).changes] == [12, 15]
+    assert [c.object.revision for c in log.since(at(13), 0).changes] == [15]
+    assert not log.since(at(15), 0).changes
     with pytest.raises(StoreUnavailable):
-        log.since(9, 0)
+        log.since(at(9), 0)
 
 
 def test_log_reports_its_age_and_never_lowers_the_readers_revision():
     clock = ManualClock()
     log = ChangeLog(clock)
-    log.restart(10, clock.boot())
+    log.restart(at(10), clock.boot())
     clock.advance(700)
-    news = log.since(12, 0)
+    news = log.since(at(12), 0)
     assert news.relay_age_ms == 700
-    assert news.revision == 12
+    assert news.revision == at(12)
 
 
 def test_log_drops_its_oldest_changes():
     log = ChangeLog(ManualClock())
-    log.restart(0, 0)
+    log.restart(at(0), 0)
     for revision in range(MAX_BATCHES + 5):
-        log.add(revision, WatchResult([change("a", revision + 1)], revision + 1), 0)
+        log.add(at(revision), WatchResult([change("a", revision + 1)], at(revision + 1)), 0)
     assert len(log.batches) == MAX_BATCHES
     with pytest.raises(StoreUnavailable):
-        log.since(2, 0)
+        log.since(at(2), 0)
 
 
 def test_stopped_log_does_not_serve_other_routers():
     log = ChangeLog(ManualClock())
-    log.restart(10, 0)
+    log.restart(at(10), 0)
     log.stop()
     with pytest.raises(StoreUnavailable):
-        log.since(10, 0)
+        log.since(at(10), 0)
 
 
 def test_lost_history_leads_to_a_new_list(store, mesh):
@@ -275,7 +325,7 @@
 def receive_digest(source, revision, age_ms=0, router=None):
     """Give a source the revision in a digest, from its relay router by default."""
     relay = router or source.relay_router()
-    news = [pb.KindNews(kind=KIND, revision=revision, age_ms=age_ms)]
+    news = [pb.KindNews(kind=KIND, revision=revision.number, era=revision.era, age_ms=age_ms)]
     source.record_news(relay, news, source.clock.boot())
 
 
@@ -322,11 +372,11 @@
     clock = SystemClock()
     log = ChangeLog(clock)
     relay = RelayedSource(clock, store, {KIND: log})
-    log.restart(5, clock.boot())
-    log.add(5, WatchResult([Change(KindObject("a", 6, 1), False)], 6), clock.boot())
-    log.add(6, WatchResult([], 90), clock.boot())
-    assert [(item.kind, item.revision) for item in relay.kind_news()] == [(KIND, 6)]
-    assert log.revision == 90
+    log.restart(at(5), clock.boot())
+    log.add(at(5), WatchResult([Change(KindObject("a", 6, 1), False)], at(6)), clock.boot())
+    log.add(at(6), WatchResult([], at(90)), clock.boot())
+    assert [(i.kind, i.revision, i.era) for i in relay.kind_news()] == [(KIND, 6, 1)]
+    assert log.revision == at(90)
 
 
 class RejectingStore:
