--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -7,6 +7,7 @@
 import structlog
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.drains import DrainedDomains
 from jacinthcove.gateway.load import TargetLoad
 from jacinthcove.gateway.statedlimits import StatedLimits
 from jacinthcove.targets.pool import TargetKey
@@ -162,7 +163,7 @@
         self.clock = clock
         self.states: dict[str, TargetState] = {}
         self.by_service: dict[str, list[TargetState]] = {}
-        self.drained_domains: frozenset[str] = frozenset()
+        self.drained = DrainedDomains(clock)
         # Ids of targets at whose address another target has started since.
         self.superseded: frozenset[str] = frozenset()
         # Start times, by id, of targets that announced in a response that they leave. The store may
@@ -246,12 +247,6 @@
         if returned or record.started_at != started_at:
             del self.leaving_starts[record.id]
 
-    def set_drained(self, domains: frozenset[str]) -> None:
-        """Set the drained failure domains, whose targets get no new requests."""
-        if domains != self.drained_domains:
-            log.info("failure_domains_drained", domains=sorted(domains))
-        self.drained_domains = domains
-
     def usable(self, service: str) -> list[TargetState]:
         """Return the targets of a service to which new requests may be sent."""
         now = self.clock.boot()
@@ -264,7 +259,7 @@
             not state.record.leaving
             and state.record.id not in self.leaving_starts
             and state.record.id not in self.superseded
-            and state.record.failure_domain not in self.drained_domains
+            and state.record.failure_domain not in self.drained
             and (state.lapsed_at is None or boot_now - state.lapsed_at < LAPSED_GRACE_MS)
         )
 
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -197,7 +197,9 @@
         self.watches = [
             self._watch(CONFIG_KIND, CONFIG_WAIT_MS, ConfigFollower(self.active_config)),
             self._watch(TARGETS_KIND, TARGETS_WAIT_MS, TargetFollower(self.registry)),
-            self._watch(DRAINED_DOMAINS_KIND, DRAINED_WAIT_MS, DrainFollower(self.registry)),
+            self._watch(
+                DRAINED_DOMAINS_KIND, DRAINED_WAIT_MS, DrainFollower(self.registry.drained)
+            ),
             self._watch(ROLLOUTS_KIND, ROLLOUTS_WAIT_MS, RolloutFollower(self.rollouts)),
             self._watch(QUARANTINE_KIND, QUARANTINE_WAIT_MS, QuarantineFollower(self.quarantine)),
         ]
--- a/src/jacinthcove/platform/followers.py
+++ b/src/jacinthcove/platform/followers.py
@@ -3,6 +3,7 @@
 import structlog
 
 from jacinthcove.gateway.activeconfig import ActiveConfig
+from jacinthcove.gateway.drains import DrainedDomains
 from jacinthcove.gateway.rollouts import Rollout, Rollouts, RolloutState
 from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
 from jacinthcove.platform.decode import (
@@ -87,30 +88,26 @@
 
 
 class DrainFollower:
-    """Keeps the set of drained failure domains; each object names one."""
+    """Keeps the drained failure domains; each object names one."""
 
-    def __init__(self, registry: TargetRegistry):
-        self.registry = registry
-        self.domains: frozenset[str] = frozenset()
+    def __init__(self, drained: DrainedDomains):
+        self.drained = drained
 
     def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known state by the listed objects."""
-        del gap
-        self._set(frozenset(item.name for item in listing.objects))
+        self.drained.replace(frozenset(item.name for item in listing.objects), gap)
 
     def on_change(self, change: Change, in_outage: bool) -> None:
         """Apply one change."""
         del in_outage
-        name = frozenset((change.object.name,))
-        self._set(self.domains - name if change.deleted else self.domains | name)
+        if change.deleted:
+            self.drained.remove(change.object.name)
+        else:
+            self.drained.add(change.object.name)
 
     def on_confirmed(self, known_at: int) -> None:
         """Do nothing: no decision depends on the age of this state."""
 
-    def _set(self, domains: frozenset[str]) -> None:
-        self.domains = domains
-        self.registry.set_drained(domains)
-
 
 class RolloutFollower:
     """Keeps the requested version rollouts; a malformed one is logged and counts as deleted."""
--- a/tests/gateway/test_gateway_placement.py
+++ b/tests/gateway/test_gateway_placement.py
@@ -223,7 +223,7 @@
     if how == "leaves":
         registry.mark_leaving("t2", 0)
     else:
-        registry.set_drained(frozenset("b"))
+        registry.drained.add("b")
     found = choose_from(placement, clock, registry)
     assert found.target.record.id in ("t0", "t1")
     assert found.fetch_from == "10.0.0.2:80"
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -3,12 +3,14 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.drains import KEPT_MS
 from jacinthcove.gateway.targets import (
     LAPSED_GRACE_MS,
     UNREACHABLE_MAX_PAUSE_MS,
     UNREACHABLE_PAUSE_MS,
     TargetRegistry,
 )
+from jacinthcove.store.kinds import Gap
 from tests.gateway.samples import record, target
 
 
@@ -43,9 +45,31 @@
 
 
 def test_a_drained_failure_domain_gets_no_requests_until_it_returns(registry):
-    registry.set_drained(frozenset(("b",)))
+    registry.drained.replace(frozenset(("b",)), Gap.NONE)
     assert usable(registry) == ["t1"]
-    registry.set_drained(frozenset())
+    registry.drained.replace(frozenset(), Gap.NONE)
+    assert usable(registry) == ["t1", "t2"]
+
+
+def test_a_drain_that_an_older_copy_lacks_is_kept_until_it_is_written_again(registry, clock):
+    registry.drained.add("b")
+    registry.drained.replace(frozenset(), Gap.OLDER_COPY)
+    clock.advance(KEPT_MS - 1)
+    assert usable(registry) == ["t1"]
+    registry.drained.add("b")
+    clock.advance(KEPT_MS)
+    assert usable(registry) == ["t1"]
+
+
+@pytest.mark.parametrize("again", [True, False])
+def test_a_domain_returns_after_an_older_copy_when_its_drain_ends(registry, clock, again):
+    registry.drained.add("b")
+    registry.drained.replace(frozenset(), Gap.OLDER_COPY)
+    if again:
+        registry.drained.add("b")
+        registry.drained.remove("b")
+    else:
+        clock.suspend(KEPT_MS)
     assert usable(registry) == ["t1", "t2"]
 
 
--- a/tests/platform/test_wire_answers.py
+++ b/tests/platform/test_wire_answers.py
@@ -292,7 +292,7 @@
     gevent.sleep(0.1)
     second = bed.add("t2", "models", paused_stream)
     if change == "drained":
-        bed.registry.set_drained(frozenset(("a",)))
+        bed.registry.drained.add("a")
     elif change == "leaving":
         bed.registry.put(first.record(leaving=True), 2)
     else:
