Do not use targets that left because an older copy of the store lists them

An engine that has left, or that leaves, is listed as ready by an older copy, and its address may belong to another service by then.

Cause: what a list holds counts as new. That a target leaves is final for its start. TargetRecord moves to a module of its own. test_a_target_that_left_is_not_used_because_an_older_copy_lists_it and test_an_older_copy_does_not_make_a_leaving_target_ready guard it.

--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -8,7 +8,8 @@
 from jacinthcove.gateway.load import PeerLoad, TargetLoad
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.statedlimits import StatedLimit
-from jacinthcove.gateway.targets import TargetRecord, TargetRegistry, TargetState
+from jacinthcove.gateway.targetrecord import TargetRecord
+from jacinthcove.gateway.targets import TargetRegistry, TargetState
 from jacinthcove.gateway.workspaceusage import UsageByWorkspace, WorkspaceUsage, encode_usage
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Member, Members
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -1,16 +1,18 @@
 """Known targets, and this router's view of the health, load and cache of each."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from operator import itemgetter
 
 import structlog
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.departed import DepartedTargets
 from jacinthcove.gateway.drains import DrainedDomains
 from jacinthcove.gateway.load import TargetLoad
 from jacinthcove.gateway.statedlimits import StatedLimits
-from jacinthcove.targets.pool import TargetKey
+from jacinthcove.gateway.targetrecord import ListedTarget, TargetRecord
+from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
 
@@ -31,26 +33,6 @@
 MAX_LEAVING = 4_096
 
 
-@dataclass(frozen=True)
-class TargetRecord:
-    """The store's entry of a target; `started_at` is the wall ms of its start, 0 if unknown."""
-
-    id: str
-    service: str
-    address: str
-    failure_domain: str
-    version: str
-    slots: int
-    leaving: bool = False
-    cold_for_ms: int = 0
-    started_at: int = 0
-
-    @property
-    def key(self) -> TargetKey:
-        """Return the key of this target in the connection pool."""
-        return TargetKey(self.id, self.started_at, self.address)
-
-
 @dataclass(frozen=True)
 class ReuseDistances:
     """The reuse distance of each part: tokens of the parts used since its last use, with its own.
@@ -156,6 +138,12 @@
         log.info("target_refuses", target=self.record.id, retry_after_ms=retry_after_ms)
 
 
+def _is_older(record: TargetRecord, known: TargetRecord) -> bool:
+    """Return whether an entry does not show yet that the target leaves, which is final."""
+    same_start = record.started_at == known.started_at != 0
+    return same_start and known.leaving and not record.leaving
+
+
 class TargetRegistry:
     """The targets of all services, updated from complete lists and single changes of the store."""
 
@@ -170,19 +158,20 @@
         # report this late or never, and a removed entry can return, so the announcement is kept
         # when the state of the target is removed.
         self.leaving_starts: dict[str, int] = {}
+        self.departed = DepartedTargets(clock)
         self.stated_limits = StatedLimits(clock)
 
-    def replace_all(self, records: Iterable[TargetRecord], revision: int, after_gap: bool) -> None:
+    def replace_all(self, entries: Iterable[ListedTarget], gap: Gap) -> None:
         """Replace all entries by a complete list.
 
-        If it comes `after_gap` (an outage of the store), missing targets get a grace period.
+        If it comes after a gap, missing targets get a grace period.
         """
         seen = set()
-        for record in records:
-            seen.add(record.id)
-            self._put(record, revision)
+        for entry in self.departed.filter_list(entries, gap):
+            seen.add(entry.record.id)
+            self._put(entry.record, entry.revision)
         for target_id in self.states.keys() - seen:
-            self._drop(self.states[target_id], after_gap, "not listed")
+            self._drop(self.states[target_id], gap is not Gap.NONE, "not listed")
         self._index()
 
     def put(self, record: TargetRecord, revision: int) -> None:
@@ -192,7 +181,10 @@
 
     def _put(self, record: TargetRecord, revision: int) -> None:
         now = self.clock.now()
+        self.departed.forget(record.id)
         state = self.states.get(record.id)
+        if state is not None and _is_older(record, state.record):
+            record = replace(record, leaving=True)
         if state is None or state.record.address != record.address:
             state = TargetState(record, revision, TargetLoad(self.clock))
             self.states[record.id] = state
@@ -213,6 +205,7 @@
 
     def delete(self, target_id: str, store_was_away: bool) -> None:
         """Remove an entry; after a store outage the target gets a grace period."""
+        self.departed.release(target_id)
         state = self.states.get(target_id)
         if state is not None:
             self._drop(state, store_was_away, "removed")
@@ -292,8 +285,11 @@
         return max(0, min((state.paused_until for state in usable), default=now) - now)
 
     def expire(self) -> None:
-        """Remove targets whose grace period is over."""
+        """Remove targets whose grace period is over, and use those that were held long enough."""
         now = self.clock.boot()
+        ready = self.departed.take_ready()
+        for entry in ready:
+            self._put(entry.record, entry.revision)
         over = [
             target_id
             for target_id, state in self.states.items()
@@ -301,7 +297,7 @@
         ]
         for target_id in over:
             self._remove(target_id, "lapsed")
-        if over:
+        if over or ready:
             self._index()
 
     def _drop(self, state: TargetState, store_was_away: bool, reason: str) -> None:
@@ -317,7 +313,8 @@
             log.info("target_lapsed", target=state.record.id)
 
     def _remove(self, target_id: str, reason: str) -> None:
-        del self.states[target_id]
+        state = self.states.pop(target_id)
+        self.departed.record(ListedTarget(state.record, state.revision))
         log.info("target_removed", target=target_id, reason=reason)
 
     def _index(self) -> None:
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -28,7 +28,8 @@
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targetrates import TargetRates
-from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
+from jacinthcove.gateway.targetrecord import TargetRecord
+from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.gateway.workspaceusage import TICK_MS
 from jacinthcove.lab.engine import EngineSpeed, LabEngine
 from jacinthcove.lab.results import Results
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -14,7 +14,7 @@
     ServiceShare,
 )
 from jacinthcove.gateway.rollouts import Rollout, RolloutState
-from jacinthcove.gateway.targets import TargetRecord
+from jacinthcove.gateway.targetrecord import TargetRecord
 from jacinthcove.store.kinds import KindObject
 
 # Larger numbers are not exact in JSON and do not fit into messages between routers.
--- a/src/jacinthcove/platform/followers.py
+++ b/src/jacinthcove/platform/followers.py
@@ -5,7 +5,8 @@
 from jacinthcove.gateway.activeconfig import ActiveConfig
 from jacinthcove.gateway.drains import DrainedDomains
 from jacinthcove.gateway.rollouts import Rollout, Rollouts, RolloutState
-from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
+from jacinthcove.gateway.targetrecord import ListedTarget, TargetRecord
+from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.platform.decode import (
     decode_config,
     decode_rollout,
@@ -63,8 +64,12 @@
 
     def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known state by the listed objects."""
-        records = [record for item in listing.objects if (record := self._decode(item))]
-        self.registry.replace_all(records, listing.revision.number, gap is not Gap.NONE)
+        entries = [
+            ListedTarget(record, item.revision)
+            for item in listing.objects
+            if (record := self._decode(item))
+        ]
+        self.registry.replace_all(entries, gap)
 
     def on_change(self, change: Change, in_outage: bool) -> None:
         """Apply one change."""
--- a/tests/gateway/samples.py
+++ b/tests/gateway/samples.py
@@ -12,7 +12,8 @@
     RoutingConfig,
     ServiceShare,
 )
-from jacinthcove.gateway.targets import TargetRecord, TargetState
+from jacinthcove.gateway.targetrecord import TargetRecord
+from jacinthcove.gateway.targets import TargetState
 
 SHAPE = EngineCapacity(slots=8, memory_tokens=100_000)
 GOAL_MS = 400
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -3,7 +3,9 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.departed import HELD_MS
 from jacinthcove.gateway.drains import KEPT_MS
+from jacinthcove.gateway.targetrecord import ListedTarget
 from jacinthcove.gateway.targets import (
     LAPSED_GRACE_MS,
     UNREACHABLE_MAX_PAUSE_MS,
@@ -22,10 +24,14 @@
 @pytest.fixture
 def registry(clock):
     registry = TargetRegistry(clock)
-    registry.replace_all([record("t1"), record("t2", failure_domain="b")], 5, False)
+    registry.replace_all(listed(5, record("t1"), record("t2", failure_domain="b")), Gap.NONE)
     return registry
 
 
+def listed(revision, *records):
+    return [ListedTarget(item, revision) for item in records]
+
+
 def usable(registry):
     return [state.record.id for state in registry.usable("models")]
 
@@ -73,8 +79,49 @@
     assert usable(registry) == ["t1", "t2"]
 
 
+def test_a_target_that_left_is_not_used_because_an_older_copy_lists_it(registry, clock):
+    registry.delete("t1", False)
+    copy = listed(5, record("t1"), record("t2", failure_domain="b"))
+    registry.replace_all(copy, Gap.OLDER_COPY)
+    clock.advance(HELD_MS - 1)
+    registry.expire()
+    assert usable(registry) == ["t2"]
+    registry.delete("t1", False)
+    clock.advance(HELD_MS)
+    registry.expire()
+    assert usable(registry) == ["t2"]
+
+
+@pytest.mark.parametrize("written", [True, False])
+def test_a_target_of_an_older_copy_that_is_alive_is_used_again(registry, clock, written):
+    registry.delete("t1", False)
+    registry.replace_all(listed(5, record("t1")), Gap.OLDER_COPY)
+    if written:
+        registry.put(record("t1"), 6)
+    else:
+        clock.advance(HELD_MS)
+        registry.expire()
+    assert "t1" in usable(registry)
+
+
+@pytest.mark.parametrize("fields", [{"started_at": 8}, {}])
+def test_an_older_copy_does_not_make_a_leaving_target_ready(registry, fields):
+    """Only another start of the target is ready again."""
+    registry.put(record("t1", started_at=7), 5)
+    registry.put(record("t1", started_at=7, leaving=True), 6)
+    registry.replace_all(listed(5, record("t1", **({"started_at": 7} | fields))), Gap.OLDER_COPY)
+    assert ("t1" in usable(registry)) == bool(fields)
+
+
+def test_a_target_that_an_older_copy_lacks_stays_usable_until_it_writes_again(registry, clock):
+    registry.replace_all(listed(4, record("t2", failure_domain="b")), Gap.OLDER_COPY)
+    assert usable(registry) == ["t1", "t2"]
+    clock.advance(LAPSED_GRACE_MS)
+    assert usable(registry) == ["t2"]
+
+
 def test_an_entry_that_lapsed_in_a_store_outage_has_a_grace_period(registry, clock):
-    registry.replace_all([record("t2", failure_domain="b")], 9, True)
+    registry.replace_all(listed(9, record("t2", failure_domain="b")), Gap.OUTAGE)
     assert usable(registry) == ["t1", "t2"]
     clock.advance(LAPSED_GRACE_MS)
     assert usable(registry) == ["t2"]
@@ -83,13 +130,13 @@
 
 
 def test_the_grace_period_ends_while_the_vm_is_suspended(registry, clock):
-    registry.replace_all([record("t2", failure_domain="b")], 9, True)
+    registry.replace_all(listed(9, record("t2", failure_domain="b")), Gap.OUTAGE)
     clock.suspend(LAPSED_GRACE_MS)
     assert usable(registry) == ["t2"]
 
 
 def test_a_target_stays_usable_when_its_entry_returns_in_the_grace_period(registry, clock):
-    registry.replace_all([], 9, True)
+    registry.replace_all([], Gap.OUTAGE)
     registry.put(record("t1"), 10)
     clock.advance(LAPSED_GRACE_MS)
     assert usable(registry) == ["t1"]
@@ -97,7 +144,7 @@
 
 def test_a_leaving_target_has_no_grace_period(registry):
     registry.put(record("t1", leaving=True), 6)
-    registry.replace_all([], 9, True)
+    registry.replace_all([], Gap.OUTAGE)
     assert "t1" not in registry.states
 
 
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -14,7 +14,7 @@
 )
 from jacinthcove.gateway.sampling import MAX_COMPARED
 from jacinthcove.gateway.shares import Standing
-from jacinthcove.gateway.targets import TargetRecord
+from jacinthcove.gateway.targetrecord import TargetRecord
 from jacinthcove.lab.scenarios import SCENARIOS
 from jacinthcove.lab.simulation import SERVICE, LabFleet, LabRouter, route_of
 from tests.gateway.samples import request
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -30,7 +30,8 @@
 from jacinthcove.gateway.server import GatewayServer
 from jacinthcove.gateway.shares import ShareLedger
 from jacinthcove.gateway.targetrates import TargetRates
-from jacinthcove.gateway.targets import TargetRecord, TargetRegistry
+from jacinthcove.gateway.targetrecord import TargetRecord
+from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
 from jacinthcove.platform import names
