Keep the states of roll-outs that an older copy of the store lacks

Cause: what the copy holds counts as new, and what we wrote is gone and nobody writes it again. A state that is behind the known one of the same order is not taken; the driver writes the known one again, and takes no step before. An order that nobody writes again in 10 s ends. test_a_rollout_that_was_rolled_back_does_not_begin_again_with_an_older_copy and test_the_state_of_a_rollout_is_written_again_after_an_older_copy cannot pass before.

--- a/src/jacinthcove/gateway/rolloutdriver.py
+++ b/src/jacinthcove/gateway/rolloutdriver.py
@@ -257,6 +257,8 @@
 
     def tick(self) -> None:
         """Take the actions that are due."""
+        self.rollouts.expire()
+        self._save_states()
         active = {item.id: item for item in self.rollouts.active()}
         self.results.retain_only(set(active))
         self.action_since = {key: item for key, item in self.action_since.items() if key in active}
@@ -265,12 +267,28 @@
             for key, first_seen_at in self.step_seen_at.items()
             if key[0] in active
         }
-        own = [item for item in active.values() if self.rank(item.service) < DRIVER_COUNT]
+        own = [
+            item
+            for item in active.values()
+            if not item.unsaved and self.rank(item.service) < DRIVER_COUNT
+        ]
         running = any(item.state is RolloutState.RUNNING for item in own)
         statuses = self._gather_with_timeout() if running else ()
         for rollout in own:
             self._drive(rollout, statuses)
 
+    def _save_states(self) -> None:
+        """Write states again that the store lost."""
+        for rollout in self.rollouts.unsaved():
+            if self.rank(rollout.service) < DRIVER_COUNT:
+                self._write(rollout, rollout.state, rollout.share)
+
+    def _write(self, rollout: Rollout, state: RolloutState, share: float) -> None:
+        try:
+            self.store.set_state(rollout, state, share)
+        except (Conflict, StoreUnavailable) as error:
+            log.warning("rollout_not_written", service=rollout.service, reason=repr(error))
+
     def _gather_with_timeout(self) -> Sequence[MemberStatus]:
         with gevent.Timeout(GATHER_TIMEOUT_MS / 1000, False):
             return self.gather()
@@ -301,10 +319,7 @@
             heard_part=round(evidence.resolved_fraction, 2),
             running_on_others=progress.running_on_others,
         )
-        try:
-            self.store.set_state(rollout, *_state_after(rollout, action))
-        except (Conflict, StoreUnavailable) as error:
-            log.warning("rollout_not_written", service=rollout.service, reason=repr(error))
+        self._write(rollout, *_state_after(rollout, action))
 
     def _evidence(self, rollout: Rollout) -> Evidence:
         control = self.rollouts.control
--- a/src/jacinthcove/gateway/rollouts.py
+++ b/src/jacinthcove/gateway/rollouts.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from statistics import median
 
@@ -20,6 +20,7 @@
 from jacinthcove.moves.split import FIRST_STEP_MAX_SHARE
 from jacinthcove.router.results import VersionResult
 from jacinthcove.router.versions import VersionManager
+from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
 
@@ -27,6 +28,8 @@
 STEP_SHARES = (FIRST_STEP_MAX_SHARE, 0.25, 1.0)
 # Stands for every version but the new one; no target has an empty version.
 OTHER_VERSIONS = ""
+# An older copy of the store may lack a rollout until the operator has written it again.
+KEPT_MS = 10_000
 # The rollout driver enforces the time limit, so the move itself has no deadline.
 NO_DEADLINE_MS = 1 << 62
 
@@ -50,7 +53,8 @@
     """An operator's order to move a service to `to_version` within `duration_ms`.
 
     `share` is the fraction of the requests that the new version gets while running. `revision` is
-    that of the stored rollout; a write of the state succeeds only on this revision.
+    that of the stored rollout; a write of the state succeeds only on this revision. `unsaved`: the
+    store came back from an older copy and lacks this state.
     """
 
     name: str
@@ -61,6 +65,7 @@
     share: float = 0.0
     revision: int = 0
     created_revision: int = 0
+    unsaved: bool = False
 
     @property
     def id(self) -> str:
@@ -72,6 +77,16 @@
         """Return the index of the step that `share` belongs to."""
         return sum(self.share > share for share in STEP_SHARES[:-1])
 
+    @property
+    def progress(self) -> tuple[bool, float]:
+        """Return a value that rises from one state to the next."""
+        return (self.state.ended, self.share)
+
+    def is_behind(self, known: "Rollout") -> bool:
+        """Return whether this is an earlier state of the same order than `known`."""
+        same = (self.service, self.to_version) == (known.service, known.to_version)
+        return same and self.progress < known.progress
+
 
 @dataclass(frozen=True)
 class VersionPlan:
@@ -105,6 +120,9 @@
         self.clock = clock
         self.registry = registry
         self.by_name: dict[str, Rollout] = {}
+        # What was known when the store came back from an older copy, until boot ms `kept_until`.
+        self.kept: dict[str, Rollout] = {}
+        self.kept_until = 0
         self.seen_at: dict[str, int] = {}
         self.config = FleetConfig()
         self.control: VersionManager | None = None
@@ -117,18 +135,52 @@
         )
         return self.control
 
-    def replace_all(self, rollouts: Iterable[Rollout]) -> None:
-        """Replace the known rollouts by these."""
+    def replace_all(self, rollouts: Iterable[Rollout], gap: Gap = Gap.NONE) -> None:
+        """Replace the known rollouts by a complete list.
+
+        An older copy may lack the last states and rollouts, which are kept until they are written
+        again.
+        """
+        if gap is Gap.OLDER_COPY:
+            self.kept, self.kept_until = self.by_name, self.clock.boot() + KEPT_MS
         self.by_name = {}
         for rollout in rollouts:
-            self._store(rollout)
+            self._store(self._with_kept_state(rollout))
+        for name in self.kept.keys() - self.by_name.keys():
+            self._store(self.kept[name])
         self._rebuild_config()
 
     def put(self, rollout: Rollout) -> None:
         """Add or update a rollout."""
-        self._store(rollout)
+        self._store(self._with_kept_state(rollout))
         self._rebuild_config()
 
+    def expire(self) -> None:
+        """Drop rollouts that an older copy lacks and that nobody has written again."""
+        if not self.kept or self.clock.boot() < self.kept_until:
+            return
+        kept, self.kept = self.kept, {}
+        for name, rollout in kept.items():
+            if self.by_name.get(name) is rollout:
+                self.delete(name)
+
+    def unsaved(self) -> list[Rollout]:
+        """Return the rollouts whose state has to be written to the store again."""
+        return [item for item in self.by_name.values() if item.unsaved]
+
+    def _with_kept_state(self, rollout: Rollout) -> Rollout:
+        known = self.kept.get(rollout.name)
+        if known is None or self.clock.boot() >= self.kept_until or not rollout.is_behind(known):
+            return rollout
+        log.info("rollout_state_kept", name=rollout.name, state=known.state.value)
+        return replace(
+            rollout,
+            state=known.state,
+            share=known.share,
+            created_revision=known.created_revision,
+            unsaved=True,
+        )
+
     def _store(self, rollout: Rollout) -> None:
         self.by_name[rollout.name] = rollout
         self.seen_at.setdefault(rollout.id, self.clock.now())
@@ -143,6 +195,7 @@
 
     def delete(self, name: str) -> None:
         """Forget a rollout that the operator removed."""
+        self.kept.pop(name, None)
         if self.by_name.pop(name, None) is not None:
             log.info("rollout_removed", name=name)
         self._rebuild_config()
--- a/src/jacinthcove/platform/followers.py
+++ b/src/jacinthcove/platform/followers.py
@@ -122,9 +122,8 @@
 
     def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known state by the listed objects."""
-        del gap
         decoded = (self._decode(item) for item in listing.objects)
-        self.rollouts.replace_all([item for item in decoded if item is not None])
+        self.rollouts.replace_all([item for item in decoded if item is not None], gap)
 
     def on_change(self, change: Change, in_outage: bool) -> None:
         """Apply one change."""
