Keep a quarantine that an older copy of the store lacks

Cause: what is missing from a list counts as released, and nobody writes it again. What an older copy lacks goes on and is stored again by the two examiners, and ends when it would have ended; what was released and is in the copy is not taken and is deleted again. test_a_quarantine_that_an_older_copy_lacks_goes_on_and_is_stored_again and test_a_part_that_was_released_is_not_quarantined_by_an_older_copy cannot pass before.

--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -245,7 +245,7 @@
         if self.members is None or self.members.me.id in self.examiners():
             for combination in self.quarantine.unstored():
                 self._store(combination)
-            self.released.update(self.quarantine.expired())
+            self.released.update(self.quarantine.expired(), self.quarantine.outdated)
         for combination in list(self.released):
             try:
                 self.store.delete(combination)
--- a/src/jacinthcove/gateway/quarantine.py
+++ b/src/jacinthcove/gateway/quarantine.py
@@ -12,6 +12,7 @@
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.crashevidence import Combination
 from jacinthcove.gateway.model import PromptShape
+from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
 
@@ -35,6 +36,10 @@
         self.stored_since: dict[Combination, int] = {}
         # Found by a router and not in the store yet.
         self.unstored_since: dict[Combination, int] = {}
+        # When combinations left the store.
+        self.released_at: dict[Combination, int] = {}
+        # Released, and in the store again because it came back from an older copy.
+        self.outdated: set[Combination] = set()
 
     def __contains__(self, combination: Combination) -> bool:
         return combination in self.stored_since or combination in self.unstored_since
@@ -42,24 +47,43 @@
     def __len__(self) -> int:
         return len(self.stored_since) + len(self.unstored_since)
 
-    def replace_stored(self, combinations: Collection[Combination]) -> None:
-        """Replace the combinations that the store lists."""
+    def replace_stored(self, combinations: Collection[Combination], gap: Gap = Gap.NONE) -> None:
+        """Replace the combinations that the store lists.
+
+        Those that an older copy lacks are to be stored again, and those that it still has although
+        they were released are to be deleted again.
+        """
+        older_copy = gap is Gap.OLDER_COPY
         for combination in self.stored_since.keys() - set(combinations):
-            self.remove_stored(combination)
+            if older_copy:
+                log.warning("prompt_parts_kept", parts=sorted(combination))
+                self.unstored_since[combination] = self.stored_since.pop(combination)
+            else:
+                self.remove_stored(combination)
+        self.outdated.clear()
+        self._forget_old_releases()
         for combination in combinations:
-            self.add_stored(combination)
+            if older_copy and combination in self.released_at:
+                self.outdated.add(combination)
+            else:
+                self.add_stored(combination)
 
     def add_stored(self, combination: Combination) -> None:
         """Record that the store lists a combination."""
         if combination not in self.stored_since:
             log.warning("prompt_parts_quarantined", parts=sorted(combination))
-        self.stored_since.setdefault(combination, self.clock.boot())
-        self.unstored_since.pop(combination, None)
+        found_at = self.unstored_since.pop(combination, self.clock.boot())
+        self.stored_since.setdefault(combination, found_at)
+        self.released_at.pop(combination, None)
+        self.outdated.discard(combination)
 
     def remove_stored(self, combination: Combination) -> None:
         """Record that the store lists a combination no more."""
+        self.outdated.discard(combination)
         if self.stored_since.pop(combination, None) is not None:
             log.info("prompt_parts_released", parts=sorted(combination))
+            self._forget_old_releases()
+            self.released_at[combination] = self.clock.boot()
 
     def add_found(self, combination: Combination) -> None:
         """Record a combination that a router found; it counts until the store lists it."""
@@ -83,6 +107,10 @@
         since = self.clock.boot() - QUARANTINE_MS
         return [combination for combination, at in self.stored_since.items() if at <= since]
 
+    def _forget_old_releases(self) -> None:
+        since = self.clock.boot() - QUARANTINE_MS
+        self.released_at = {item: at for item, at in self.released_at.items() if at > since}
+
     def combinations(self) -> list[Combination]:
         """Return all combinations in quarantine."""
         return [*self.stored_since, *self.unstored_since]
--- a/src/jacinthcove/platform/quarantinestore.py
+++ b/src/jacinthcove/platform/quarantinestore.py
@@ -44,10 +44,9 @@
 
     def on_list(self, listing: Listing, gap: Gap) -> None:
         """Replace the known combinations by the listed ones."""
-        del gap
         found = {item.name: parts for item in listing.objects if (parts := _decode(item))}
         self.combination_by_name = found
-        self.quarantine.replace_stored(found.values())
+        self.quarantine.replace_stored(found.values(), gap)
 
     def on_change(self, change: Change, in_outage: bool) -> None:
         """Apply one change."""
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -18,6 +18,7 @@
 from jacinthcove.gateway.crashexaminer import EXAMINERS, MAX_QUARANTINED, CrashExaminer
 from jacinthcove.gateway.quarantine import QUARANTINE_MS, Quarantine
 from jacinthcove.mesh.peers import Member
+from jacinthcove.store.kinds import Gap
 from tests.gateway.samples import prompt
 
 DEADLY = "dead"
@@ -107,9 +108,9 @@
             examiner.examine()
             examiner.upkeep()
 
-    def sync(self):
+    def sync(self, gap=Gap.NONE):
         for examiner in self.examiners.values():
-            examiner.quarantine.replace_stored(self.store.parts)
+            examiner.quarantine.replace_stored(self.store.parts, gap)
 
     def refusing(self, *parts):
         """Return the routers that refuse a request with just these shared parts."""
@@ -268,6 +269,40 @@
     assert not fleet.refusing(DEADLY)
 
 
+def find_deadly(fleet):
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, f"r{number}", DEADLY)
+    fleet.examine()
+    fleet.sync()
+    assert len(fleet.refusing(DEADLY)) == len(fleet.examiners)
+
+
+def test_a_quarantine_that_an_older_copy_lacks_goes_on_and_is_stored_again(fleet, clock):
+    find_deadly(fleet)
+    fleet.store.parts.clear()
+    clock.advance(QUARANTINE_MS // 2)
+    fleet.sync(Gap.OLDER_COPY)
+    assert len(fleet.refusing(DEADLY)) == len(fleet.examiners)
+    fleet.examine()
+    assert fleet.store.parts == {only(DEADLY)}
+    fleet.sync()
+    clock.advance(QUARANTINE_MS // 2)
+    fleet.examine()
+    assert not fleet.store.parts
+
+
+def test_a_part_that_was_released_is_not_quarantined_by_an_older_copy(fleet):
+    find_deadly(fleet)
+    fleet.store.parts.clear()
+    fleet.sync()
+    assert not fleet.refusing(DEADLY)
+    fleet.store.parts.add(only(DEADLY))
+    fleet.sync(Gap.OLDER_COPY)
+    assert not fleet.refusing(DEADLY)
+    fleet.examine()
+    assert not fleet.store.parts
+
+
 def test_engines_that_crash_at_the_same_time_quarantine_nothing(fleet):
     """All engines of a failure domain lose power, with many requests on popular parts."""
     for number in range(20):
