Write registrations and the key of the mesh again after an older copy

What routers wrote into the store since the copy is gone and nobody writes it again: a router that starts later does not find those that are not registered any more, and makes a key of its own if that of the mesh is missing.

Registering moves to a module of its own. When the era of the store rises, each router writes its registration within a second, and two of them the key. test_routers_write_again_what_an_older_copy_lacks_of_them cannot pass before; test_a_route_added_after_an_older_copy_came_back_is_served plays a configuration that is lost and written again.

--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -222,6 +222,7 @@
         """List all kinds again; the watch that saw it first must not end itself."""
         for watch in self.watches:
             gevent.spawn(watch.restart, era)
+        self.fleet.restore_registration()
 
     def start(self) -> None:
         """Serve at once; without a configuration every request is refused as not executed."""
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -1,7 +1,6 @@
 """Membership of this router in the fleet: registration in the store, and the mesh."""
 
 import random
-import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -10,7 +9,7 @@
 
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
-from jacinthcove.errors import Conflict, StoreUnavailable
+from jacinthcove.errors import StoreUnavailable
 from jacinthcove.gateway.digests import NoStoreNews, StoreNewsRelay
 from jacinthcove.gateway.directory import Candidate
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
@@ -29,30 +28,26 @@
 from jacinthcove.mesh.status import StatusService
 from jacinthcove.mesh.transport import open_listener
 from jacinthcove.platform.followers import StoredRollouts
-from jacinthcove.platform.names import ROUTERS_KIND, SECRETS_KIND
+from jacinthcove.platform.names import SECRETS_KIND
+from jacinthcove.platform.registration import Registration, mesh_address
 from jacinthcove.platform.settings import PlatformSettings
 from jacinthcove.platform.storeclient import PlatformStoreClient
 from jacinthcove.router.versions import VersionManager
 from jacinthcove.scheduling import rendezvous
-from jacinthcove.store.kinds import KindObject
 
 log = structlog.get_logger()
 
-MESH_SECRET = "mesh"
 RETRY_PAUSE_S = 0.5
 JOIN_TIMEOUT_S = 1.0
+# After an older copy of the store the routers write their registrations within this time, and this
+# many of them the mesh key.
+RESTORE_SPREAD_S = 1.0
+KEY_WRITERS = 2
 # A peer stream has heartbeats for this long after its last message. Probes open streams to all
 # members in turn, so permanent heartbeats would be most of the mesh traffic.
 WATCHED_STREAM_S = 3.0
 
 
-def _mesh_address(registration: KindObject) -> str:
-    """Return the mesh address of a router, an empty string if its registration is malformed."""
-    spec = registration.spec
-    address = spec.get("mesh") if isinstance(spec, dict) else None
-    return address if isinstance(address, str) else ""
-
-
 class Fleet:
     """Finds the other routers and exchanges load reports, store changes and rollouts."""
 
@@ -83,13 +78,12 @@
             settings.id, settings.mesh_listen, settings.caller_listen, settings.failure_domain
         )
         self.members = Membership(me, clock)
+        self.registration = Registration(store_client, me)
         self.registered_ids: frozenset[str] = frozenset()
         self.fleet_quota = FleetQuota(clock, me.id)
         # Monotonic ms from which all routers count this one to divide fleet-wide limits. None until
         # it is registered.
         self.counted_from_ms: int | None = None
-        # Whether this process may have created the registration; the others may not count it yet.
-        self.may_be_first_start = False
         # Called once when the other routers can be reached.
         self.listeners: list[Callable[[Members, Peers], None]] = []
         self.links: PeerLinks | None = None
@@ -100,6 +94,7 @@
         self.versions: VersionManager | None = None
         self.driver: RolloutDriver | None = None
         self.task = BackgroundTask(self._join)
+        self.restore_task = BackgroundTask(self._restore_registration)
 
     def start(self) -> None:
         """Join the mesh in the background; serving does not wait for it."""
@@ -110,9 +105,16 @@
         if self.prober is not None:
             self.prober.leave()
 
+    def restore_registration(self) -> None:
+        """Write what an older copy of the store lacks about this router; returns at once."""
+        if self.counted_from_ms is not None:
+            self.restore_task.close()
+            self.restore_task.start()
+
     def close(self) -> None:
         """Stop all exchange with other routers and close the mesh links."""
         self.task.close()
+        self.restore_task.close()
         for component in (
             self.driver,
             self.versions,
@@ -161,7 +163,7 @@
         ]
 
     def _join(self) -> None:
-        key = self._retry_until_available(self._mesh_key)
+        key = self._retry_until_available(self.registration.load_key)
         socket = open_listener(self.settings.mesh_listen)
         self.links = PeerLinks(
             self.members, socket, key.encode(), heartbeat_window_s=WATCHED_STREAM_S
@@ -214,34 +216,19 @@
                 log.warning("mesh_join_delayed", reason=str(error))
                 gevent.sleep(RETRY_PAUSE_S * random.uniform(0.5, 1.0))
 
-    def _mesh_key(self) -> str:
-        """Return the mesh key of the fleet, which the first router creates."""
-        known = self.store_client.ensure(SECRETS_KIND, MESH_SECRET, {"key": secrets.token_hex(16)})
-        return str(known.spec["key"])
-
     def _register(self) -> list[str]:
         """Register this router and return the mesh addresses of the others."""
-        me = self.members.me
-        spec = {"mesh": me.mesh_address, "domain": me.failure_domain}
-        registration = self._ensure_registered(spec)
-        if registration.spec != spec:
-            try:
-                self.store_client.replace(ROUTERS_KIND, me.id, spec, registration.revision)
-            except Conflict:
-                raise StoreUnavailable("another writer changed the registration") from None
-        listing = self.store_client.list_all(ROUTERS_KIND)
-        counted_after_ms = SETTLE_MS if self.may_be_first_start else COLD_WINDOW_MS
+        registered = self.registration.register()
+        first_start = self.registration.may_be_first_start
+        counted_after_ms = SETTLE_MS if first_start else COLD_WINDOW_MS
         self.counted_from_ms = self.clock.now() + counted_after_ms
-        self.registered_ids = frozenset(item.name for item in listing.objects)
-        others = [item for item in listing.objects if item.name != me.id]
-        found = [address for item in others if (address := _mesh_address(item))]
+        self.registered_ids = frozenset(item.name for item in registered)
+        others = [item for item in registered if item.name != self.members.me.id]
+        found = [address for item in others if (address := mesh_address(item))]
         return list(dict.fromkeys([*self.settings.seeds, *found]))
 
-    def _ensure_registered(self, spec: dict[str, str]) -> KindObject:
-        try:
-            registration = self.store_client.ensure(ROUTERS_KIND, self.members.me.id, spec)
-        except StoreUnavailable:
-            self.may_be_first_start = True
-            raise
-        self.may_be_first_start = self.may_be_first_start or not registration.revision
-        return registration
+    def _restore_registration(self) -> None:
+        gevent.sleep(random.uniform(0, RESTORE_SPREAD_S))
+        ids = rendezvous.ranked(SECRETS_KIND, [member.id for member in self.members.alive()])
+        includes_key = self.members.me.id in ids[:KEY_WRITERS]
+        self._retry_until_available(lambda: self.registration.restore(includes_key))
--- /dev/null
+++ b/src/jacinthcove/platform/registration.py
@@ -0,0 +1,70 @@
+"""What a router writes about itself in the store, and the key of the mesh."""
+
+import secrets
+
+import structlog
+
+from jacinthcove.errors import Conflict, StoreUnavailable
+from jacinthcove.mesh.peers import Member
+from jacinthcove.platform.names import ROUTERS_KIND, SECRETS_KIND
+from jacinthcove.platform.storeclient import PlatformStoreClient
+from jacinthcove.store.kinds import KindObject
+
+log = structlog.get_logger()
+
+MESH_SECRET = "mesh"
+
+
+def mesh_address(registration: KindObject) -> str:
+    """Return the mesh address of a router, an empty string if its registration is malformed."""
+    spec = registration.spec
+    address = spec.get("mesh") if isinstance(spec, dict) else None
+    return address if isinstance(address, str) else ""
+
+
+class Registration:
+    """Registers this router; all methods raise `StoreUnavailable`, and the caller tries again."""
+
+    def __init__(self, store_client: PlatformStoreClient, me: Member):
+        self.store_client = store_client
+        self.me = me
+        self.spec = {"mesh": me.mesh_address, "domain": me.failure_domain}
+        # The key of the mesh, None before it is loaded.
+        self.key: str | None = None
+        # Whether this process may have created the registration; the others may not count it yet.
+        self.may_be_first_start = False
+
+    def load_key(self) -> str:
+        """Return the mesh key of the fleet, which the first router creates."""
+        new = {"key": secrets.token_hex(16)}
+        self.key = str(self.store_client.ensure(SECRETS_KIND, MESH_SECRET, new).spec["key"])
+        return self.key
+
+    def register(self) -> list[KindObject]:
+        """Register this router, and return the registrations of all routers."""
+        try:
+            registration = self.store_client.ensure(ROUTERS_KIND, self.me.id, self.spec)
+        except StoreUnavailable:
+            self.may_be_first_start = True
+            raise
+        self.may_be_first_start = self.may_be_first_start or not registration.revision
+        self._correct(ROUTERS_KIND, registration, self.spec)
+        return list(self.store_client.list_all(ROUTERS_KIND).objects)
+
+    def restore(self, includes_key: bool) -> None:
+        """Write again what an older copy of the store lacks."""
+        if includes_key and self.key is not None:
+            spec = {"key": self.key}
+            stored = self.store_client.ensure(SECRETS_KIND, MESH_SECRET, spec)
+            self._correct(SECRETS_KIND, stored, spec)
+        stored = self.store_client.ensure(ROUTERS_KIND, self.me.id, self.spec)
+        self._correct(ROUTERS_KIND, stored, self.spec)
+
+    def _correct(self, kind: str, stored: KindObject, spec: dict[str, str]) -> None:
+        if stored.spec == spec:
+            return
+        log.warning("stored_object_corrected", kind=kind, name=stored.name)
+        try:
+            self.store_client.replace(kind, stored.name, spec, stored.revision)
+        except Conflict:
+            raise StoreUnavailable(f"another writer changed {kind}/{stored.name}") from None
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -293,6 +293,34 @@
     eventually(lambda: all(len(router.fleet.candidates()) == 4 for router in routers))
 
 
+def test_routers_write_again_what_an_older_copy_lacks_of_them(start, operator, store, ledger):
+    operator(7)
+    copy = store.copy()
+    routers = [start(f"front-{number}") for number in range(2)]
+    eventually(lambda: all(len(router.fleet.candidates()) == 2 for router in routers))
+    ours = {k: item["spec"] for k, item in store.objects.items() if k[0].startswith("jacinthcove")}
+    assert len(ours) == 3
+    for _ in range(2):
+        store.restore(copy)
+        eventually(lambda: ours.items() <= {k: v["spec"] for k, v in store.objects.items()}.items())
+    assert all(refusal_code(router) is None for router in routers)
+
+
+def test_a_route_added_after_an_older_copy_came_back_is_served(start, operator, store, ledger):
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    copy = store.copy()
+    operator(9, keys=("another",))
+    eventually(lambda: http(router.settings.caller_listen)[0] == 401)
+    store.restore(copy)
+    gevent.sleep(0.3)
+    assert http(router.settings.caller_listen)[0] == 401
+    operator(9, keys=("another",))
+    operator(12)
+    eventually(lambda: http(router.settings.caller_listen)[0] == 200)
+
+
 def test_directory_is_unavailable_before_router_has_joined(start, operator, store):
     operator(7)
     kind = "/jacinthcove-routers"
