Ask the store again when other routers know nothing newer

Cause: a router that the store rejects asks others for 3 s without a look at how old their answers are. Changes of others that are older than 3 s are not followed while the store may answer. test_router_asks_the_store_again_when_the_others_have_lost_it_too fails when the age is not looked at.

--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -50,6 +50,8 @@
 FALLBACK_MS = 3_000
 # How many routers of other failure domains are asked when the store does not reply.
 MAX_FALLBACK_ROUTERS = 3
+# What fallback routers know is older than this only if they have lost the store, too.
+MAX_FALLBACK_AGE_MS = 3_000
 # A relay router waits only this fraction of the usual time, because while its watch is silent the
 # data of all routers that ask it gets older.
 RELAY_WAIT_FRACTION = 1 / 3
@@ -171,7 +173,7 @@
         """Watch the store, or pull from fallback routers while it rejects this router."""
         if self.clock.now() < self.fallback_until:
             found = self._pull_from_fallback(kind, revision, wait_ms)
-            if found is not None:
+            if found is not None and (found.relay_age_ms or 0) <= MAX_FALLBACK_AGE_MS:
                 return found
         try:
             return self.direct.watch(kind, revision, wait_ms)
--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -434,6 +434,22 @@
         router.watch.close()
 
 
+def test_router_asks_the_store_again_when_the_others_have_lost_it_too(store, mesh, monkeypatch):
+    """Two routers that have both lost the store would pass each other what they knew."""
+    monkeypatch.setattr("jacinthcove.store.relay.FALLBACK_MS", 60_000)
+    monkeypatch.setattr("jacinthcove.store.relay.MAX_FALLBACK_AGE_MS", 500)
+    fleet, views = two_domains(store, mesh, 2)
+    views["a-0"].rejects = True
+    wait_until(lambda: fleet["a-0"].source.fallback_until)
+    views["a-0"].rejects = False
+    for id, router in fleet.items():
+        if id != "a-0":
+            router.watch.close()
+    store.put("x", 1)
+    wait_until(lambda: fleet["a-0"].follower.specs == {"x": 1})
+    fleet["a-0"].watch.close()
+
+
 def test_router_returns_to_the_store_once_it_is_served_again(store, mesh, monkeypatch):
     monkeypatch.setattr("jacinthcove.store.relay.FALLBACK_MS", 200)
     fleet, views = two_domains(store, mesh, 2)
