Test that requests late in the grace period are refused or answered

Another operator's router took requests late in the grace period of a planned stop and cut them at its end (LOST). It cannot happen here: a request is taken only while its route's time limit fits into what is left, a stream in the first 0.7 s.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -7,8 +7,12 @@
 import gevent
 import pytest
 from store_standin import eventually
+from test_platform_decode import ENTRY
 from test_platform_router import http, ledger, operator, start, store  # noqa: F401
-from wire_bed import read_response, request, response
+from wire_bed import ScriptedTarget, header, read_response, request, response
+
+from jacinthcove.platform import names
+from jacinthcove.platform.daemon import STREAM_DRAIN_MS
 
 CALLERS = 24
 GRACE_MS = 2_400
@@ -87,3 +91,61 @@
         gevent.get_hub().threadpool.apply(thread.join, (JOIN_S,))
     assert sum(status == 200 for caller in callers for status in caller.statuses) > CALLERS
     assert not [line for caller in callers for line in caller.unanswered]
+
+
+class Question:
+    """One request that is sent on an open connection; `status` is 0 if it ends without answer."""
+
+    def __init__(self, address, number, path="/publish/1"):
+        self.id, self.path = f"late-{number}", path
+        host, _, port = address.rpartition(":")
+        self.sock = gevent.socket.create_connection((host, int(port)), timeout=5)
+        self.status = None
+        self.whole = False
+
+    def run(self):
+        try:
+            self.sock.sendall(request(self.path, id=self.id))
+            self.status, _, body = read_response(self.sock)
+            self.whole = body is not None
+        except OSError:
+            self.status = 0
+
+
+@pytest.mark.parametrize("path", ["/publish/1", "/draft/1"])
+@pytest.mark.parametrize("work_s", [0.9, 30])
+def test_requests_taken_late_in_the_grace_period_are_not_cut(
+    start, operator, store, ledger, path, work_s  # noqa: F811
+):
+    """A request that cannot end before the router does must be refused, not passed on."""
+
+    def work(target, sock, head):
+        gevent.sleep(work_s)
+        sock.sendall(response(head))
+
+    operator(7)
+    ledger.script = work
+    engine = ScriptedTarget("i-2", "models", work)
+    store.put("servers", "i-2", ENTRY | {"service": "models", "address": engine.address})
+    router = start()
+    eventually(router.ready)
+    eventually(lambda: {"i-1", "i-2"} <= router.registry.states.keys())
+    bounds = replace(router.settings.bounds, grace_ms=GRACE_MS)
+    router.settings = replace(router.settings, bounds=bounds)
+    count = int(GRACE_MS / 1000 / 0.05) + 10
+    # The connections are open before the stop, so that late requests reach the router.
+    questions = [Question(router.settings.caller_listen, n, path) for n in range(count)]
+    stop = gevent.spawn(router.close)
+    gevent.sleep(STREAM_DRAIN_MS / 1000)
+    asked = []
+    for question in questions:
+        asked.append(gevent.spawn(question.run))
+        gevent.sleep(0.05)
+    gevent.joinall([stop, *asked], timeout=10)
+    heads = [*ledger.seen, *engine.seen]
+    taken = {header(head, names.ATTEMPT_ID) for head in heads}
+    cut = [q.id for q in questions if q.id in taken and not q.whole]
+    assert not cut
+    assert not [q.id for q in questions if q.id in taken and q.status == 503]
+    assert any(question.status == 503 for question in questions)
+    engine.close()
