Count a lent permit until a window after its last possible use

A lender counted a permit at the time it lent it, but the borrower may send up to 800 ms later, so the lender's next quota and the late request fell into the same 4 s: 30 requests where the limit is 24 in the new test (the rule of the users allows one and a half times the limit and 5, which no play exceeded).

Cause: a request counts from its send, and a permit has another time of send at another router. It now counts from the latest moment at which it can be used. test_a_permit_that_is_used_late_and_the_next_quota_of_its_lender_stay_within_the_limit failed before. test_a_permit_that_was_lent_counts_as_used_although_its_borrower_sends_nothing expected the whole limit back one window after the permit had ended at its borrower; it is back one window after its last possible use, and is as exact.

--- a/src/jacinthcove/gateway/permits.py
+++ b/src/jacinthcove/gateway/permits.py
@@ -15,7 +15,7 @@
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
 from jacinthcove.errors import PeerUnavailable
-from jacinthcove.gateway.raterule import StatedRule
+from jacinthcove.gateway.raterule import PERMIT_CALL_TIMEOUT_MS, StatedRule
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import PERMIT_PULL
@@ -31,7 +31,6 @@
 # How long a router waits for its quota to allow a permit, and how often it checks.
 CLAIM_MS = 150
 CLAIM_POLL_MS = 25
-CALL_TIMEOUT_MS = CLAIM_MS + 150
 # A router that was short itself within this time lends nothing.
 SHORT_MS = 500
 
@@ -123,7 +122,7 @@
     def _pull(self, lender: str, service: str, count: int) -> None:
         message = pb.PermitPull(service=service, count=count)
         try:
-            reply = self.peers.call(lender, PERMIT_PULL, message, CALL_TIMEOUT_MS)
+            reply = self.peers.call(lender, PERMIT_PULL, message, PERMIT_CALL_TIMEOUT_MS)
         except PeerUnavailable as error:
             log.debug("permits_not_lent", router=lender, reason=str(error))
             return
--- a/src/jacinthcove/gateway/ratelimiter.py
+++ b/src/jacinthcove/gateway/ratelimiter.py
@@ -51,9 +51,9 @@
             if not reserved:
                 del self.reserved[target]
 
-    def record_sent(self, target: str) -> None:
-        """Count a request that is sent now."""
-        self.sent.setdefault(target, deque()).append(self.clock.now())
+    def record_sent(self, target: str, within_ms: int = 0) -> None:
+        """Count a request that is sent now, or elsewhere within `within_ms`."""
+        self.sent.setdefault(target, deque()).append(self.clock.now() + within_ms)
         if len(self.sent) > MAX_TARGETS:
             self._remove_idle()
 
--- a/src/jacinthcove/gateway/raterule.py
+++ b/src/jacinthcove/gateway/raterule.py
@@ -17,8 +17,12 @@
 STATED_WINDOW_MS = 4_000
 # A smaller limit allows this many requests in a window: their responses show when it is lifted.
 MIN_STATED_REQUESTS = 1
-# A permit of another router is valid for this time; its lender has counted it as used.
+# A permit of another router is valid for this time after it arrives.
 PERMIT_TTL_MS = 500
+# The longest time for which its lender is asked for it.
+PERMIT_CALL_TIMEOUT_MS = 300
+# Its lender counts it as used at this age.
+MAX_PERMIT_AGE_MS = PERMIT_CALL_TIMEOUT_MS + PERMIT_TTL_MS
 
 
 @dataclass(frozen=True)
@@ -146,7 +150,7 @@
         quota = self.quota(target)
         if quota is None or not self.limiter.allows(target.record.id, quota):
             return False
-        self.limiter.record_sent(target.record.id)
+        self.limiter.record_sent(target.record.id, MAX_PERMIT_AGE_MS)
         return True
 
     def add_borrowed(self, target_id: str) -> None:
