Ask several routers at once in one place

The examiner of crashes asked others in two loops of its own, and the collection of statuses in a third. They use mesh/fanout.py now, and so do the choices of other routers in permits and gossip.

--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -14,11 +14,10 @@
 import gevent
 import structlog
 from gevent.event import Event
-from gevent.pool import Pool
 
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
-from jacinthcove.errors import PeerUnavailable, StoreUnavailable
+from jacinthcove.errors import StoreUnavailable
 from jacinthcove.gateway.crashevidence import (
     Combination,
     CrashEvidence,
@@ -27,6 +26,7 @@
 )
 from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.fanout import call_all, other_ids
 from jacinthcove.mesh.kinds import BEGUN_QUERY, CRASH_REPORT, QUARANTINE_NOTICE
 from jacinthcove.mesh.peers import Members, Peers
 from jacinthcove.scheduling import rendezvous
@@ -112,17 +112,11 @@
         """Send a report to all examiners; return whether one of them has it."""
         if self.members is None or self.peers is None:
             return False
-        peers, delivered = self.peers, []
-
-        def send(examiner: str) -> None:
-            try:
-                peers.call(examiner, CRASH_REPORT, message, QUERY_TIMEOUT_MS)
-                delivered.append(examiner)
-            except PeerUnavailable as error:
-                log.warning("crash_not_reported", router=examiner, reason=str(error))
-
-        gevent.joinall([gevent.spawn(send, examiner) for examiner in self.examiners()])
-        return bool(delivered)
+        examiners = self.examiners()
+        replies = call_all(self.peers, examiners, CRASH_REPORT, message, QUERY_TIMEOUT_MS)
+        for examiner in set(examiners) - replies.keys():
+            log.warning("crash_not_reported", router=examiner)
+        return bool(replies)
 
     def release(self, combinations: Collection[Combination]) -> None:
         """Release combinations, because an answer on all of their parts has begun."""
@@ -207,31 +201,18 @@
     def _ask_others(self, ages_ms: dict[str, int]) -> list[pb.BegunReply]:
         if self.members is None or self.peers is None:
             return []
-        me = self.members.me.id
-        others = [member.id for member in self.members.alive() if member.id != me]
+        others = other_ids(self.members)
+        asked = random.sample(others, min(len(others), MAX_ASKED))
         message = pb.BegunQuery(parts=list(ages_ms), ages_ms=list(ages_ms.values()))
-        replies: list[pb.BegunReply] = []
-
-        def ask(router: str) -> None:
-            assert self.peers is not None
-            try:
-                replies.append(self.peers.call(router, BEGUN_QUERY, message, QUERY_TIMEOUT_MS))
-            except PeerUnavailable as error:
-                log.debug("begun_query_failed", router=router, reason=str(error))
-
-        pool = Pool(MAX_ASKED)
-        for router in random.sample(others, min(len(others), MAX_ASKED)):
-            pool.spawn(ask, router)
-        pool.join()
-        return replies
+        replies = call_all(self.peers, asked, BEGUN_QUERY, message, QUERY_TIMEOUT_MS, MAX_ASKED)
+        return list(replies.values())
 
     def _quarantine(self, combination: Combination) -> None:
         self.quarantine.add_found(combination)
         if self.members is not None and self.peers is not None:
             notice = pb.QuarantineNotice(parts=sorted(combination))
-            for member in self.members.alive():
-                if member.id != self.members.me.id:
-                    self.peers.send(member.id, QUARANTINE_NOTICE, notice)
+            for router in other_ids(self.members):
+                self.peers.send(router, QUARANTINE_NOTICE, notice)
         self._store(combination)
 
     def _store(self, combination: Combination) -> None:
--- a/src/jacinthcove/gateway/permits.py
+++ b/src/jacinthcove/gateway/permits.py
@@ -18,6 +18,7 @@
 from jacinthcove.gateway.raterule import PERMIT_CALL_TIMEOUT_MS, StatedRule
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.fanout import other_ids
 from jacinthcove.mesh.kinds import PERMIT_PULL
 from jacinthcove.mesh.peers import Members, Peers
 
@@ -115,8 +116,7 @@
         return short_at is not None and self.clock.now() - short_at < SHORT_MS
 
     def _choose_lenders(self) -> list[str]:
-        me = self.members.me.id
-        others = [member.id for member in self.members.alive() if member.id != me]
+        others = other_ids(self.members)
         return self.rng.sample(others, min(LENDERS, len(others)))
 
     def _pull(self, lender: str, service: str, count: int) -> None:
--- a/src/jacinthcove/mesh/gossip.py
+++ b/src/jacinthcove/mesh/gossip.py
@@ -11,6 +11,7 @@
 from jacinthcove.errors import PeerUnavailable, StoreUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.documents import Document
+from jacinthcove.mesh.fanout import other_ids
 from jacinthcove.mesh.kinds import DOCUMENTS_PULL, DOCUMENTS_PUSH
 from jacinthcove.mesh.patches import (
     DigestMismatch,
@@ -162,7 +163,7 @@
         self.offer(document)
 
     def _query_sources(self, kind: str, read_store: ReadStore) -> bool:
-        others = [m.id for m in self.members.alive() if m.id != self.members.me.id]
+        others = other_ids(self.members)
         chosen = self.rng.sample(others, min(BOOTSTRAP_PEERS, len(others)))
         calls = [gevent.spawn(self._pull_from, member_id, kind) for member_id in chosen]
         calls.append(gevent.spawn(self._read_from_store, read_store))
--- a/src/jacinthcove/mesh/status.py
+++ b/src/jacinthcove/mesh/status.py
@@ -2,22 +2,20 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import gevent
-from gevent.pool import Pool
 
 from jacinthcove.errors import PeerUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
+from jacinthcove.mesh.fanout import call_all
 from jacinthcove.mesh.kinds import STATUS_QUERY
 from jacinthcove.mesh.peers import Members, Peers
 
 MEMBER_TIMEOUT_MS = 1_000
 DELEGATE_TIMEOUT_MS = 8_000
 DELEGATE_ATTEMPTS = 3
-# Below the connection limit, so that a query of all members does not close streams in use.
-CONCURRENT_QUERIES = 32
 
 
 @dataclass(frozen=True)
@@ -80,17 +78,8 @@
             return [self.members.me.id]
         return self.rng.sample(ids, min(DELEGATE_ATTEMPTS, len(ids)))
 
-    def _query_members(self, ids: Iterable[str]) -> list[pb.MemberStatus]:
-        pool = Pool(CONCURRENT_QUERIES)
-        return [
-            status for status in pool.imap_unordered(self._query_member, ids) if status is not None
-        ]
-
-    def _query_member(self, member_id: str) -> pb.MemberStatus | None:
-        if member_id == self.members.me.id:
-            return self.own_status()
-        try:
-            reply = self.peers.call(member_id, STATUS_QUERY, pb.StatusQuery(), MEMBER_TIMEOUT_MS)
-        except PeerUnavailable:
-            return None
-        return reply.members[0] if reply.members else None
+    def _query_members(self, ids: Sequence[str]) -> list[pb.MemberStatus]:
+        others = set(ids) - {self.members.me.id}
+        replies = call_all(self.peers, others, STATUS_QUERY, pb.StatusQuery(), MEMBER_TIMEOUT_MS)
+        statuses = [reply.members[0] for reply in replies.values() if reply.members]
+        return [self.own_status(), *statuses] if self.members.me.id in ids else statuses
