Choose the receivers of gossip from the same list of other routers

send_to_random_members built the list that mesh/fanout.py returns. The ids are in the same order, so the same random numbers choose the same routers. No change of behaviour.

--- a/src/jacinthcove/mesh/gossip.py
+++ b/src/jacinthcove/mesh/gossip.py
@@ -44,9 +44,9 @@
     rng: random.Random | None = None,
 ) -> None:
     """Send `message` one-way to `fanout` random live members; it may be lost."""
-    others = [m for m in members.alive() if m.id != members.me.id]
-    for member in (rng or random.Random()).sample(others, min(fanout, len(others))):
-        peers.send(member.id, kind, message)
+    others = other_ids(members)
+    for router in (rng or random.Random()).sample(others, min(fanout, len(others))):
+        peers.send(router, kind, message)
 
 
 class GossipedDocuments:
