--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -38,6 +38,7 @@
 zone={zone}
 region=here
 zones.zone-a=here
+zones.zone-b=here
 listen.front={ip}:{front}
 listen.ready={ip}:{ready}
 listen.directory={ip}:{directory}
@@ -295,25 +296,81 @@
         return 200, self._text(self._store(kind, name, spec, status))
 
 
+class SilentProxy:
+    """Passes bytes between the routers and the store until its open channels fall silent."""
+
+    def __init__(self, bed):
+        self.bed = bed
+        self.server = None
+        self.port = 0
+        self.generation = 0
+        # Called with the head of each request that a router sends.
+        self.on_request = lambda line: None
+
+    @property
+    def address(self):
+        """Return ip:port."""
+        return f"{self.bed.ip}:{self.port}"
+
+    async def start(self):
+        """Start to listen."""
+        self.server = await asyncio.start_server(self._serve, self.bed.ip, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def silence(self):
+        """Let the open channels go silent for good, without a reset; new ones work."""
+        self.generation += 1
+        self.bed.record.write("channels_silent")
+
+    async def _serve(self, reader, writer):
+        generation = self.generation
+        store_reader, store_writer = await asyncio.open_connection(
+            self.bed.ip, self.bed.store.port
+        )
+        await asyncio.gather(
+            self._pass(generation, reader, store_writer, True),
+            self._pass(generation, store_reader, writer, False),
+        )
+
+    async def _pass(self, generation, reader, writer, to_store):
+        try:
+            while data := await reader.read(65_536):
+                if generation != self.generation:
+                    continue
+                if to_store:
+                    self.on_request(data.split(b"\r\n", 1)[0].decode("latin-1"))
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            if generation == self.generation:
+                writer.close()
+
+
 class Engine:
     """An engine: runs each request that it is meant for, after `work_s`, and records the run.
 
     `answer` may be replaced by a case. A run ends early if the channel is closed.
     """
 
-    def __init__(self, bed, name, service, work_s=0.05, slots=64):
+    def __init__(self, bed, name, service, work_s=0.05, slots=64, zone="zone-a"):
         self.bed = bed
         self.name = name
         self.service = service
         self.work_s = work_s
         self.slots = slots
+        self.zone = zone
+        # When each request arrived, in seconds since the start of the case.
+        self.arrivals = []
         self.ip = bed.ip
         self.port = 0
         self.server = None
         self.born = int(time.time() * 1000)
         self.runs = []
         self.heads = []
-        self.sequence = 0
+        # A leaving engine says so in all its answers.
+        self.leaving = False
 
     async def start(self):
         """Start to listen and register in the store."""
@@ -326,7 +383,7 @@
         return {
             "service": self.service,
             "address": f"{self.ip}:{self.port}",
-            "zone": "zone-a",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": "ready",
@@ -361,6 +418,7 @@
             await writer.drain()
             return True
         self.heads.append((line, fields))
+        self.arrivals.append((self.bed.record.now(), attempt))
         return await self.answer(line, fields, body, reader, writer, attempt)
 
     def begin(self, attempt):
@@ -373,9 +431,10 @@
         self.begin(attempt)
         await asyncio.sleep(self.work_s)
         text = f"done {attempt}".encode()
+        leaving = "Server-Leaving: 1\r\n" if self.leaving else ""
         writer.write(
             f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: s.{attempt}\r\n"
-            f"Content-Length: {len(text)}\r\n\r\n".encode()
+            f"{leaving}Content-Length: {len(text)}\r\n\r\n".encode()
             + text
         )
         await writer.drain()
@@ -401,7 +460,7 @@
                 directory=self.directory,
                 mesh=self.mesh,
                 mesh_end=self.mesh + 1,
-                store=bed.store.address,
+                store=bed.store_address or bed.store.address,
                 memory_mb=MEMORY_MB,
             )
         )
@@ -579,6 +638,8 @@
         self.routers = []
         self.engines = []
         self.store = Store(self.ip)
+        # Where the routers reach the store, if not directly.
+        self.store_address = ""
         self.version = 0
         self.routes = []
         self.services = []
@@ -648,6 +709,7 @@
         self.sent = self.answered = 0
         self.lost = []
         self.unread = []
+        self.stopped = False
         self.tasks = []
 
     def start(self):
@@ -656,6 +718,8 @@
 
     async def stop(self):
         """Stop the requesters."""
+        # A cancelled `wait_for` may still return a result, so a flag ends the loops as well.
+        self.stopped = True
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -663,7 +727,9 @@
     async def _run(self, number):
         channel = Channel(self.bed, self.router)
         await channel.open()
-        for turn in range(100_000):
+        turn = 0
+        while not self.stopped:
+            turn += 1
             attempt = f"kept-{number}-{turn}"
             try:
                 await channel.send(self.path, attempt, deadline_ms=self.deadline_ms)
@@ -722,4 +788,7 @@
             bed.close()
 
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    sys.exit(asyncio.run(run()))
+    code = asyncio.run(run())
+    sys.stderr.flush()
+    # Everything that was started has ended; open sockets of the stand-ins need no clean-up.
+    os._exit(code)
