--- a/src/jacinthcove/store/changelog.py
+++ b/src/jacinthcove/store/changelog.py
@@ -2,30 +2,63 @@
 
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Any
 
 from gevent.event import Event
 
 from jacinthcove.clock import Clock
 from jacinthcove.errors import StoreUnavailable
+from jacinthcove.store.encodedjson import EncodedJson, encode_json
 from jacinthcove.store.kinds import Change, StoreRevision, WatchResult
 
 # Readers ask at least every few seconds; one that is further behind asks the store.
 MAX_BATCHES = 256
+# Limit for the changes of one kind; a router follows five kinds.
+MAX_BYTES = 4 * 1024 * 1024
+# A reply to another router has more only if its first batch is larger.
+MAX_REPLY_BYTES = 1024 * 1024
+# What a change takes beside its text.
+CHANGE_OVERHEAD_BYTES = 500
 
 
 @dataclass(frozen=True)
 class ChangeBatch:
-    """The changes of one store response, up to `revision`."""
+    """The changes of one store response, up to `revision`; their values are `EncodedJson`.
+
+    At `known_at` the store had nothing newer.
+    """
 
     revision: StoreRevision
+    known_at: int
     changes: Sequence[Change]
+    size_bytes: int
+
+
+def _encode(change: Change) -> Change:
+    item = change.object
+    return replace(change, object=replace(item, spec=_kept(item.spec), status=_kept(item.status)))
+
+
+def _kept(value: Any) -> EncodedJson:
+    # The encoder returns bytes with much room to spare, which a copy has not.
+    return EncodedJson(bytes(memoryview(encode_json(value))))
+
+
+def _size_bytes(change: Change) -> int:
+    item = change.object
+    return len(item.spec.data) + len(item.status.data) + len(item.name) + CHANGE_OVERHEAD_BYTES
+
+
+def _encode_batch(result: WatchResult, known_at: int) -> ChangeBatch:
+    encoded = [_encode(change) for change in result.changes]
+    return ChangeBatch(result.revision, known_at, encoded, sum(map(_size_bytes, encoded)))
 
 
 class ChangeLog:
     """Changes after `base_revision`, kept while this router watches the store itself.
 
-    All times are boot milliseconds.
+    They take `MAX_BYTES` at most. All times are boot milliseconds.
     """
 
     def __init__(self, clock: Clock):
@@ -36,13 +69,14 @@
         self.changed_revision = self.revision
         self.known_at = 0
         self.batches: deque[ChangeBatch] = deque()
+        self.kept_bytes = 0
         self.changed = Event()
 
     def restart(self, revision: StoreRevision, known_at: int) -> None:
         """Drop all batches and start at `revision`, from which the store gave a full list."""
         self.base_revision = self.revision = self.changed_revision = revision
         self.known_at = known_at
-        self.batches.clear()
+        self._clear()
         self.watches_store = True
         self._wake_readers()
 
@@ -53,16 +87,15 @@
         self.known_at = known_at
         self.revision = result.revision
         if result.changes:
-            self.batches.append(ChangeBatch(result.revision, result.changes))
+            self._append(_encode_batch(result, known_at))
             self.changed_revision = result.revision
-            if len(self.batches) > MAX_BATCHES:
-                self.base_revision = self.batches.popleft().revision
             self._wake_readers()
 
     def stop(self) -> None:
         """Stop serving: this router no longer watches the store itself."""
         if self.watches_store:
             self.watches_store = False
+            self._clear()
             self._wake_readers()
 
     def since(self, revision: StoreRevision, wait_ms: int) -> WatchResult:
@@ -76,19 +109,40 @@
             same_era = revision.era == self.revision.era
             if not self.watches_store or not same_era or revision < self.base_revision:
                 raise StoreUnavailable("this router does not have the changes since that revision")
-            changes = [
-                change
-                for batch in self.batches
-                if batch.revision > revision
-                for change in batch.changes
-            ]
+            newer = [batch for batch in self.batches if batch.revision > revision]
             left_ms = ends_at - self.clock.boot()
-            if changes or left_ms <= 0:
-                age_ms = max(0, self.clock.boot() - self.known_at)
-                newest = max(revision, self.revision)
-                return WatchResult(changes, newest, relay_age_ms=age_ms)
+            if newer or left_ms <= 0:
+                return self._reply(newer, revision)
             self.clock.wait(self.changed, left_ms)
 
+    def _reply(self, newer: list[ChangeBatch], revision: StoreRevision) -> WatchResult:
+        """Return the first of the batches; a reader at `revision` asks again for the rest."""
+        changes: list[Change] = []
+        size_bytes, known_at = 0, self.known_at
+        for batch in newer:
+            size_bytes += batch.size_bytes
+            if changes and size_bytes > MAX_REPLY_BYTES:
+                return self._result(changes, revision, known_at)
+            changes += batch.changes
+            revision, known_at = batch.revision, batch.known_at
+        return self._result(changes, max(revision, self.revision), self.known_at)
+
+    def _result(self, changes: list[Change], revision: StoreRevision, known_at: int) -> WatchResult:
+        age_ms = max(0, self.clock.boot() - known_at)
+        return WatchResult(changes, revision, relay_age_ms=age_ms)
+
+    def _append(self, batch: ChangeBatch) -> None:
+        self.batches.append(batch)
+        self.kept_bytes += batch.size_bytes
+        while len(self.batches) > MAX_BATCHES or self.kept_bytes > MAX_BYTES:
+            oldest = self.batches.popleft()
+            self.kept_bytes -= oldest.size_bytes
+            self.base_revision = oldest.revision
+
+    def _clear(self) -> None:
+        self.batches.clear()
+        self.kept_bytes = 0
+
     def _wake_readers(self) -> None:
         event, self.changed = self.changed, Event()
         event.set()
--- a/src/jacinthcove/store/kinds.py
+++ b/src/jacinthcove/store/kinds.py
@@ -27,7 +27,8 @@
 class KindObject:
     """One object of a kind; `revision` is that of its last change.
 
-    `spec` is what its author wrote. `status` is what the system wrote about it, or None.
+    `spec` is what its author wrote. `status` is what the system wrote about it, or None. Both are
+    `EncodedJson` in changes that are kept for other routers.
     """
 
     name: str
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -12,7 +12,6 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 import orjson
 import structlog
@@ -25,6 +24,7 @@
 from jacinthcove.mesh.peers import Members, Peers
 from jacinthcove.scheduling import rendezvous
 from jacinthcove.store.changelog import ChangeLog
+from jacinthcove.store.encodedjson import encode_json
 from jacinthcove.store.kinds import (
     Change,
     HistoryGone,
@@ -60,14 +60,6 @@
 MAX_DIGEST_AGE_MS = 2_400
 
 
-def _encode_json(value: Any) -> bytes:
-    """Encode what a store object holds; what is nested too deeply to be encoded becomes null."""
-    try:
-        return orjson.dumps(value)
-    except TypeError:
-        return b"null"
-
-
 def encode_result(result: WatchResult) -> pb.StoreNews:
     """Encode a watch result for another router."""
     message = pb.StoreNews(
@@ -79,8 +71,8 @@
             name=item.name,
             revision=item.revision,
             created_revision=item.created_revision,
-            spec=_encode_json(item.spec),
-            status=_encode_json(item.status),
+            spec=encode_json(item.spec),
+            status=encode_json(item.status),
             deleted=change.deleted,
         )
     return message
