Derive the wait of each watch from the bound of its kind (EVAC)

Cause: the end of a watch's wait is the only sign of a silent connection, and the waits were constants: 8 s for evacuations, 10 s for rollouts, 4 s for targets, each longer than the bound of its kind allows. Evidence: the late requests end when the watch of the evacuations is given up. Ruled out: the new list itself, which takes milliseconds. Weighed: one silent watch restarting all others, which misses a silence of some connections only.

Change: waits are derived from contact_ms, evacuate_ms and rollback_ms, less 1.2 s to notice and to list again; a reload applies changed bounds.

--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -54,6 +54,7 @@
 from jacinthcove.platform.quarantinestore import QuarantineFollower, StoredQuarantine
 from jacinthcove.platform.settings import Bounds, PlatformSettings
 from jacinthcove.platform.storeclient import PlatformStoreClient
+from jacinthcove.platform.watchwaits import watch_waits
 from jacinthcove.store.changelog import ChangeLog
 from jacinthcove.store.kindwatch import Follower, KindWatch
 from jacinthcove.store.relay import RelayedSource
@@ -62,13 +63,6 @@
 log = structlog.get_logger()
 
 STORE_TIMEOUT_MS = 800
-# How long each watch waits for changes. That of the configuration limits how old the known API keys
-# can be.
-CONFIG_WAIT_MS = 1_800
-TARGETS_WAIT_MS = 4_000
-DRAINED_WAIT_MS = 8_000
-ROLLOUTS_WAIT_MS = 10_000
-QUARANTINE_WAIT_MS = 8_000
 # Taken off the revocation bound for requests that are already on their way to a target.
 REVOKE_MARGIN_MS = 500
 # Fractions of the fleet-wide limits that are used, so that delays do not push the fleet over them.
@@ -194,14 +188,16 @@
         self.admission.is_late = self.loop_delay.is_late
         self.changelogs: dict[str, ChangeLog] = {}
         self.source = RelayedSource(clock, self.store_client, self.changelogs)
+        followers: dict[str, Follower] = {
+            CONFIG_KIND: ConfigFollower(self.active_config),
+            TARGETS_KIND: TargetFollower(self.registry),
+            DRAINED_DOMAINS_KIND: DrainFollower(self.registry.drained),
+            ROLLOUTS_KIND: RolloutFollower(self.rollouts),
+            QUARANTINE_KIND: QuarantineFollower(self.quarantine),
+        }
+        waits = watch_waits(bounds)
         self.watches = [
-            self._watch(CONFIG_KIND, CONFIG_WAIT_MS, ConfigFollower(self.active_config)),
-            self._watch(TARGETS_KIND, TARGETS_WAIT_MS, TargetFollower(self.registry)),
-            self._watch(
-                DRAINED_DOMAINS_KIND, DRAINED_WAIT_MS, DrainFollower(self.registry.drained)
-            ),
-            self._watch(ROLLOUTS_KIND, ROLLOUTS_WAIT_MS, RolloutFollower(self.rollouts)),
-            self._watch(QUARANTINE_KIND, QUARANTINE_WAIT_MS, QuarantineFollower(self.quarantine)),
+            self._watch(kind, waits[kind], follower) for kind, follower in followers.items()
         ]
         self.permits: PermitExchange | None = None
         self.store_client.on_restored.append(self._on_store_restored)
@@ -286,6 +282,9 @@
     def reload(self, settings: PlatformSettings) -> None:
         """Apply changed bounds; addresses stay as they were at the start."""
         self.settings = replace(self.settings, bounds=settings.bounds)
+        waits = watch_waits(settings.bounds)
+        for watch in self.watches:
+            watch.wait_ms = waits[watch.kind]
         self.active_config.max_age_ms = settings.bounds.revoke_ms - REVOKE_MARGIN_MS
         self.admission.rates.cold.rate_limit = _cold_rate_limit(settings.bounds)
         self.budget.window_ms = settings.bounds.retry_window_ms
--- a/src/jacinthcove/platform/settings.py
+++ b/src/jacinthcove/platform/settings.py
@@ -15,6 +15,11 @@
 
     # A withdrawn API key must no longer be accepted after this time.
     revoke_ms: int
+    # A router whose connections went silent keeps all bounds again after this time.
+    contact_ms: int
+    # A drained failure domain gets no more requests, and a bad version is cut, after these times.
+    evacuate_ms: int
+    rollback_ms: int
     # Retries of a service allowed in a window: this ratio of its requests plus the slack.
     retry_ratio: float
     retry_window_ms: int
@@ -84,6 +89,9 @@
 def _decode_bounds(reader: _SettingsReader) -> Bounds:
     return Bounds(
         revoke_ms=reader.integer("bounds.revoke_ms", default=5_000),
+        contact_ms=reader.integer("bounds.contact_ms", default=3_000),
+        evacuate_ms=reader.integer("bounds.evacuate_ms", default=5_000),
+        rollback_ms=reader.integer("bounds.rollback_ms", default=5_000),
         retry_ratio=reader.number("bounds.retry_budget_ratio", 0.2),
         retry_window_ms=reader.integer("bounds.budget_window_s", 1_000, 10),
         retry_slack=reader.integer("bounds.retry_budget_slack", default=20),
