--- a/src/jacinthcove/platform/storeclient.py
+++ b/src/jacinthcove/platform/storeclient.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib.parse import quote
 
+import gevent
 import orjson
 import structlog
 
@@ -42,6 +43,10 @@
     )
 
 
+def _let_others_run() -> None:
+    gevent.sleep(0)
+
+
 @dataclass(frozen=True)
 class _Page:
     """The body of a response to a read, and the era that it belongs to."""
@@ -201,7 +206,7 @@
         if reply.status not in (200, 201):
             raise StoreUnavailable(f"the store returned status {reply.status}")
         try:
-            return lenientjson.loads(reply.body, CONTAINERS)
+            return lenientjson.loads(reply.body, CONTAINERS, _let_others_run)
         except orjson.JSONDecodeError as error:
             raise StoreUnavailable(f"the response of the store is not JSON: {error}") from error
 
