Bound what all answers of targets keep together (LOST)

Report of other operators: a faulty engine sends bytes without end, the machine that called it runs out of memory, and the requests of others end with it.

Cause: each response was bounded (8 MiB), their sum was not. Ruled out: heads (32 KiB each) and streams (1 MB an event; 131 MB for 80).

Change: bytebudget.py counts what responses keep beyond 32 KiB, until the caller has the body; beyond a sixth of memory_mb the largest incomplete one gives its bytes up.

--- /dev/null
+++ b/src/jacinthcove/bytebudget.py
@@ -0,0 +1,95 @@
+"""A common limit for the bytes that a process keeps for many holders at once."""
+
+from collections.abc import Callable
+
+from jacinthcove.errors import JacinthcoveError
+
+# A holder that keeps no more than this is not counted.
+FREE_BYTES = 32 * 1024
+# Larger holders are counted in steps, so that most of the received pieces cost one comparison.
+STEP_BYTES = 64 * 1024
+
+
+class BudgetExceeded(JacinthcoveError):  # noqa: N818 - names an outcome
+    """A holder had to give its bytes up, because all holders together exceeded the limit."""
+
+
+def ignore_eviction() -> None:
+    """Eviction callback that does nothing."""
+
+
+class KeptBytes:
+    """What one holder keeps; `evicted` if it had to give its bytes up.
+
+    `on_evicted` drops the bytes at once, as their holder may not run for a while.
+    """
+
+    def __init__(self, budget: "ByteBudget"):
+        self.budget = budget
+        self.counted_bytes = 0
+        self.evicted = False
+        self.on_evicted: Callable[[], None] = ignore_eviction
+
+    def resize(self, size_bytes: int) -> None:
+        """Count `size_bytes`; raises `BudgetExceeded` if this holder has to give them up."""
+        if self.evicted:
+            raise BudgetExceeded("all answers together are too long")
+        if size_bytes > FREE_BYTES and self.counted_bytes < size_bytes:
+            self.budget.grow(self, size_bytes)
+
+    def empty(self) -> None:
+        """Count nothing for now."""
+        if self.counted_bytes:
+            self.budget.forget(self)
+
+    def keep(self) -> None:
+        """Protect the bytes, which are complete, from being given up."""
+        self.budget.evictable.discard(self)
+
+    def close(self) -> None:
+        """Count nothing any more."""
+        self.on_evicted = ignore_eviction
+        self.budget.forget(self)
+
+
+class ByteBudget:
+    """Limits what all holders keep; beyond the limit the largest has to give its bytes up.
+
+    So one that goes on without end gives way to many of usual size.
+    """
+
+    def __init__(self, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+        self.highest_bytes = 0
+        self.evictions = 0
+        self.evictable: set[KeptBytes] = set()
+
+    def open(self) -> KeptBytes:
+        """Return a holder that keeps nothing yet."""
+        return KeptBytes(self)
+
+    def grow(self, holder: KeptBytes, size_bytes: int) -> None:
+        """Count at least `size_bytes` for a holder; raises `BudgetExceeded`."""
+        counted_bytes = size_bytes + STEP_BYTES - 1
+        counted_bytes -= counted_bytes % STEP_BYTES
+        self.used_bytes += counted_bytes - holder.counted_bytes
+        holder.counted_bytes = counted_bytes
+        self.evictable.add(holder)
+        while self.used_bytes > self.limit_bytes and self.evictable:
+            self._evict(max(self.evictable, key=lambda item: item.counted_bytes))
+        self.highest_bytes = max(self.highest_bytes, self.used_bytes)
+        if holder.evicted:
+            raise BudgetExceeded("all answers together are too long")
+
+    def forget(self, holder: KeptBytes) -> None:
+        """Count nothing more for a holder."""
+        self.used_bytes -= holder.counted_bytes
+        holder.counted_bytes = 0
+        self.evictable.discard(holder)
+
+    def _evict(self, holder: KeptBytes) -> None:
+        holder.evicted = True
+        self.evictions += 1
+        self.forget(holder)
+        holder.on_evicted()
--- a/src/jacinthcove/gateway/exchange.py
+++ b/src/jacinthcove/gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from geventhttpclient.response import HTTPParseError
 
+from jacinthcove.bytebudget import BudgetExceeded, KeptBytes
 from jacinthcove.errors import TargetFailed
 from jacinthcove.targets.pool import ConnectionPool, TargetKey
 from jacinthcove.targets.response import RECEIVE_BYTES, TargetResponse
@@ -28,9 +29,13 @@
 
 
 class Exchange:
-    """A connection to a target that carries one request at a time."""
+    """A connection to a target that carries one request at a time.
 
-    def __init__(self, key: TargetKey, pool: ConnectionPool):
+    `kept` counts the bytes of the response that are kept, if all responses have a common limit.
+    """
+
+    def __init__(self, key: TargetKey, pool: ConnectionPool, kept: KeptBytes | None = None):
+        self.kept = kept
         self.key = key
         self.address = key.address
         self.pool = pool
@@ -60,9 +65,12 @@
             self.sock.settimeout(None)
             self.sock.sendall(head + body)
             self.sock = StallDetectingSocket(self.sock, STALL_LIMIT_MS, ignore_idle)
-            return TargetResponse(
-                self.sock, accept_response, block_size=RECEIVE_BYTES, method=method
+            response = TargetResponse(
+                self.sock, accept_response, self.kept, block_size=RECEIVE_BYTES, method=method
             )
+            if self.kept is not None:
+                self.kept.on_evicted = response.drop_body
+            return response
         except (OSError, HTTPParseError) as error:
             raise TargetFailed(f"{self.address} broke off: {error or type(error)}") from error
 
@@ -74,14 +82,34 @@
             raise TargetFailed(f"{self.address} broke off: {error}") from error
         if not response.message_complete:
             raise TargetFailed(f"{self.address} broke off before the end of its answer")
+        self._keep(len(body))
         return body
 
+    def _keep(self, size_bytes: int) -> None:
+        """Count a complete body; raises `TargetFailed`."""
+        if self.kept is not None:
+            self._count(size_bytes)
+            self.kept.keep()
+
+    def _count(self, size_bytes: int) -> None:
+        try:
+            if self.kept is not None:
+                self.kept.resize(size_bytes)
+        except BudgetExceeded as error:
+            raise TargetFailed(f"{self.address} broke off: {error}") from error
+
+    def _count_nothing(self) -> None:
+        if self.kept is not None:
+            self.kept.empty()
+
     def read_events(self, response: TargetResponse) -> Iterator[bytes]:
         """Yield chunks of whole events; raises `TargetFailed` if the stream is incomplete.
 
         It may end with its connection, so one that ends inside an event counts as broken off.
         """
         buffered = bytearray()
+        if self.kept is not None:
+            self.kept.on_evicted = buffered.clear
         while True:
             try:
                 data = response.receive()
@@ -96,8 +124,12 @@
             if end >= 0:
                 yield bytes(buffered[: end + len(EVENT_SEPARATOR)])
                 del buffered[: end + len(EVENT_SEPARATOR)]
+                self._count_nothing()
+            self._count(len(buffered))
             if len(buffered) > MAX_EVENT_BYTES:
                 raise TargetFailed(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        # Bytes that had to be given up must not make an incomplete stream look complete.
+        self._count(len(buffered))
         if not response.message_complete:
             raise TargetFailed(f"{self.address} broke off before the end of its stream")
         if buffered.strip():
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -7,6 +7,7 @@
 import gevent
 import structlog
 
+from jacinthcove.bytebudget import ByteBudget
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultClass, ResultCode, result_class
 from jacinthcove.errors import JacinthcoveError, RequestRefused, TargetFailed
@@ -56,8 +57,15 @@
     def write(self, data: bytes) -> None:
         """Send a chunk of a stream."""
 
-    def send_whole(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
-        """Send a complete response."""
+    def send_whole(
+        self,
+        status: int,
+        reason: str,
+        headers: Headers,
+        body: bytes,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Send a complete response and call `on_sent` when its body is not needed any more."""
 
 
 class TargetIneligible(TargetUnreachable):
@@ -134,9 +142,22 @@
         self.last_event_id = request.last_event_id
         self.first_event_at = 0
         self.attempts: list[Attempt] = []
+        # The bytes of the response of the last attempt, until the caller has got them.
+        self.kept = forwarder.answer_bytes.open()
+        self.body_handed_over = False
 
     def run(self) -> ResultCode:
         """Deliver the response; raises `RequestRefused` or `ResponseAborted`."""
+        delivers_body = False
+        try:
+            code = self._run_in_time()
+            delivers_body = self.body_handed_over
+            return code
+        finally:
+            if not delivers_body:
+                self.kept.close()
+
+    def _run_in_time(self) -> ResultCode:
         remaining_ms = max(1, self.request.deadline - self.clock.now())
         deadline_timer = gevent.Timeout(
             remaining_ms / 1000, DeadlineExceeded("the time limit passed")
@@ -176,6 +197,7 @@
             step = self._choose_step(attempt)
             self.forwarder.observer.on_step_chosen(self, attempt, step)
             if step in (NextAction.RETRY, NextAction.RESUME):
+                self._drop_body(attempt)
                 continue
             return self._finish(attempt, step)
 
@@ -195,7 +217,7 @@
             return ResultCode.OK
         if step is NextAction.DELIVER_FAILURE and attempt.head is not None:
             head = attempt.head
-            self.sink.send_whole(head.status, head.reason, head.headers, attempt.body)
+            self._send_whole(head, attempt.body)
             return ResultCode.TARGET_REJECTED
         if step is NextAction.REFUSE and not self.sink.headers_sent:
             after_ms = RETRY_AFTER_MS + self.forwarder.admission.registry.paused_for_ms(
@@ -206,6 +228,16 @@
             raise ResponseAborted(attempt.reason)
         raise RequestRefused(ResultCode.TARGET_FAILED, attempt.reason)
 
+    def _send_whole(self, head: ResponseHead, body: bytes) -> None:
+        self.body_handed_over = True
+        self.sink.send_whole(head.status, head.reason, head.headers, body, self.kept.close)
+
+    def _drop_body(self, attempt: Attempt) -> None:
+        """Forget the body of an attempt that another one follows."""
+        attempt.body = b""
+        self.kept.close()
+        self.kept = self.forwarder.answer_bytes.open()
+
     def _deadline_error(self) -> JacinthcoveError:
         if self.sink.headers_sent:
             return ResponseAborted("the time limit passed during the answer")
@@ -215,7 +247,7 @@
 
     def _run_attempt(self, attempt: Attempt) -> None:
         target = attempt.choice.target
-        exchange = Exchange(target.record.key, self.forwarder.connections)
+        exchange = Exchange(target.record.key, self.forwarder.connections, self.kept)
         try:
             exchange.open()
             self.sink.check_connected()
@@ -272,7 +304,7 @@
                 raise TargetFailed(f"the stream could not be resumed: status {head.status}")
             attempt.body = exchange.read_whole(response)
             if head.execution is Execution.SUCCEEDED:
-                self.sink.send_whole(head.status, head.reason, head.headers, attempt.body)
+                self._send_whole(head, attempt.body)
                 attempt.end = AttemptOutcome.COMPLETE
             else:
                 attempt.end = AttemptOutcome.ANSWERED_FAILURE
@@ -341,7 +373,9 @@
         connections: ConnectionPool,
         check_config_fresh: Callable[[GatewayRequest], None],
         observer: AttemptObserver,
+        answer_bytes: ByteBudget,
     ):
+        self.answer_bytes = answer_bytes
         self.clock = clock
         self.codec = codec
         self.admission = admission
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -317,6 +317,21 @@
             connection.close_if_idle()
 
 
+class WholeBody:
+    """A complete body; the server iterates over it to write it, and closes it in the end."""
+
+    def __init__(self, body: bytes, on_sent: Callable[[], None]):
+        self.body = body
+        self.on_sent = on_sent
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self.body
+
+    def close(self) -> None:
+        """Report that the body is not needed any more."""
+        self.on_sent()
+
+
 class CallerSink:
     """Writes one response to a caller; a leaving router closes the connection after it."""
 
@@ -350,10 +365,17 @@
         except OSError as error:
             raise CallerDisconnected(str(error)) from error
 
-    def send_whole(self, status: int, reason: str, headers: Headers, body: bytes) -> None:
-        """Send a complete response."""
+    def send_whole(
+        self,
+        status: int,
+        reason: str,
+        headers: Headers,
+        body: bytes,
+        on_sent: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Send a complete response and call `on_sent` when its body is not needed any more."""
         self.start_called = True
         fields = [(name, value) for name, value in headers if name.lower() != "content-length"]
         fields.append(("Content-Length", str(len(body))))
         self.start_response(f"{status} {reason}", fields)
-        self.result = [body]
+        self.result = WholeBody(body, on_sent)
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -6,6 +6,7 @@
 import structlog
 
 from jacinthcove.address import split_address
+from jacinthcove.bytebudget import ByteBudget
 from jacinthcove.clock import SystemClock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
@@ -83,6 +84,9 @@
 # Each open request takes two file descriptors and about 30 KB of memory.
 MAX_OPEN_REQUESTS = 1_200
 OVERLOADED_RETRY_MS = 1_000
+# The part of the memory for answers of targets that are not complete or not delivered yet.
+ANSWERS_MEMORY_FRACTION = 1 / 6
+MIB = 1024 * 1024
 METRICS_PORT = 9464
 INITIAL_STATE_POLL_S = 0.02
 
@@ -146,6 +150,7 @@
             self._retry_slack,
         )
         self.connections = ConnectionPool(clock, self.metrics)
+        self.answer_bytes = ByteBudget(int(settings.memory_mb * MIB * ANSWERS_MEMORY_FRACTION))
         first_events = FirstEvents(clock)
         self.quarantine = Quarantine(clock)
         self.examiner = CrashExaminer(
@@ -163,6 +168,7 @@
                 AttemptRecorder(clock, self.rollouts, self.active_config, self.decisions),
                 CrashWitness(first_events, self.quarantine, self.examiner),
             ),
+            self.answer_bytes,
         )
         self.application = GatewayApplication(
             clock,
@@ -301,6 +307,8 @@
 
     def _on_loop_delay(self, delay_ms: float) -> None:
         self.metrics.gauge("loop_delay_ms").set(delay_ms)
+        self.metrics.gauge("answer_bytes_highest").set(self.answer_bytes.highest_bytes)
+        self.metrics.gauge("answers_evicted").set(self.answer_bytes.evictions)
         self.relief.sample(self.fleet.is_left_out())
 
     def _has_initial_state(self) -> bool:
--- a/src/jacinthcove/platform/settings.py
+++ b/src/jacinthcove/platform/settings.py
@@ -7,6 +7,7 @@
 
 # Environment variable that holds the path of the settings file.
 SETTINGS_FILE_VARIABLE = "JACINTHCOVE_NODE_FILE"
+DEFAULT_MEMORY_MB = 300
 
 
 @dataclass(frozen=True)
@@ -46,6 +47,8 @@
     mesh_listen: str
     seeds: tuple[str, ...]
     store: str
+    # The platform kills a process that takes more memory.
+    memory_mb: int
     bounds: Bounds
 
 
@@ -119,6 +122,7 @@
         # Seeds name another port of each VM; the mesh port is the same on all of them.
         seeds=tuple(f"{seed.rpartition(':')[0]}:{ports[0]}" for seed in seeds if ":" in seed),
         store=reader.text("platform.address"),
+        memory_mb=reader.integer("limits.memory_mb", default=DEFAULT_MEMORY_MB),
         bounds=_decode_bounds(reader),
     )
     return Failure(tuple(reader.problems)) if reader.problems else Success(settings)
--- a/src/jacinthcove/targets/response.py
+++ b/src/jacinthcove/targets/response.py
@@ -5,6 +5,7 @@
 
 from geventhttpclient.response import HEADER_STATE_INIT, HTTPParseError, HTTPSocketResponse
 
+from jacinthcove.bytebudget import BudgetExceeded, KeptBytes
 from jacinthcove.targets.sockets import StallDetectingSocket
 
 RECEIVE_BYTES = 65_536
@@ -24,8 +25,8 @@
     also parses bytes after a complete response as the start of the next one, and then forgets the
     first. This class drops such bytes and sets `has_extra_bytes`.
 
-    Endless data of a faulty target exceeds one of two limits: that for framing bytes, or that for
-    buffered body bytes.
+    Endless data of a faulty target exceeds one of three limits: that for framing bytes, that for
+    buffered body bytes, or the common one of all responses, which `kept` counts.
 
     On a reused connection a late duplicate of an earlier response may arrive first. `is_expected`
     checks the head of each response; responses that are not expected are skipped.
@@ -43,9 +44,11 @@
         self,
         sock: Any,
         is_expected: Callable[["TargetResponse"], bool] = lambda response: True,
+        kept: KeptBytes | None = None,
         **options: Any,
     ):
         self.is_expected = is_expected
+        self.kept = kept
         super().__init__(sock, **options)
 
     def get_code(self) -> int:
@@ -58,6 +61,7 @@
         Raises `HTTPParseError` if an incomplete response is malformed or exceeds a size limit.
         """
         self.fed_bytes += len(data)
+        self._check_kept()
         try:
             super().feed(data)
         except HTTPParseError:
@@ -74,6 +78,14 @@
         if len(self._body_buffer) > MAX_BUFFERED_BODY_BYTES:
             raise HTTPParseError(f"the answer is longer than {MAX_BUFFERED_BODY_BYTES} bytes")
 
+    def _check_kept(self) -> None:
+        if self.kept is None:
+            return
+        try:
+            self.kept.resize(len(self._body_buffer))
+        except BudgetExceeded as error:
+            raise HTTPParseError(str(error)) from error
+
     def _is_complete(self) -> bool:
         return bool(self.final_status) and self.message_complete
 
@@ -128,6 +140,10 @@
             and not self.skipped_responses
         )
 
+    def drop_body(self) -> None:
+        """Drop the body bytes received so far."""
+        self._body_buffer.clear()
+
     def mark_progress(self) -> None:
         """Restart the stall timeout; from now on only calls of this method restart it."""
         if isinstance(self._sock, StallDetectingSocket):
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jacinthcove.bytebudget import ByteBudget
 from jacinthcove.clock import ManualClock
 from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
@@ -78,7 +79,7 @@
     )
     admission.configure(config())
     budget = WindowedRetryBudget(clock, 10_000, 0.2, lambda: 0)
-    return Forwarder(clock, None, admission, budget, None, lambda asked: None, None)
+    return Forwarder(clock, None, admission, budget, None, lambda asked: None, None, ByteBudget(0))
 
 
 def decide(admission, asked):
--- a/tests/platform/wire_bed.py
+++ b/tests/platform/wire_bed.py
@@ -3,6 +3,7 @@
 import gevent
 from gevent.server import StreamServer
 
+from jacinthcove.bytebudget import ByteBudget
 from jacinthcove.clock import SystemClock
 from jacinthcove.gateway.activeconfig import ActiveConfig
 from jacinthcove.gateway.admission import Admission
@@ -41,6 +42,7 @@
 HOST = "desk.example"
 KEY = "key-of-small"
 TIMEOUT_MS = 700
+ANSWER_BYTES = 50 * 1024 * 1024
 
 
 def route(name, kind, attempts=1, resumable=False, service="ledger"):
@@ -215,6 +217,7 @@
         self.quarantine = Quarantine(clock)
         self.examiner = CrashExaminer(clock, FirstEvents(clock), self.quarantine, NoStore())
         witness = CrashWitness(self.examiner.first_events, self.quarantine, self.examiner)
+        self.answer_bytes = ByteBudget(ANSWER_BYTES)
         forwarder = Forwarder(
             clock,
             PlatformCodec(),
@@ -223,6 +226,7 @@
             self.connections,
             lambda request: self.active_config.require_fresh(request.workspace),
             AttemptObservers(self.recorder, witness),
+            self.answer_bytes,
         )
         self.application = GatewayApplication(
             clock,
