Go on with periodic loops after an error

An error in one step ended the loops of load reports, shares, crash evidence, permits, idle connections and the measured delay for good, while the router said that it was ready. Each step is run by run_step, which logs the error.

--- a/src/jacinthcove/background.py
+++ b/src/jacinthcove/background.py
@@ -3,6 +3,17 @@
 from collections.abc import Callable
 
 import gevent
+import structlog
+
+log = structlog.get_logger()
+
+
+def run_step(step: Callable[[], object]) -> None:
+    """Run one step of a loop that has to go on; an error is logged."""
+    try:
+        step()
+    except Exception:
+        log.exception("background_step_failed", step=step.__qualname__)
 
 
 class BackgroundTask:
--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -15,7 +15,7 @@
 import structlog
 from gevent.event import Event
 
-from jacinthcove.background import BackgroundTask
+from jacinthcove.background import BackgroundTask, run_step
 from jacinthcove.clock import Clock
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.gateway.crashevidence import (
@@ -158,7 +158,7 @@
         while True:
             self.new_evidence.wait()
             self.new_evidence.clear()
-            self.examine()
+            run_step(self.examine)
             gevent.sleep(EXAMINE_INTERVAL_MS / 1000)
 
     def examine(self) -> None:
@@ -238,4 +238,4 @@
     def _upkeep_loop(self) -> None:
         while True:
             gevent.sleep(UPKEEP_INTERVAL_MS / 1000)
-            self.upkeep()
+            run_step(self.upkeep)
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -13,6 +13,7 @@
 import gevent
 import structlog
 
+from jacinthcove.background import run_step
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.callercounts import NO_CALLERS, CallerCounts, callers_from_report
 from jacinthcove.gateway.collectors import Collectors
@@ -314,7 +315,7 @@
         while True:
             direct = self.collector_in_use() is None
             gevent.sleep((self.same_domain.period_ms() if direct else BUNDLE_PERIOD_MS) / 1000)
-            self.send_same_domain()
+            run_step(self.send_same_domain)
 
     def _send_cross_domain_loop(self) -> None:
         while True:
@@ -327,7 +328,7 @@
             gevent.sleep(
                 (ROLE_CHECK_PERIOD_MS if other_collects else self.cross_domain_period_ms) / 1000
             )
-            self.send_cross_domain()
+            run_step(self.send_cross_domain)
 
     def _other_collectors(self) -> list[str]:
         """Return the collectors of other domains; all candidates of a domain if all are silent."""
@@ -352,6 +353,5 @@
     def _tick(self) -> None:
         while True:
             gevent.sleep(TICK_MS / 1000)
-            self.ledger.tick()
-            self.collectors.drop_departed()
-            self.on_tick()
+            for step in (self.ledger.tick, self.collectors.drop_departed, self.on_tick):
+                run_step(step)
--- a/src/jacinthcove/gateway/loopdelay.py
+++ b/src/jacinthcove/gateway/loopdelay.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from jacinthcove.background import BackgroundTask
+from jacinthcove.background import BackgroundTask, run_step
 from jacinthcove.clock import Clock
 
 PERIOD_MS = 250
@@ -76,5 +76,5 @@
             # The loop runs timers before ready greenlets. This yields, so that the delay includes
             # the greenlets that were ready before.
             gevent.sleep(0)
-            self.sample()
+            run_step(self.sample)
             gevent.sleep(PERIOD_MS / 1000)
--- a/src/jacinthcove/gateway/permits.py
+++ b/src/jacinthcove/gateway/permits.py
@@ -12,7 +12,7 @@
 import structlog
 from gevent.event import Event
 
-from jacinthcove.background import BackgroundTask
+from jacinthcove.background import BackgroundTask, run_step
 from jacinthcove.clock import Clock
 from jacinthcove.errors import PeerUnavailable
 from jacinthcove.gateway.raterule import PERMIT_CALL_TIMEOUT_MS, StatedRule
@@ -133,5 +133,5 @@
         while True:
             self.shortage.wait()
             self.shortage.clear()
-            self.borrow()
+            run_step(self.borrow)
             gevent.sleep(ROUND_MS / 1000)
--- a/src/jacinthcove/router/versions.py
+++ b/src/jacinthcove/router/versions.py
@@ -6,6 +6,7 @@
 import gevent
 import structlog
 
+from jacinthcove.background import run_step
 from jacinthcove.clock import Clock
 from jacinthcove.config.model import FleetConfig, Move
 from jacinthcove.mesh import mesh_pb2 as pb
@@ -164,9 +165,12 @@
     def _repeat_cuts(self) -> None:
         while True:
             self.clock.sleep(CUT_REPEAT_PERIOD_MS)
-            active = {
-                move.id for move in map(self.config().active_move, self.config().services) if move
-            }
-            for cut in self.fault_detector.cuts():
-                if cut.move_id in active:
-                    send_to_random_members(self.members, self.peers, MOVE_CUT, cut, 1, self.random)
+            run_step(self._send_cuts)
+
+    def _send_cuts(self) -> None:
+        active = {
+            move.id for move in map(self.config().active_move, self.config().services) if move
+        }
+        for cut in self.fault_detector.cuts():
+            if cut.move_id in active:
+                send_to_random_members(self.members, self.peers, MOVE_CUT, cut, 1, self.random)
--- a/src/jacinthcove/targets/pool.py
+++ b/src/jacinthcove/targets/pool.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-from jacinthcove.background import BackgroundTask
+from jacinthcove.background import BackgroundTask, run_step
 from jacinthcove.clock import Clock
 from jacinthcove.observe.metrics import Metrics
 
@@ -130,4 +130,4 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(SWEEP_MS / 1000)
-            self.sweep()
+            run_step(self.sweep)
