Answer 400 to numbers of tokens and times out of range

What callers saw: after one request that stated 10^20 tokens, 500 to every prompt of every workspace until the router was started again.

Cause: the counts had no range. A number above 64 bits cannot be encoded in log lines and reports, and ArrivalLog kept the request that it could not log.

Change: counts have one to nine digits, times of callers are decimal numbers; anything else is answered 400. ArrivalLog takes its requests before it writes.

--- a/src/jacinthcove/observe/arrivals.py
+++ b/src/jacinthcove/observe/arrivals.py
@@ -50,11 +50,13 @@
     def write(self) -> None:
         """Write a line with the requests so far; their times are ms before the line."""
         now, stats = self.clock.now(), self.engine_stats()
+        # Taken first, so that an error with one request does not come back with each later one.
+        requests, self.requests = self.requests, []
+        omitted, self.omitted = self.omitted, 0
         log.info(
             ARRIVED,
-            requests=[(now - item.at_ms, item.tokens, item.goal_ms) for item in self.requests],
-            uncounted=self.omitted,
+            requests=[(now - item.at_ms, item.tokens, item.goal_ms) for item in requests],
+            uncounted=omitted,
             engines=stats.engines,
             tokens_per_ms=round(stats.tokens_per_ms, 1),
         )
-        self.requests, self.omitted = [], 0
--- a/src/jacinthcove/platform/codec.py
+++ b/src/jacinthcove/platform/codec.py
@@ -40,6 +40,9 @@
 # A longer Retry-After of a target is reduced to this.
 MAX_RETRY_AFTER_MS = 60_000
 MAX_LOGGED_CHARS = 40
+# Sums of such numbers over all requests of a window still fit into messages between routers.
+_TOKENS = re.compile(r"[0-9]{1,9}")
+_TIMEOUT_MS = re.compile(r"-?[0-9]{1,12}(\.[0-9]{1,6})?")
 _RETRY_AFTER_S = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 _KEEP_ALIVE_TIMEOUT_S = re.compile(r"\btimeout=([0-9]{1,6})\b", re.IGNORECASE)
@@ -58,6 +61,20 @@
     return found
 
 
+def _decode_tokens(text: str) -> int:
+    """Decode a number of tokens; raises `ValueError` if it is none or out of range."""
+    if not _TOKENS.fullmatch(text.strip()):
+        raise ValueError(f"{text[:MAX_LOGGED_CHARS]!r} is not a number of tokens")
+    return int(text)
+
+
+def _decode_timeout_ms(text: str) -> float:
+    """Decode the time that a caller waits; raises `ValueError`."""
+    if not _TIMEOUT_MS.fullmatch(text.strip()):
+        raise ValueError(f"{text[:MAX_LOGGED_CHARS]!r} is not a time in ms")
+    return float(text)
+
+
 def decode_prompt(counts: str, parts: str) -> PromptShape:
     """Decode the token counts and prompt prefix headers; raises `ValueError`."""
     if not counts:
@@ -66,8 +83,10 @@
     items = []
     for entry in parts.split(",") if parts else ():
         part_id, _, tokens = entry.strip().rpartition(":")
-        items.append(PromptPart(part_id, int(tokens)))
-    return PromptShape(int(input_tokens), int(output_tokens or 0), tuple(items))
+        items.append(PromptPart(part_id, _decode_tokens(tokens)))
+    return PromptShape(
+        _decode_tokens(input_tokens), _decode_tokens(output_tokens or "0"), tuple(items)
+    )
 
 
 class PlatformCodec:
@@ -90,7 +109,9 @@
         if not request_id:
             raise RequestRefused(ResultCode.BAD_REQUEST, "the request has no id")
         try:
-            caller_timeout_ms = float(fields.get(names.TIME_LEFT_MS.lower(), route.timeout_ms))
+            caller_timeout_ms = _decode_timeout_ms(
+                fields.get(names.TIME_LEFT_MS.lower(), str(route.timeout_ms))
+            )
             prompt = decode_prompt(
                 fields.get(names.TOKEN_COUNTS.lower(), ""),
                 fields.get(names.PROMPT_PARTS.lower(), ""),
--- a/tests/platform/test_wire_requests.py
+++ b/tests/platform/test_wire_requests.py
@@ -41,6 +41,13 @@
     "no version": b"GET /status/1\r\nHost: x\r\n\r\n",
     "id twice": head(f"{names.ATTEMPT_ID}: q2", "Content-Length: 2") + b"{}",
     "unreadable counts": head(f"{names.TOKEN_COUNTS}: many", "Content-Length: 2") + b"{}",
+    "absurd counts": head(f"{names.TOKEN_COUNTS}: {10**20},1", "Content-Length: 2") + b"{}",
+    "negative counts": head(f"{names.TOKEN_COUNTS}: -5,1", "Content-Length: 2") + b"{}",
+    "absurd part": head(
+        f"{names.TOKEN_COUNTS}: 5,1", f"{names.PROMPT_PARTS}: aa:{10**20}", "Content-Length: 2"
+    )
+    + b"{}",
+    "no time": head(f"{names.TIME_LEFT_MS}: nan", "Content-Length: 2") + b"{}",
     "unreadable time": head(f"{names.TIME_LEFT_MS}: soon", "Content-Length: 2") + b"{}",
     "bad chunk": head("Transfer-Encoding: chunked") + b"zz\r\n{}\r\n0\r\n\r\n" + SMUGGLED,
 }
