--- a/src/jacinthcove/gateway/callersink.py
+++ b/src/jacinthcove/gateway/callersink.py
@@ -54,7 +54,7 @@
         fields = [*headers, ("Content-Length", str(len(body)))]
         write = self.start_response(f"{status} {reason}", fields)
         try:
-            write(body)
+            write(b"" if self.method == "HEAD" else body)
         except OSError as error:
             raise CallerDisconnected(str(error)) from error
 
@@ -93,4 +93,4 @@
         fields.append(("Content-Length", str(len(body))))
         self.start_response(f"{status} {reason}", fields)
         # A body after the head would be taken for the start of the connection's next response.
-        self.result = WholeBody(body, on_sent)
+        self.result = WholeBody(b"" if self.method == "HEAD" else body, on_sent)
