Bound the queues to all routers together, and replies of the store

All queues together take 32 MiB at most, messages to a peer with a short queue always pass; a reply is cut at 32 MiB.

--- a/src/jacinthcove/mesh/streams.py
+++ b/src/jacinthcove/mesh/streams.py
@@ -3,9 +3,8 @@
 import asyncio
 import math
 import socket
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from grpclib.client import Channel
@@ -18,6 +17,7 @@
 from jacinthcove.mesh.events import CallsFailed, Outgoing, PeerLost, Received, StreamLogEvent
 from jacinthcove.mesh.kinds import HEARTBEAT
 from jacinthcove.mesh.mesh_grpc import MeshBase, MeshStub
+from jacinthcove.mesh.stream import Peer, Stream
 from jacinthcove.mesh.transport import FleetKey, TlsOptions
 
 HEARTBEAT_INTERVAL_S = 0.9
@@ -41,8 +41,9 @@
 MAX_BUSY_CONNECTIONS = 512
 MAX_QUEUED = 4096
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
-MAX_FRAME_BYTES = 1024 * 1024
-MAX_REMEMBERED_CALLS = 4096
+# Limit for all peers together, which a peer with a short queue does not have to look at.
+MAX_ALL_QUEUED_BYTES = 32 * 1024 * 1024
+SHORT_QUEUE_BYTES = 64 * 1024
 # HTTP/2 frame header plus gRPC message header.
 FRAME_OVERHEAD_BYTES = 14
 # Traffic that belongs to no message kind is counted under `framing` and `open`.
@@ -53,66 +54,6 @@
 ACCEPTING_SIDE_BYTES = 210
 
 
-class Stream:
-    """One open bidirectional stream to a member; `raw` is the grpclib stream."""
-
-    def __init__(self, raw: Any, member_id: str, opened_here: bool, now: float):
-        self.raw = raw
-        self.member_id = member_id
-        self.opened_here = opened_here
-        self.lock = asyncio.Lock()
-        self.last_received = self.last_sent = self.last_used = now
-        self.sent_call_ids: deque[int] = deque(maxlen=MAX_REMEMBERED_CALLS)
-        self.usable = True
-        self.late = False
-
-    async def send(self, frame: pb.Frame) -> None:
-        """Send one frame; raises if the stream is lost."""
-        async with self.lock:
-            self.last_sent = asyncio.get_running_loop().time()
-            await self.raw.send_message(frame)
-
-    def abort(self) -> None:
-        """Drop the connection at once, without flushing: the peer may have stopped reading."""
-        self.usable = False
-        # grpclib has no public way to drop a connection; a graceful close would wait for the peer.
-        # After a loss it deletes the transport before the reader of the stream has ended.
-        transport = getattr(self.raw._stream.connection, "_transport", None)
-        if transport is not None:
-            transport.abort()
-
-
-@dataclass
-class Peer:
-    """Send queue and streams of one address; one task sends the queue."""
-
-    address: str
-    queue: deque[Outgoing] = field(default_factory=deque)
-    queued_bytes: int = 0
-    streams: list[Stream] = field(default_factory=list)
-    wake: asyncio.Event = field(default_factory=asyncio.Event)
-    redial: bool = False
-    busy: bool = False
-    task: asyncio.Task[None] | None = None
-
-    def usable_stream(self) -> Stream | None:
-        """Return the newest usable stream, or None."""
-        return next((s for s in reversed(self.streams) if s.usable), None)
-
-    def pop_batch(self) -> list[Outgoing]:
-        """Remove and return queued items that fit in one frame, at least one."""
-        batch: list[Outgoing] = []
-        size = 0
-        while self.queue and (not batch or size + self._next_size() <= MAX_FRAME_BYTES):
-            size += self._next_size()
-            batch.append(self.queue.popleft())
-        self.queued_bytes -= size
-        return batch
-
-    def _next_size(self) -> int:
-        return len(self.queue[0].envelope.body)
-
-
 class StreamTable(MeshBase):
     """All peers of one router with their streams; items for the gevent side go to `emit`.
 
@@ -173,13 +114,19 @@
             return
         peer = peer or self._add_peer(item.address)
         size = len(item.envelope.body)
-        if len(peer.queue) >= MAX_QUEUED or peer.queued_bytes + size > MAX_QUEUED_BYTES:
+        if len(peer.queue) >= MAX_QUEUED or not self._has_room(peer.queued_bytes + size):
             self._fail_calls([item], "the send queue is full")
             return
         peer.queue.append(item)
         peer.queued_bytes += size
         peer.wake.set()
 
+    def _has_room(self, peer_bytes: int) -> bool:
+        if peer_bytes <= SHORT_QUEUE_BYTES:
+            return True
+        all_bytes = sum(peer.queued_bytes for peer in self.peers.values())
+        return peer_bytes <= MAX_QUEUED_BYTES and all_bytes + peer_bytes <= MAX_ALL_QUEUED_BYTES
+
     def _add_peer(self, address: str) -> Peer:
         peer = self.peers[address] = Peer(address)
         peer.task = self._spawn(self._run_peer(peer))
--- a/src/jacinthcove/store/connections.py
+++ b/src/jacinthcove/store/connections.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 import gevent
 from geventhttpclient import HTTPClient
@@ -10,6 +11,10 @@
 from jacinthcove.address import split_address
 from jacinthcove.errors import JacinthcoveError
 
+# Replies are lists of about 1 MB, and changes of objects of 1 MB at most.
+MAX_REPLY_BYTES = 32 * 1024 * 1024
+PIECE_BYTES = 65_536
+
 
 class NoReply(JacinthcoveError):  # noqa: N818 - names an outcome
     """A call got no complete reply; it may have taken effect unless `refused` is set.
@@ -31,6 +36,16 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
+def _read_body(response: Any) -> bytes:
+    """Return the whole body; raises `HTTPParseError` if it is too long."""
+    body = bytearray()
+    while piece := response.read(PIECE_BYTES):
+        body += piece
+        if len(body) > MAX_REPLY_BYTES:
+            raise HTTPParseError(f"the reply is longer than {MAX_REPLY_BYTES} bytes")
+    return bytes(body)
+
+
 class Connections:
     """A pool of connections to one address that keeps up to `max_idle` idle ones.
 
@@ -105,7 +120,7 @@
         headers: Mapping[str, str],
     ) -> Reply:
         response = client.request(method, path, body=body, headers=dict(headers))
-        content = bytes(response.read())
+        content = _read_body(response)
         length = response.get("content-length")
         if length is not None and len(content) != int(str(length)):
             raise HTTPParseError("the reply broke off")
--- a/tests/mesh/test_streams.py
+++ b/tests/mesh/test_streams.py
@@ -129,3 +129,30 @@
     assert not heartbeat_table.aborted
     advance(heartbeat_table, streams.SILENCE_TIMEOUT_S, peer_alive=False)
     assert heartbeat_table.aborted
+
+
+def queue_large(table, *addresses):
+    """Queue a message of 10 MB for each address; return how many were refused."""
+    failed = []
+    table.emit = failed.append
+    for number, address in enumerate(addresses, 1):
+        table.peers[address] = Peer(address)
+        envelope = pb.Envelope(call_id=number, kind="x", body=b"x" * 10_000_000)
+        table.enqueue(Outgoing(address, "", envelope))
+    return len(failed)
+
+
+def test_queues_of_all_peers_together_are_bounded(table):
+    """Peers that all stop reading at once must not fill the memory."""
+    assert queue_large(table, "a", "b", "c", "d", "e", "f") == 3
+    kept = sum(peer.queued_bytes for peer in table.peers.values())
+    assert kept <= streams.MAX_ALL_QUEUED_BYTES
+
+
+def test_short_messages_are_sent_beside_full_queues(table):
+    queue_large(table, "a", "b", "c")
+    failed = []
+    table.emit = failed.append
+    table.peers["z"] = Peer("z")
+    table.enqueue(Outgoing("z", "", pb.Envelope(call_id=9, kind="x", body=b"x" * 1_000)))
+    assert (failed, len(table.peers["z"].queue)) == ([], 1)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -7,6 +7,7 @@
 from jacinthcove.clock import SystemClock
 from jacinthcove.errors import Conflict, StoreUnavailable
 from jacinthcove.platform.storeclient import PlatformStoreClient
+from jacinthcove.store import connections
 from jacinthcove.store.kinds import Gap, HistoryGone, StoreRevision
 from jacinthcove.store.kindwatch import OUTAGE_MS, KindWatch
 
@@ -61,6 +62,14 @@
     watch.close()
 
 
+def test_a_reply_without_end_is_cut_off(store, store_client, monkeypatch):
+    """The bytes of a reply must not fill the memory until the time limit."""
+    monkeypatch.setattr(connections, "MAX_REPLY_BYTES", 100_000)
+    store.put("things", "large", "x" * 200_000)
+    with pytest.raises(StoreUnavailable, match="longer"):
+        store_client.list_all("things")
+
+
 def test_list_reads_all_pages(store, store_client):
     for number in range(8):
         store.put("things", f"n{number}", number)
