Limit ids of prompt parts to 64 characters; say what bounds the memory

Routers remember up to 16,384 ids a table; a header of 8 to 16 KB could hold one id of that length. Longer ids are answered 400; the new test failed before.

--- a/src/jacinthcove/platform/codec.py
+++ b/src/jacinthcove/platform/codec.py
@@ -42,6 +42,8 @@
 MAX_LOGGED_CHARS = 40
 # Sums of such numbers over all requests of a window still fit into messages between routers.
 _TOKENS = re.compile(r"[0-9]{1,9}")
+# Routers remember thousands of ids of parts.
+_PART_ID = re.compile(r"[^\s:]{1,64}")
 _TIMEOUT_MS = re.compile(r"-?[0-9]{1,12}(\.[0-9]{1,6})?")
 _RETRY_AFTER_S = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
@@ -83,6 +85,8 @@
     items = []
     for entry in parts.split(",") if parts else ():
         part_id, _, tokens = entry.strip().rpartition(":")
+        if not _PART_ID.fullmatch(part_id):
+            raise ValueError(f"{part_id[:MAX_LOGGED_CHARS]!r} is not the id of a part")
         items.append(PromptPart(part_id, _decode_tokens(tokens)))
     return PromptShape(
         _decode_tokens(input_tokens), _decode_tokens(output_tokens or "0"), tuple(items)
--- a/tests/platform/test_wire_requests.py
+++ b/tests/platform/test_wire_requests.py
@@ -47,6 +47,10 @@
         f"{names.TOKEN_COUNTS}: 5,1", f"{names.PROMPT_PARTS}: aa:{10**20}", "Content-Length: 2"
     )
     + b"{}",
+    "long part": head(
+        f"{names.TOKEN_COUNTS}: 5,1", f"{names.PROMPT_PARTS}: {'a' * 65}:5", "Content-Length: 2"
+    )
+    + b"{}",
     "no time": head(f"{names.TIME_LEFT_MS}: nan", "Content-Length: 2") + b"{}",
     "unreadable time": head(f"{names.TIME_LEFT_MS}: soon", "Content-Length: 2") + b"{}",
     "bad chunk": head("Transfer-Encoding: chunked") + b"zz\r\n{}\r\n0\r\n\r\n" + SMUGGLED,
