Deliver a complete answer even if nothing is left of the limit

Found on reading: a complete answer of a sound target was given up if complete ones of slow readers took the whole limit, though it takes no more memory than it has already. Complete ones are counted and kept; incomplete ones give way.

--- a/src/jacinthcove/bytebudget.py
+++ b/src/jacinthcove/bytebudget.py
@@ -48,9 +48,18 @@
         if self.counted_bytes:
             self.budget.forget(self)
 
-    def keep(self) -> None:
-        """Protect the bytes, which are complete, from being given up."""
-        self.budget.evictable.discard(self)
+    def keep(self, size_bytes: int) -> None:
+        """Count `size_bytes`, which are complete and will not be given up.
+
+        Raises `BudgetExceeded` if this holder has given them up before.
+        """
+        self._check_evicted()
+        if size_bytes > FREE_BYTES:
+            self.budget.keep(self, size_bytes)
+
+    def _check_evicted(self) -> None:
+        if self.evicted:
+            raise BudgetExceeded("all answers together are too long")
 
     def close(self) -> None:
         """Count nothing any more."""
@@ -77,14 +86,16 @@
         return KeptBytes(self)
 
     def grow(self, holder: KeptBytes, size_bytes: int) -> None:
-        """Count at least `size_bytes` for a holder; raises `BudgetExceeded`."""
+        """Count `size_bytes` for a holder, which may have to give them up at once."""
         self._count(holder, _in_steps(size_bytes))
         self.evictable.add(holder)
-        while self.used_bytes > self.limit_bytes and self.evictable:
-            self._evict(max(self.evictable, key=lambda item: item.counted_bytes))
-        self.highest_bytes = max(self.highest_bytes, self.used_bytes)
-        if holder.evicted:
-            raise BudgetExceeded("all answers together are too long")
+        self._evict_largest()
+
+    def keep(self, holder: KeptBytes, size_bytes: int) -> None:
+        """Count `size_bytes` for a holder; if they don't fit, others give their bytes up."""
+        self._count(holder, _in_steps(size_bytes))
+        self.evictable.discard(holder)
+        self._evict_largest()
 
     def reserve(self, holder: KeptBytes, size_bytes: int) -> bool:
         """Count `size_bytes` for a holder, if they fit; return whether they do."""
@@ -93,7 +104,6 @@
             self.refusals += 1
             return False
         self._count(holder, counted_bytes)
-        self.highest_bytes = max(self.highest_bytes, self.used_bytes)
         return True
 
     def forget(self, holder: KeptBytes) -> None:
@@ -105,6 +115,11 @@
     def _count(self, holder: KeptBytes, counted_bytes: int) -> None:
         self.used_bytes += counted_bytes - holder.counted_bytes
         holder.counted_bytes = counted_bytes
+        self.highest_bytes = max(self.highest_bytes, self.used_bytes)
+
+    def _evict_largest(self) -> None:
+        while self.used_bytes > self.limit_bytes and self.evictable:
+            self._evict(max(self.evictable, key=lambda item: item.counted_bytes))
 
     def _evict(self, holder: KeptBytes) -> None:
         holder.evicted = True
--- a/src/jacinthcove/gateway/exchange.py
+++ b/src/jacinthcove/gateway/exchange.py
@@ -91,14 +91,9 @@
             raise TargetFailed(f"{self.address} broke off: {error}") from error
         if not response.message_complete:
             raise TargetFailed(f"{self.address} broke off before the end of its answer")
-        self._keep(len(body))
-        return body
-
-    def _keep(self, size_bytes: int) -> None:
-        """Count a complete body; raises `TargetFailed`."""
         if self.kept is not None:
-            self._count(size_bytes)
-            self.kept.keep()
+            self.kept.keep(len(body))
+        return body
 
     def _count(self, size_bytes: int) -> None:
         try:
--- a/tests/test_bytebudget.py
+++ b/tests/test_bytebudget.py
@@ -51,7 +51,7 @@
     budget = ByteBudget(LIMIT)
     complete, endless = budget.open(), budget.open()
     grow(complete, 800_000)
-    complete.keep()
+    complete.keep(800_000)
     with pytest.raises(BudgetExceeded):
         grow(endless, LIMIT)
     assert not complete.evicted
@@ -62,3 +62,15 @@
 def test_small_holders_are_not_refused_when_nothing_is_left():
     budget = ByteBudget(0)
     budget.open().resize(FREE_BYTES)
+
+
+def test_a_complete_answer_is_not_lost_because_nothing_is_left():
+    """The target has run the request, and the answer takes no more memory than it has already."""
+    budget = ByteBudget(LIMIT)
+    waiting = [budget.open() for _ in range(5)]
+    for holder in waiting:
+        holder.resize(180_000)
+        holder.keep(180_000)
+    last = budget.open()
+    last.keep(100_000)
+    assert not last.evicted
