End an answer that has to give its bytes up at once, as broken off

A part of an answer could not be delivered, as keep checks again.

The check stands once, in _check_evicted, and is made again after growing; Exchange turns the error into TargetFailed in one place. The test test_a_holder_that_exceeds_the_limit_is_told_at_once failed before.

--- a/src/jacinthcove/bytebudget.py
+++ b/src/jacinthcove/bytebudget.py
@@ -32,10 +32,10 @@
 
     def resize(self, size_bytes: int) -> None:
         """Count `size_bytes`; raises `BudgetExceeded` if this holder has to give them up."""
-        if self.evicted:
-            raise BudgetExceeded("all answers together are too long")
+        self._check_evicted()
         if size_bytes > FREE_BYTES and self.counted_bytes < size_bytes:
             self.budget.grow(self, size_bytes)
+            self._check_evicted()
 
     def reserve(self, size_bytes: int) -> bool:
         """Count `size_bytes` that will not be given up, if they fit; return whether they do."""
--- a/src/jacinthcove/gateway/exchange.py
+++ b/src/jacinthcove/gateway/exchange.py
@@ -91,13 +91,17 @@
             raise TargetFailed(f"{self.address} broke off: {error}") from error
         if not response.message_complete:
             raise TargetFailed(f"{self.address} broke off before the end of its answer")
-        if self.kept is not None:
-            self.kept.keep(len(body))
+        self._count(len(body), complete=True)
         return body
 
-    def _count(self, size_bytes: int) -> None:
+    def _count(self, size_bytes: int, complete: bool = False) -> None:
+        """Count the bytes that are kept; raises `TargetFailed` if they had to be given up."""
+        if self.kept is None:
+            return
         try:
-            if self.kept is not None:
+            if complete:
+                self.kept.keep(size_bytes)
+            else:
                 self.kept.resize(size_bytes)
         except BudgetExceeded as error:
             raise TargetFailed(f"{self.address} broke off: {error}") from error
--- a/tests/platform/test_answers_without_end.py
+++ b/tests/platform/test_answers_without_end.py
@@ -111,6 +111,17 @@
     assert (status, received) == (200, None)
 
 
+@pytest.mark.parametrize("size", [65_000, 150_000, 200_000, 300_000])
+def test_an_answer_that_had_to_give_up_bytes_is_reported_as_broken_off(bed, size):
+    """Neither a part of it nor an error of the router, whichever piece of it is the last."""
+    bed.answer_bytes.limit_bytes = 0
+    body = b"a" * size
+    bed.add("t1", "ledger", lambda target, sock, head: sock.sendall(response(head, body)))
+    status, _, received = bed.call("/publish/1")
+    assert status == 502 or (status == 200 and received == body)
+    assert bed.answer_bytes.used_bytes == 0
+
+
 def test_a_large_answer_that_fits_is_delivered_and_counted_until_then(bed):
     body = b"a" * (MAX_BUFFERED_BODY_BYTES - 1)
     bed.add("t1", "ledger", lambda target, sock, head: sock.sendall(response(head, body)))
--- a/tests/test_bytebudget.py
+++ b/tests/test_bytebudget.py
@@ -19,6 +19,12 @@
     assert budget.used_bytes == 0
 
 
+def test_a_holder_that_exceeds_the_limit_is_told_at_once():
+    """One call later its bytes, already dropped, could look like the whole of an answer."""
+    with pytest.raises(BudgetExceeded):
+        ByteBudget(LIMIT).open().resize(2 * LIMIT)
+
+
 def test_all_holders_together_stay_below_the_limit():
     budget = ByteBudget(LIMIT)
     holders = [budget.open() for _ in range(100)]
