--- a/src/jacinthcove/gateway/activeconfig.py
+++ b/src/jacinthcove/gateway/activeconfig.py
@@ -73,6 +73,11 @@
             )
         return self.table
 
+    def max_timeout_ms(self) -> int:
+        """Return the longest time limit of a route, 0 before the first configuration."""
+        routes = self.table.config.routes if self.table is not None else ()
+        return max((route.timeout_ms for route in routes), default=0)
+
     def require_fresh(self, workspace: str) -> None:
         """Raise `RequestRefused` if the key of `workspace` may have been revoked since.
 
--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -14,6 +14,7 @@
 from jacinthcove.gateway.callersink import CallerSink
 from jacinthcove.gateway.codec import GatewayCodec
 from jacinthcove.gateway.forward import Forwarder, ResponseAborted
+from jacinthcove.gateway.handover import Handover
 from jacinthcove.gateway.model import CallerLimits, GatewayRequest
 from jacinthcove.gateway.server import GatewayHandler
 from jacinthcove.observe.decisions import DecisionLog
@@ -31,6 +32,7 @@
     `overloaded` returns whether other routers would serve callers better; `on_request` is called
     with every request that could be decoded. `early_refusal` returns why the router refuses a
     request whatever it is, or None; on a new connection it is asked before the request is parsed.
+    Before that, `passes_on` is asked whether another router should serve it by `handover`.
     """
 
     def __init__(
@@ -46,6 +48,8 @@
         overloaded: Callable[[], bool] = lambda: False,
         on_request: Callable[[GatewayRequest], None] = lambda request: None,
         early_refusal: Callable[[], RequestRefused | None] = lambda: None,
+        passes_on: Callable[[], bool] = lambda: False,
+        handover: Handover | None = None,
     ):
         self.clock = clock
         self.active_config = active_config
@@ -58,6 +62,8 @@
         self.overloaded = overloaded
         self.on_request = on_request
         self.early_refusal = early_refusal
+        self.passes_on = passes_on
+        self.handover = handover
         self.shed_counter = metrics.counter("requests_shed_total")
         self.leaving = False
         self.connections: set[CallerHandler] = set()
@@ -90,6 +96,20 @@
         lines = [f"HTTP/1.1 {response.status} Refused", *(f"{name}: {v}" for name, v in fields)]
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"), response.body
 
+    def pass_on(self, caller: Any, data: bytes) -> bool:
+        """Let another router answer a request; return False, with nothing sent, if none can.
+
+        `caller` is the gevent socket on which `data`, one whole request, waits to be read.
+        """
+        if self.handover is None or self.leaving:
+            return False
+        self.open_requests += 1
+        self.last_request_at = self.clock.now()
+        try:
+            return self.handover.pass_on(caller, data, self.open_requests)
+        finally:
+            self.open_requests -= 1
+
     def record_shed(self, refusal: RequestRefused) -> None:
         """Count a request that was refused before it was parsed."""
         self.last_request_at = self.clock.now()
@@ -120,7 +140,7 @@
         return sink.result
 
     def _serve(self, connection: GatewayHandler, sink: CallerSink) -> None:
-        received_at = self.clock.now()
+        received_at = self.clock.now() - (connection.waited_ms or 0)
         request_id = self.codec.request_id(connection.raw_headers)
         code = ResultCode.INTERNAL
         workspace = ""
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import re
-import socket
 from collections.abc import Iterator
 from typing import Any
 
@@ -16,8 +15,9 @@
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.callererrors import BodyNotRead, CallerDisconnected, MalformedRequest
 from jacinthcove.gateway.codec import Headers, RawRequest
+from jacinthcove.gateway.handover import has_disconnected, may_pass_on, take_waited_ms
 from jacinthcove.gateway.model import CallerLimits
-from jacinthcove.gateway.shedding import answer_whole_request
+from jacinthcove.gateway.shedding import answer_whole_request, await_whole_request
 from jacinthcove.router.connection import CallerHandler
 
 log = structlog.get_logger()
@@ -105,15 +105,40 @@
     raw_headers: Headers = ()
     # Whether it has been decided already that the next request is not refused for lateness.
     passed_early_check = False
+    # How long another router has had the request that it passed on, None if none did.
+    waited_ms: int | None = None
     rfile: Any
 
     def handle(self) -> None:
-        """Serve the requests of the connection, or refuse the first one if the router is late."""
+        """Serve the requests of the connection; the first one may be passed on or refused."""
+        if self._pass_on():
+            return
         refusal = self.server.application.early_refusal()
         self.passed_early_check = refusal is None
         if refusal is None or not self._shed(refusal):
             super().handle()
 
+    def _pass_on(self) -> bool:
+        """Let another router answer the first request; return False if this one has to."""
+        application = self.server.application
+        if not application.passes_on():
+            return False
+        data = await_whole_request(self.socket)
+        if data is None or not may_pass_on(data):
+            return False
+        application.connections.add(self)
+        try:
+            if not application.pass_on(self.socket, data):
+                return False
+        finally:
+            application.connections.discard(self)
+        self._close()
+        return True
+
+    def _close(self) -> None:
+        self.rfile.close()
+        self.socket.close()
+
     def _shed(self, refusal: RequestRefused) -> bool:
         """Refuse the first request and close the connection; return False if it is not whole."""
         application = self.server.application
@@ -123,8 +148,7 @@
                 return False
         except OSError as error:
             log.debug("shed_failed", reason=str(error))
-        self.rfile.close()
-        self.socket.close()
+        self._close()
         application.record_shed(refusal)
         return True
 
@@ -189,7 +213,8 @@
 
     def read_request(self, raw_requestline: str) -> Any:
         """Parse the request head that `read_requestline` has read."""
-        self.raw_headers = parse_headers(self.header_block)
+        headers = parse_headers(self.header_block)
+        self.raw_headers, self.waited_ms = take_waited_ms(headers)
         parts = raw_requestline.rstrip("\r\n").split(" ")
         if len(parts) != 3 or not parts[1].startswith("/") or "#" in parts[1]:
             raise MalformedRequest(400, "the request line is malformed")
@@ -284,13 +309,11 @@
 
     def has_disconnected(self) -> bool:
         """Return whether the caller has closed its connection."""
-        try:
-            # Peeks at the underlying non-blocking socket, so no duplicate descriptor is needed.
-            return not self.socket._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return has_disconnected(self.socket)
+
+    def closes_connection(self) -> bool:
+        """Return whether the connection closes after the response, as always if passed on."""
+        return self.waited_ms is not None or super().closes_connection()
 
     def abort(self) -> None:
         """Close the connection after this request, even if its response is incomplete."""
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -19,11 +19,16 @@
 from jacinthcove.gateway.crashwitness import CrashWitness
 from jacinthcove.gateway.directory import routers_for
 from jacinthcove.gateway.forward import Forwarder
+from jacinthcove.gateway.handover import Handover
+from jacinthcove.gateway.helpers import Helpers
+from jacinthcove.gateway.intake import Intake
 from jacinthcove.gateway.loopdelay import LoopDelay
-from jacinthcove.gateway.model import GatewayRequest, RetrySafety
+from jacinthcove.gateway.loopwork import LoopWork
+from jacinthcove.gateway.model import GatewayRequest
 from jacinthcove.gateway.overload import CallerRelief
 from jacinthcove.gateway.permits import PermitExchange
 from jacinthcove.gateway.placement import Placement
+from jacinthcove.gateway.plannedstop import PlannedStop
 from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.gateway.raterule import ColdRateLimit
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
@@ -70,13 +75,8 @@
 COLD_RATE_FRACTION = 0.8
 RETRY_RATIO_FRACTION = 0.8
 RETRY_SLACK_FRACTION = 0.8
-# A stopping router still accepts streams for this long while callers switch to another router.
-STREAM_DRAIN_MS = 700
-# Callers may use a cached address for this long after the directory dropped it.
-LOOKUP_CACHE_MS = 3_000
-# The router stops accepting connections this long before the grace period ends.
-EXIT_MARGIN_MS = 900
-# Time within EXIT_MARGIN_MS to answer requests that arrived just before the listener closed.
+# Time within EXIT_MARGIN_MS of planned stops to answer requests that arrived just before the
+# listener closed.
 FINAL_RESPONSES_MS = 400
 # A stopping router exits early only after no request arrived for this long.
 QUIET_MS = 600
@@ -173,6 +173,17 @@
             ),
             self.answer_bytes,
         )
+        self.loop_delay = LoopDelay(clock, self._on_loop_delay)
+        self.loop_work = LoopWork()
+        self.intake = Intake(self.loop_delay, self.loop_work.take_fraction)
+        helpers = Helpers(clock, settings.id, settings.failure_domain, self.fleet.candidates)
+        handover = Handover(
+            clock,
+            helpers,
+            bounds.event_delay_max_ms,
+            self.active_config.max_timeout_ms,
+            self.metrics.counter("requests_passed_on_total"),
+        )
         self.application = GatewayApplication(
             clock,
             self.active_config,
@@ -182,18 +193,17 @@
             self.decisions,
             self._refusal_for,
             self.body_bytes,
-            lambda: not self.ready() or self.fleet.is_left_out(),
+            self._closes_connections,
             self._on_request,
-            self._early_refusal,
+            self.intake.refusal,
+            self.intake.passes_on,
+            handover,
         )
         self.server = GatewayServer(settings.caller_listen, self.application)
         self.endpoints = Endpoints(
             self.ready, self._directory_addresses, self.metrics, bounds.lookup_lifetime_max_ms
         )
-        # Boot clock ms when the stop began, None before. Boot time, because the grace period of the
-        # platform continues while the VM is suspended.
-        self.stopping_at: int | None = None
-        self.loop_delay = LoopDelay(clock, self._on_loop_delay)
+        self.stop = PlannedStop(clock, bounds.grace_ms)
         self.relief = CallerRelief(clock)
         self.admission.is_late = self.loop_delay.is_late
         self.changelogs: dict[str, ChangeLog] = {}
@@ -211,7 +221,12 @@
         ]
         self.permits: PermitExchange | None = None
         self.store_client.on_restored.append(self._on_store_restored)
-        self.fleet.listeners += [self.source.join, self.examiner.join, self._start_permits]
+        self.fleet.listeners += [
+            self.source.join,
+            self.examiner.join,
+            self._start_permits,
+            lambda members, peers: members.subscribe(handover.on_member),
+        ]
         self.fleet.news = self.source
 
     def _watch(self, kind: str, wait_ms: int, follower: Follower) -> KindWatch:
@@ -236,6 +251,8 @@
         for watch in self.watches:
             watch.start()
         self.loop_delay.start()
+        self.loop_work.start()
+        self.intake.start()
         self.connections.start()
         self.examiner.start()
         self.server.start()
@@ -252,12 +269,11 @@
 
     def close(self) -> None:
         """Leave the fleet, finish open requests, and stop before the grace period ends."""
-        self.stopping_at = self.clock.boot()
+        self.stop.begin()
         self.application.leaving = True
         log.info("router_leaving", open_requests=self.application.open_requests)
         self.fleet.leave()
-        ends_at = self.stopping_at + self.settings.bounds.grace_ms - EXIT_MARGIN_MS
-        while self.clock.boot() < ends_at and not self._can_stop_early():
+        while self.stop.left_ms() > 0 and not self._can_stop_early():
             gevent.sleep(POLL_S)
         self.server.stop_accepting()
         self._finish_responses()
@@ -277,6 +293,8 @@
     def stop_now(self) -> None:
         """Stop at once without finishing open requests."""
         self.server.stop_accepting()
+        self.intake.close()
+        self.loop_work.close()
         self.loop_delay.close()
         self.examiner.close()
         if self.permits is not None:
@@ -292,6 +310,7 @@
     def reload(self, settings: PlatformSettings) -> None:
         """Apply changed bounds; addresses stay as they were at the start."""
         self.settings = replace(self.settings, bounds=settings.bounds)
+        self.stop.grace_ms = settings.bounds.grace_ms
         waits = watch_waits(settings.bounds)
         for watch in self.watches:
             watch.wait_ms = waits[watch.kind]
@@ -303,14 +322,19 @@
     def ready(self) -> bool:
         """Return whether callers should send requests to this router."""
         return (
-            self.stopping_at is None
+            not self.stop.is_ordered
             and self._has_initial_state()
             and self.active_config.check_freshness()
             and not self.relief.is_relieved()
         )
 
+    def _closes_connections(self) -> bool:
+        """Return whether callers should choose a router anew for their next requests."""
+        return not self.ready() or self.intake.passed_fraction > 0 or self.fleet.is_left_out()
+
     def _on_loop_delay(self, delay_ms: float) -> None:
         self.metrics.gauge("loop_delay_ms").set(delay_ms)
+        self.metrics.gauge("passed_on_fraction").set(self.intake.passed_fraction)
         self.metrics.gauge("answer_bytes_highest").set(self.answer_bytes.highest_bytes)
         self.metrics.gauge("body_bytes_highest").set(self.body_bytes.highest_bytes)
         self.metrics.gauge("bodies_refused").set(self.body_bytes.refusals)
@@ -321,11 +345,8 @@
         return self.active_config.table is not None and all(watch.listed for watch in self.watches)
 
     def _can_stop_early(self) -> bool:
-        assert self.stopping_at is not None
-        now = self.clock.now()
-        quiet = now - self.application.last_request_at >= QUIET_MS
-        callers_left = self.clock.boot() - self.stopping_at >= LOOKUP_CACHE_MS
-        return callers_left and quiet and not self.application.open_requests
+        quiet = self.clock.now() - self.application.last_request_at >= QUIET_MS
+        return self.stop.callers_left() and quiet and not self.application.open_requests
 
     def _directory_addresses(self, domain: str) -> list[str]:
         candidates = self.fleet.candidates()
@@ -347,34 +368,11 @@
             # Drains that began before this process started may not be known yet.
             message = "not all is known yet"
             return RequestRefused(ResultCode.CONFIGURATION_STALE, message, RETRY_ELSEWHERE_MS)
-        quarantined = self.quarantine.refusal_for(request.prompt)
-        if quarantined is not None or self.stopping_at is None:
-            return quarantined
-        elapsed = self.clock.boot() - self.stopping_at
-        stream = request.route.retry_safety is RetrySafety.STREAM
-        if stream and elapsed < STREAM_DRAIN_MS:
-            return None
-        left_ms = self.settings.bounds.grace_ms - EXIT_MARGIN_MS - elapsed
-        if not stream and left_ms > request.route.timeout_ms:
-            return None
-        return RequestRefused(ResultCode.ROUTER_STOPPING, "the router is shutting down", 0)
-
-    def _early_refusal(self) -> RequestRefused | None:
-        """Return a refusal for the requests that a late router has to reject, at random."""
-        fraction = self.loop_delay.rejected_fraction()
-        return self._late_refusal() if self.admission.rng.random() < fraction else None
-
-    def _late_refusal(self) -> RequestRefused:
-        message = f"the router is {self.loop_delay.delay_ms()} ms late"
-        return RequestRefused(ResultCode.OVERLOADED, message, RETRY_ELSEWHERE_MS)
+        return self.quarantine.refusal_for(request.prompt) or self.stop.refusal_for(request)
 
     def _check_send(self, request: GatewayRequest) -> None:
-        """Raise `RequestRefused` if this router's state may be too old to send a request now.
-
-        While its event loop is late, it has not read recent store changes and caller disconnects.
-        """
-        if self.loop_delay.rejects_all():
-            raise self._late_refusal()
+        """Raise `RequestRefused` if this router's state may be too old to send a request now."""
+        self.intake.check_may_send()
         quarantined = self.quarantine.refusal_for(request.prompt)
         if quarantined is not None:
             raise quarantined
--- a/src/jacinthcove/platform/settings.py
+++ b/src/jacinthcove/platform/settings.py
@@ -31,6 +31,8 @@
     share_window_ms: int
     # Time from SIGTERM to SIGKILL.
     grace_ms: int
+    # An event of a stream may reach its caller this long after its target has made it.
+    event_delay_max_ms: int
     # Maximum TTL of a directory response.
     lookup_lifetime_max_ms: int
 
@@ -101,6 +103,7 @@
         cold_over=reader.number("bounds.cold_over", 1.0),
         cold_slack=reader.number("bounds.cold_slack", 0.0),
         share_window_ms=reader.integer("bounds.quota_window_s", 1_000, 4),
+        event_delay_max_ms=reader.integer("bounds.pass_ms", default=120),
         grace_ms=reader.integer("bounds.grace_s", 1_000, 8),
         lookup_lifetime_max_ms=reader.integer("bounds.ttl_max_s", 1_000, 5),
     )
--- a/src/jacinthcove/router/connection.py
+++ b/src/jacinthcove/router/connection.py
@@ -40,9 +40,13 @@
         finally:
             self.idle = False
 
+    def closes_connection(self) -> bool:
+        """Return whether the connection closes after the response."""
+        return bool(self.server.application.closes_connections())
+
     def start_response(self, status: str, headers: list[Any], exc_info: Any = None) -> Any:
         """Start a response; adds `Connection: close` if callers should use other routers."""
-        if self.server.application.closes_connections():
+        if self.closes_connection():
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -1,10 +1,14 @@
 """Requests that a router cannot carry and that another router serves in its place."""
 
+import gevent
 import pytest
 from store_standin import eventually
 from test_platform_router import http, ledger, operator, start, store  # noqa: F401
+from wire_bed import header, read_response, request, response
 
+from jacinthcove.gateway.handover import WAITED_HEADER, may_pass_on, take_waited_ms
 from jacinthcove.gateway.loopdelay import REJECT_ALL_DELAY_MS
+from jacinthcove.targets import sockets
 
 
 @pytest.fixture
@@ -18,7 +22,6 @@
     return routers
 
 
-@pytest.mark.known_red
 def test_callers_of_a_late_router_are_served_by_an_idle_one(pair, ledger):  # noqa: F811
     late, idle = pair
     eventually(lambda: http(late.settings.caller_listen)[0] == 200)
@@ -26,3 +29,96 @@
     assert (status, body) == (200, b"published")
     assert headers["connection"] == "close"
     assert len(ledger.seen) == 2
+
+
+@pytest.fixture
+def passing(pair):
+    """Return the two routers once the late one passes requests on."""
+    eventually(lambda: http(pair[0].settings.caller_listen)[0] == 200)
+    return pair
+
+
+def passed_on(router):
+    return router.application.handover.passed_on.value
+
+
+def open_request(router, data):
+    host, _, port = router.settings.caller_listen.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)), timeout=5)
+    sock.sendall(data)
+    return sock
+
+
+def test_a_slow_answer_is_not_cut_off_on_its_way(passing, ledger, monkeypatch):  # noqa: F811
+    def answer_slowly(target, sock, head):
+        gevent.sleep(0.5)
+        sock.sendall(response(head))
+
+    monkeypatch.setattr(sockets, "CONNECT_TIMEOUT_MS", 200)
+    ledger.script = answer_slowly
+    assert http(passing[0].settings.caller_listen)[0] == 200
+
+
+def test_the_target_sees_the_request_as_the_caller_sent_it(passing, ledger):  # noqa: F811
+    raw = request("/publish/7", b"body of the caller", id="q7")
+    assert http(passing[0].settings.caller_listen, raw=raw)[0] == 200
+    assert ledger.bodies[-1] == b"body of the caller"
+    assert header(ledger.seen[-1], WAITED_HEADER) is None
+    assert passed_on(passing[0]) >= 1
+    assert passed_on(passing[1]) == 0
+
+
+def test_a_body_that_arrives_in_pieces_is_passed_on_whole(passing, ledger):  # noqa: F811
+    data = request("/publish/8", b"x" * 9_000)
+    sock = open_request(passing[0], data[:5_000])
+    gevent.sleep(0.01)
+    sock.sendall(data[5_000:])
+    assert read_response(sock)[0] == 200
+    assert ledger.bodies[-1] == b"x" * 9_000
+
+
+def test_a_caller_that_leaves_ends_its_request_at_the_target(passing, ledger):  # noqa: F811
+    ledger.script = lambda target, sock, head: sock.recv(1) or target.closed_by_peer.set()
+    sock = open_request(passing[0], request("/publish/9"))
+    eventually(lambda: ledger.seen[-1].startswith("POST /publish/9"))
+    sock.close()
+    assert ledger.closed_by_peer.wait(1)
+
+
+def test_an_answer_that_breaks_off_does_not_look_complete(passing, ledger):  # noqa: F811
+    late, idle = passing
+
+    def stop_helper(target, sock, head):
+        for relays in late.application.handover.relays.values():
+            for peer in list(relays):
+                peer.close()
+
+    ledger.script = stop_helper
+    status, _, body = http(late.settings.caller_listen)
+    assert status == 502
+    assert b"broke off" in body
+
+
+def test_a_late_router_without_help_refuses_and_says_not_run(pair, ledger):  # noqa: F811
+    late, idle = pair
+    idle.stop_now()
+    assert http(late.settings.caller_listen)[0] == 503
+
+
+@pytest.mark.parametrize(
+    ("data", "allowed"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", True),
+        (b"GET / HTTP/1.0\r\nHost: x\r\n\r\n", False),
+        (b"GET / HTTP/1.1\r\nJacinthcove-Waited-Ms: 3\r\nHost: x\r\n\r\n", False),
+    ],
+)
+def test_only_requests_with_framed_answers_are_passed_on_and_only_once(data, allowed):
+    assert may_pass_on(data) is allowed
+
+
+@pytest.mark.parametrize(
+    ("value", "waited_ms"), [("30", 30), ("-1", 0), ("9" * 12, 0), ("x", 0), ("", 0)]
+)
+def test_an_odd_mark_of_a_caller_counts_as_no_time(value, waited_ms):
+    assert take_waited_ms(((WAITED_HEADER, value), ("Host", "x"))) == ((("Host", "x"),), waited_ms)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -11,8 +11,8 @@
 from test_platform_router import http, ledger, operator, start, store  # noqa: F401
 from wire_bed import ScriptedTarget, header, read_response, request, response
 
+from jacinthcove.gateway.plannedstop import STREAM_DRAIN_MS
 from jacinthcove.platform import names
-from jacinthcove.platform.daemon import STREAM_DRAIN_MS
 
 CALLERS = 24
 GRACE_MS = 2_400
@@ -33,7 +33,7 @@
     router = start()
     eventually(router.ready)
     bounds = replace(router.settings.bounds, grace_ms=GRACE_MS)
-    router.settings = replace(router.settings, bounds=bounds)
+    router.reload(replace(router.settings, bounds=bounds))
     return router
 
 
@@ -131,7 +131,7 @@
     eventually(router.ready)
     eventually(lambda: {"i-1", "i-2"} <= router.registry.states.keys())
     bounds = replace(router.settings.bounds, grace_ms=GRACE_MS)
-    router.settings = replace(router.settings, bounds=bounds)
+    router.reload(replace(router.settings, bounds=bounds))
     count = int(GRACE_MS / 1000 / 0.05) + 10
     # The connections are open before the stop, so that late requests reach the router.
     questions = [Question(router.settings.caller_listen, n, path) for n in range(count)]
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -206,7 +206,7 @@
     eventually(lambda: [item.routers for item in quotas] == [2, 2])
     body = get(first.settings.directory_listen, "/-/resolve?name=x&region=r&zone=a")[2]
     assert second.settings.caller_listen.encode() in body
-    second.stopping_at = second.clock.boot()
+    second.stop.begin()
     second.fleet.leave()
     eventually(lambda: len(first.fleet.candidates()) == 1)
 
