--- a/src/jacinthcove/codes.py
+++ b/src/jacinthcove/codes.py
@@ -102,7 +102,9 @@
         _NOT_RUN, 409, "the idempotency key belongs to a request with other content"
     ),
     ResultCode.PART_QUARANTINED: CodeInfo(
-        _NOT_RUN, 503, "a part of the prompt has crashed engines and is in quarantine"
+        _NOT_RUN,
+        503,
+        "the request or a part of its prompt has crashed targets and is in quarantine",
     ),
     ResultCode.TARGET_FAILED: CodeInfo(
         _MAY_HAVE_RUN, 502, "the target failed while it had the request"
--- a/src/jacinthcove/gateway/crashevidence.py
+++ b/src/jacinthcove/gateway/crashevidence.py
@@ -1,28 +1,30 @@
-"""Finds the prompt parts that crash engines, from the requests that engines had when they crashed.
+"""Finds what crashes engines, from the requests that engines had when they crashed.
 
-An engine that begins to write an answer on such a part crashes, so no answer on it ever begins. A
-part is suspect if requests with it waited for their first event at engines that crashed one after
-the other, and no answer on it has begun since the first of these crashes. Engines that crash at the
-same time have another cause in common.
+Requests bear marks: their shared prompt parts, and a digest of the whole request. An engine that
+begins to write an answer on a deadly part, or to a deadly request, crashes, so no answer on that
+mark ever begins. A mark is suspect if requests with it waited for their answer at engines that
+crashed one after the other, and no answer on it has begun since the first of these crashes. Engines
+that crash at the same time have another cause in common, unless the same request broke off at one
+before it was sent to the other.
 
-Parts that came only together cannot be told apart, so they are suspect as a combination. Sound
+Marks that came only together cannot be told apart, so they are suspect as a combination. Sound
 requests with one of them are still served, and a crash by one of them alone singles it out.
 """
 
 from collections import deque
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jacinthcove.clock import Clock
 
 Combination = frozenset[str]
 
-# Crashes after which a part is suspect, and the time in which several count as one.
+# Crashes after which a mark is suspect, and the time in which several count as one.
 SUSPECT_CRASHES = 3
 SAME_CRASH_MS = 100
 # Older crashes do not count.
 EVIDENCE_TTL_MS = 600_000
-MAX_PARTS = 16_384
+MAX_MARKS = 16_384
 MAX_VICTIMS = 4_096
 
 
@@ -34,39 +36,62 @@
     started_at: int
 
 
+@dataclass(frozen=True)
+class WaitingRequest:
+    """The marks of a request that waited for its answer at an engine that crashed.
+
+    `broke_off_at` are the ids of the targets at which the same request had broken off before.
+    """
+
+    marks: Combination
+    broke_off_at: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True)
 class Victim:
-    """A request that waited for its first event at an engine that crashed.
+    """A request that waited for its answer at an engine that crashed.
 
-    `parts` are its shared prompt parts without those on which an answer has begun since.
-    `reported_at` is in monotonic ms.
+    `marks` are without those on which an answer has begun since. `reported_at` is in monotonic ms.
     """
 
     engine: EngineStart
-    parts: Combination
+    marks: Combination
+    broke_off_at: frozenset[str]
     reported_at: int
 
 
+@dataclass(frozen=True)
+class Crash:
+    """A crash of an engine with a suspect mark, at `at` (monotonic ms).
+
+    `broke_off_at` are the targets at which requests with the mark had broken off before.
+    """
+
+    target_id: str
+    at: int
+    broke_off_at: frozenset[str] = frozenset()
+
+
 class FirstEvents:
-    """When an answer on a part last began, for the parts in requests of this router."""
+    """When an answer on a mark last began, for the marks of requests of this router."""
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.begun_at: dict[str, int] = {}
         self.last_begun_at: int | None = None
 
-    def record(self, parts: Iterable[str]) -> None:
-        """Record that an answer on these parts has begun."""
+    def record(self, marks: Iterable[str]) -> None:
+        """Record that an answer on these marks has begun."""
         now = self.last_begun_at = self.clock.now()
-        for part in parts:
-            self.begun_at.pop(part, None)
-            self.begun_at[part] = now
-        while len(self.begun_at) > MAX_PARTS:
+        for mark in marks:
+            self.begun_at.pop(mark, None)
+            self.begun_at[mark] = now
+        while len(self.begun_at) > MAX_MARKS:
             del self.begun_at[next(iter(self.begun_at))]
 
-    def begun_since(self, part: str, time: int) -> bool:
-        """Return whether an answer on a part has begun at `time` (monotonic ms) or later."""
-        begun_at = self.begun_at.get(part)
+    def begun_since(self, mark: str, time: int) -> bool:
+        """Return whether an answer on a mark has begun at `time` (monotonic ms) or later."""
+        begun_at = self.begun_at.get(mark)
         return begun_at is not None and begun_at >= time
 
     def any_begun_since(self, time: int) -> bool:
@@ -81,65 +106,76 @@
         self.clock = clock
         self.victims: deque[Victim] = deque(maxlen=MAX_VICTIMS)
 
-    def record(self, engine: EngineStart, requests: Iterable[Iterable[str]]) -> None:
-        """Record a crash of an engine and the shared parts of each request that waited there."""
+    def record(self, engine: EngineStart, requests: Iterable[WaitingRequest]) -> None:
+        """Record a crash of an engine and the requests that waited there."""
         now = self.clock.now()
-        self.victims += [Victim(engine, frozenset(parts), now) for parts in requests if parts]
+        self.victims += [
+            Victim(engine, item.marks, item.broke_off_at, now) for item in requests if item.marks
+        ]
 
     def clear(self, cleared: Iterable[str]) -> None:
-        """Drop parts on which an answer has begun."""
+        """Drop marks on which an answer has begun."""
         cleared = frozenset(cleared)
-        remaining = (
-            Victim(item.engine, item.parts - cleared, item.reported_at) for item in self.victims
-        )
-        self.victims = deque((item for item in remaining if item.parts), MAX_VICTIMS)
+        remaining = (replace(item, marks=item.marks - cleared) for item in self.victims)
+        self.victims = deque((item for item in remaining if item.marks), MAX_VICTIMS)
 
     def suspects(self, known: Collection[Combination] = ()) -> list[str]:
-        """Return the suspect parts, those with the most crashes first.
+        """Return the suspect marks, those with the most crashes first.
 
-        A crash at which a request had all parts of a `known` combination is explained by it. It
-        counts only against parts of known combinations that also have a crash without explanation.
+        A crash at which a request had all marks of a `known` combination is explained by it. It
+        counts only against marks of known combinations that also have a crash without explanation.
         """
         since = self.clock.now() - EVIDENCE_TTL_MS
+        recent = [item for item in self.victims if item.reported_at >= since]
         explained = {
-            item.engine for item in self.victims if any(found <= item.parts for found in known)
+            item.engine for item in self.victims if any(found <= item.marks for found in known)
         }
-        known_parts = frozenset().union(*known)
-        crashed_at: dict[EngineStart, int] = {}
-        engines: dict[str, set[EngineStart]] = {}
+        known_marks = frozenset().union(*known)
         unexplained: set[str] = set()
-        for item in self.victims:
-            if item.reported_at < since:
-                continue
+        crashes: dict[str, dict[EngineStart, Crash]] = {}
+        crashed_at: dict[EngineStart, int] = {}
+        for item in recent:
             # The oldest report comes first; a late router may report the same crash again.
-            crashed_at.setdefault(item.engine, item.reported_at)
-            counted = item.parts & known_parts if item.engine in explained else item.parts
-            for part in counted:
-                engines.setdefault(part, set()).add(item.engine)
+            at = crashed_at.setdefault(item.engine, item.reported_at)
+            counted = item.marks & known_marks if item.engine in explained else item.marks
+            for mark in counted:
+                found = crashes.setdefault(mark, {})
+                found[item.engine] = _merged(found.get(item.engine), item, at)
             if item.engine not in explained:
-                unexplained |= item.parts
+                unexplained |= item.marks
         counts = {
-            part: count_separate(crashed_at[engine] for engine in found)
-            for part, found in engines.items()
-            if len(found) >= SUSPECT_CRASHES and part in unexplained
+            mark: count_separate(found.values())
+            for mark, found in crashes.items()
+            if len(found) >= SUSPECT_CRASHES and mark in unexplained
         }
-        suspects = [part for part, count in counts.items() if count >= SUSPECT_CRASHES]
-        return sorted(suspects, key=lambda part: (-counts[part], part))
+        suspects = [mark for mark, count in counts.items() if count >= SUSPECT_CRASHES]
+        return sorted(suspects, key=lambda mark: (-counts[mark], mark))
 
-    def combination(self, part: str) -> Combination:
-        """Return a suspect part with those parts that were in all requests with it."""
-        return frozenset.intersection(*(item.parts for item in self.victims if part in item.parts))
+    def combination(self, mark: str) -> Combination:
+        """Return a suspect mark with those marks that all requests with it had."""
+        return frozenset.intersection(*(item.marks for item in self.victims if mark in item.marks))
 
-    def age_ms(self, part: str) -> int:
-        """Return the time since the first crash of a suspect part."""
-        first = min(item.reported_at for item in self.victims if part in item.parts)
+    def age_ms(self, mark: str) -> int:
+        """Return the time since the first crash of a suspect mark."""
+        first = min(item.reported_at for item in self.victims if mark in item.marks)
         return self.clock.now() - first
 
 
-def count_separate(times: Iterable[int]) -> int:
-    """Return the number of crashes, of which those within `SAME_CRASH_MS` count as one."""
+def _merged(crash: Crash | None, victim: Victim, at: int) -> Crash:
+    """Return a crash with what one more of its victims tells."""
+    before = crash.broke_off_at if crash is not None else frozenset()
+    return Crash(victim.engine.target_id, at, before | victim.broke_off_at)
+
+
+def count_separate(crashes: Iterable[Crash]) -> int:
+    """Return the number of crashes, of which those within `SAME_CRASH_MS` count as one.
+
+    A crash counts by itself if a request had broken off at the one before it was sent on.
+    """
     count, last = 0, None
-    for time in sorted(times):
-        if last is None or time - last >= SAME_CRASH_MS:
-            count, last = count + 1, time
+    same: set[str] = set()
+    for crash in sorted(crashes, key=lambda item: item.at):
+        if last is None or crash.at - last >= SAME_CRASH_MS or crash.broke_off_at & same:
+            count, last, same = count + 1, crash.at, set()
+        same.add(crash.target_id)
     return count
--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -1,8 +1,8 @@
-"""Collects the crashes of engines over all routers, and quarantines the prompt parts behind them.
+"""Collects the crashes of engines over all routers, and quarantines the marks behind them.
 
-A router sees only its own requests at an engine that crashed. It reports their prompt parts to two
+A router sees only its own requests at an engine that crashed. It reports their marks to two
 examiners, which are the same for all routers. An examiner asks the other routers whether an answer
-on a suspect part has begun. If none has, it announces the part, or the combination of parts, to all
+on a suspect mark has begun. If none has, it announces the mark, or the combination of marks, to all
 routers and puts it into the store, where routers that start or were cut off find it. A router that
 reaches no examiner examines its own crashes.
 """
@@ -23,6 +23,7 @@
     CrashEvidence,
     EngineStart,
     FirstEvents,
+    WaitingRequest,
 )
 from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.mesh import mesh_pb2 as pb
@@ -34,7 +35,7 @@
 log = structlog.get_logger()
 
 EXAMINERS = 2
-# Routers that are asked about suspect parts at once, and suspect parts in one question.
+# Routers that are asked about suspect marks at once, and suspect marks in one question.
 MAX_ASKED = 128
 MAX_SUSPECTS = 64
 QUERY_TIMEOUT_MS = 400
@@ -73,7 +74,7 @@
         self.members: Members | None = None
         self.peers: Peers | None = None
         self.new_evidence = Event()
-        # To delete from the store, because an answer on these parts has begun.
+        # To delete from the store, because an answer on these marks has begun.
         self.released: set[Combination] = set()
         self.examine_task = BackgroundTask(self._examine_loop)
         self.upkeep_task = BackgroundTask(self._upkeep_loop)
@@ -95,14 +96,17 @@
         peers.register(BEGUN_QUERY, self.on_query)
         peers.register(QUARANTINE_NOTICE, self.on_notice)
 
-    def report(self, engine: EngineStart, requests: Collection[Combination]) -> None:
-        """Report a crash of an engine and the shared parts of the requests that waited there."""
-        parts = [sorted(request) for request in requests]
-        log.info("engine_crashed", target=engine.target_id, requests=parts)
+    def report(self, engine: EngineStart, requests: Collection[WaitingRequest]) -> None:
+        """Report a crash of an engine and the requests that waited there."""
+        marks = [sorted(request.marks) for request in requests]
+        log.info("engine_crashed", target=engine.target_id, requests=marks)
         message = pb.CrashReport(
             target_id=engine.target_id,
             started_at=engine.started_at,
-            requests=[pb.PromptParts(parts=item) for item in parts],
+            requests=[
+                pb.WaitingRequest(marks=item.marks, broke_off_at=item.broke_off_at)
+                for item in requests
+            ],
         )
         # What a router sees itself is only a part of each crash, and misleads.
         if not self._send_to_examiners(message):
@@ -119,7 +123,7 @@
         return bool(replies)
 
     def release(self, combinations: Collection[Combination]) -> None:
-        """Release combinations, because an answer on all of their parts has begun."""
+        """Release combinations, because an answer on all of their marks has begun."""
         for combination in combinations:
             self.evidence.clear(combination)
             self.quarantine.remove_found(combination)
@@ -135,22 +139,25 @@
     def on_report(self, sender: str, message: pb.CrashReport) -> pb.Empty:
         """Record a crash that another router saw; handles `CRASH_REPORT`."""
         del sender
-        requests = [frozenset(item.parts) for item in message.requests]
+        requests = [
+            WaitingRequest(frozenset(item.marks), frozenset(item.broke_off_at))
+            for item in message.requests
+        ]
         self._record(EngineStart(message.target_id, message.started_at), requests)
         return pb.Empty()
 
     def on_query(self, sender: str, message: pb.BegunQuery) -> pb.BegunReply:
-        """Return the parts on which an answer has begun here; handles `BEGUN_QUERY`."""
+        """Return the marks on which an answer has begun here; handles `BEGUN_QUERY`."""
         del sender
-        return self._answer(dict(zip(message.parts, message.ages_ms, strict=False)))
+        return self._answer(dict(zip(message.marks, message.ages_ms, strict=False)))
 
     def on_notice(self, sender: str, message: pb.QuarantineNotice) -> None:
         """Refuse what an examiner has found; handles `QUARANTINE_NOTICE`."""
         del sender
-        if message.parts:
-            self.quarantine.add_found(frozenset(message.parts))
+        if message.marks:
+            self.quarantine.add_found(frozenset(message.marks))
 
-    def _record(self, engine: EngineStart, requests: Collection[Combination]) -> None:
+    def _record(self, engine: EngineStart, requests: Collection[WaitingRequest]) -> None:
         self.evidence.record(engine, requests)
         self.new_evidence.set()
 
@@ -162,13 +169,13 @@
             gevent.sleep(EXAMINE_INTERVAL_MS / 1000)
 
     def examine(self) -> None:
-        """Quarantine the suspect parts on which no answer has begun at any router."""
+        """Quarantine the suspect marks on which no answer has begun at any router."""
         suspects = self._new_suspects()
         if not suspects:
             return
-        ages_ms = {part: self.evidence.age_ms(part) for part in suspects}
+        ages_ms = {mark: self.evidence.age_ms(mark) for mark in suspects}
         replies = [self._answer(ages_ms), *self._ask_others(ages_ms)]
-        self.evidence.clear(part for reply in replies for part in reply.parts)
+        self.evidence.clear(mark for reply in replies for mark in reply.marks)
         if not any(reply.any_begun for reply in replies):
             log.warning("no_answer_begins", suspects=suspects)
             return
@@ -177,25 +184,25 @@
                 log.error("quarantine_full", suspects=suspects)
                 return
             # The largest one refuses the fewest sound requests, and explains crashes at which one
-            # of its parts was waiting alone.
-            found = {self.evidence.combination(part) for part in suspects}
-            self._quarantine(max(found, key=lambda item: (len(item), sorted(item))))
+            # of its marks was waiting alone. Of several, that with the most crashes comes first.
+            found = [self.evidence.combination(mark) for mark in suspects]
+            self._quarantine(max(found, key=len))
 
     def _answer(self, ages_ms: dict[str, int]) -> pb.BegunReply:
-        """Return on which parts, and whether on any at all, an answer has begun here."""
+        """Return on which marks, and whether on any at all, an answer has begun here."""
         now = self.clock.now()
         begun = [
-            part for part, age in ages_ms.items() if self.first_events.begun_since(part, now - age)
+            mark for mark, age in ages_ms.items() if self.first_events.begun_since(mark, now - age)
         ]
         any_begun = self.first_events.any_begun_since(now - max(ages_ms.values(), default=0))
-        return pb.BegunReply(parts=begun, any_begun=any_begun)
+        return pb.BegunReply(marks=begun, any_begun=any_begun)
 
     def _new_suspects(self) -> list[str]:
-        """Return the suspect parts whose requests are not refused yet."""
+        """Return the suspect marks whose requests are not refused yet."""
         return [
-            part
-            for part in self.evidence.suspects(self.quarantine.combinations())[:MAX_SUSPECTS]
-            if not self.quarantine.find(self.evidence.combination(part))
+            mark
+            for mark in self.evidence.suspects(self.quarantine.combinations())[:MAX_SUSPECTS]
+            if not self.quarantine.find(self.evidence.combination(mark))
         ]
 
     def _ask_others(self, ages_ms: dict[str, int]) -> list[pb.BegunReply]:
@@ -203,14 +210,14 @@
             return []
         others = other_ids(self.members)
         asked = random.sample(others, min(len(others), MAX_ASKED))
-        message = pb.BegunQuery(parts=list(ages_ms), ages_ms=list(ages_ms.values()))
+        message = pb.BegunQuery(marks=list(ages_ms), ages_ms=list(ages_ms.values()))
         replies = call_all(self.peers, asked, BEGUN_QUERY, message, QUERY_TIMEOUT_MS, MAX_ASKED)
         return list(replies.values())
 
     def _quarantine(self, combination: Combination) -> None:
         self.quarantine.add_found(combination)
         if self.members is not None and self.peers is not None:
-            notice = pb.QuarantineNotice(parts=sorted(combination))
+            notice = pb.QuarantineNotice(marks=sorted(combination))
             for router in other_ids(self.members):
                 self.peers.send(router, QUARANTINE_NOTICE, notice)
         self._store(combination)
@@ -219,7 +226,7 @@
         try:
             self.store.put(combination)
         except StoreUnavailable as error:
-            log.warning("quarantine_not_stored", parts=sorted(combination), reason=str(error))
+            log.warning("quarantine_not_stored", marks=sorted(combination), reason=str(error))
 
     def upkeep(self) -> None:
         """Store what was found and is not stored yet, and delete what is released or expired."""
@@ -231,7 +238,7 @@
             try:
                 self.store.delete(combination)
             except StoreUnavailable as error:
-                log.warning("quarantine_not_deleted", parts=sorted(combination), reason=str(error))
+                log.warning("quarantine_not_deleted", marks=sorted(combination), reason=str(error))
                 return
             self.released.discard(combination)
 
--- a/src/jacinthcove/gateway/crashwitness.py
+++ b/src/jacinthcove/gateway/crashwitness.py
@@ -1,11 +1,11 @@
-"""Watches attempts at engines for answers that begin and for engines that crash."""
+"""Watches attempts at targets for answers that begin and for targets that crash."""
 
 import gevent
 
-from jacinthcove.gateway.crashevidence import Combination, EngineStart, FirstEvents
+from jacinthcove.gateway.crashevidence import Combination, EngineStart, FirstEvents, WaitingRequest
 from jacinthcove.gateway.crashexaminer import CrashExaminer
 from jacinthcove.gateway.forward import Attempt, ForwardedRequest
-from jacinthcove.gateway.quarantine import Quarantine, shared_part_ids
+from jacinthcove.gateway.quarantine import Quarantine, crash_marks
 from jacinthcove.gateway.retrypolicy import AttemptOutcome, NextAction
 from jacinthcove.targets.sockets import TargetNotListening, TargetUnreachable, connect
 
@@ -15,7 +15,7 @@
 
 
 class CrashWitness:
-    """Reports the prompt parts of requests that waited for their first event at a crashed engine.
+    """Reports the requests that waited for their answer at a crashed engine.
 
     Implements `AttemptObserver`.
     """
@@ -25,51 +25,55 @@
         self.quarantine = quarantine
         self.examiner = examiner
         # The requests that broke off at each engine, until it is known whether it crashed.
-        self.unconfirmed: dict[EngineStart, set[Combination]] = {}
+        self.unconfirmed: dict[EngineStart, set[WaitingRequest]] = {}
 
     def on_sent(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
         """Do nothing: only answers and broken connections matter."""
 
     def on_first_event(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
-        """Record that an answer has begun, which releases its parts from quarantine."""
+        """Record that an answer has begun, which releases its marks from quarantine."""
         del attempt
-        self._record_begun(shared_part_ids(forwarded.request.prompt))
+        self._record_begun(crash_marks(forwarded.request))
 
     def on_ended(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
-        """Check whether the engine crashed if the connection broke before the first event."""
-        parts = shared_part_ids(forwarded.request.prompt)
-        if not parts:
-            return
+        """Check whether the engine crashed if the connection broke before the answer began."""
         if attempt.end is AttemptOutcome.COMPLETE and not attempt.first_event_at:
-            self._record_begun(parts)
+            self._record_begun(crash_marks(forwarded.request))
         # Without a reason, the caller left or the time limit passed.
         broke_off = attempt.end is AttemptOutcome.BROKEN_BEFORE and attempt.reason
         if not broke_off or attempt.first_event_at or not attempt.sent_at:
             return
         unproven = frozenset(
-            part for part in parts if not self.first_events.begun_since(part, attempt.sent_at)
+            mark
+            for mark in crash_marks(forwarded.request)
+            if not self.first_events.begun_since(mark, attempt.sent_at)
         )
         if unproven:
-            self._check_engine(attempt, unproven)
+            broke_off_at = (
+                earlier.choice.target.record.id
+                for earlier in forwarded.attempts
+                if earlier is not attempt and earlier.end is AttemptOutcome.BROKEN_BEFORE
+            )
+            self._check_engine(attempt, WaitingRequest(unproven, frozenset(broke_off_at)))
 
     def on_step_chosen(
         self, forwarded: ForwardedRequest, attempt: Attempt, step: NextAction
     ) -> None:
         """Do nothing: the next step does not matter."""
 
-    def _record_begun(self, parts: Combination) -> None:
-        self.first_events.record(parts)
-        released = self.quarantine.find(parts)
+    def _record_begun(self, marks: Combination) -> None:
+        self.first_events.record(marks)
+        released = self.quarantine.find(marks)
         if released:
             self.examiner.release(released)
 
-    def _check_engine(self, attempt: Attempt, parts: Combination) -> None:
+    def _check_engine(self, attempt: Attempt, waiting: WaitingRequest) -> None:
         record = attempt.choice.target.record
         engine = EngineStart(record.id, record.started_at)
         if engine in self.unconfirmed:
-            self.unconfirmed[engine].add(parts)
+            self.unconfirmed[engine].add(waiting)
             return
-        self.unconfirmed[engine] = {parts}
+        self.unconfirmed[engine] = {waiting}
         gevent.spawn_later(CONFIRM_DELAY_MS / 1000, self._confirm, engine, record.address)
 
     def _confirm(self, engine: EngineStart, address: str) -> None:
--- a/src/jacinthcove/gateway/quarantine.py
+++ b/src/jacinthcove/gateway/quarantine.py
@@ -1,9 +1,11 @@
-"""The combinations of prompt parts that crash engines; requests with all parts of one are refused.
+"""What crashes engines: combinations of marks; requests that bear all marks of one are refused.
 
-Most combinations have one part.
+The marks of a request are its shared prompt parts and the digest of the request itself. Most
+combinations have one mark.
 """
 
 from collections.abc import Collection
+from hashlib import blake2b
 
 import structlog
 
@@ -11,18 +13,37 @@
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.crashevidence import Combination
-from jacinthcove.gateway.model import PromptShape
+from jacinthcove.gateway.model import GatewayRequest
 from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
 
+DIGEST_BYTES = 12
+DIGEST_PREFIX = "request:"
 # A combination is refused for this time, as the engines may be repaired meanwhile.
 QUARANTINE_MS = 600_000
 
 
-def shared_part_ids(prompt: PromptShape) -> Combination:
-    """Return the parts of a prompt that other requests may have as well: all but the last."""
-    return frozenset(part.id for part in prompt.parts[:-1])
+def request_digest(request: GatewayRequest) -> str:
+    """Return the mark of all requests of a workspace with the same method, path and body.
+
+    Ids of prompt parts have no colon, so it is none of them.
+    """
+    fields = (request.route.host, request.method, request.target, request.workspace)
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for field in (*(field.encode() for field in fields), request.body):
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
+    return f"{DIGEST_PREFIX}{digest.hexdigest()}"
+
+
+def crash_marks(request: GatewayRequest) -> Combination:
+    """Return the marks of a request: its digest, and all parts of its prompt but the last.
+
+    The last part belongs to this request only.
+    """
+    parts = (part.id for part in request.prompt.parts[:-1])
+    return frozenset((request_digest(request), *parts))
 
 
 class Quarantine:
@@ -115,18 +136,18 @@
         """Return all combinations in quarantine."""
         return [*self.stored_since, *self.unstored_since]
 
-    def find(self, parts: Combination) -> list[Combination]:
-        """Return the combinations in quarantine of which all parts are among `parts`."""
-        return [combination for combination in self.combinations() if combination <= parts]
+    def find(self, marks: Combination) -> list[Combination]:
+        """Return the combinations in quarantine of which all marks are among `marks`."""
+        return [combination for combination in self.combinations() if combination <= marks]
 
-    def refusal_for(self, prompt: PromptShape) -> RequestRefused | None:
+    def refusal_for(self, request: GatewayRequest) -> RequestRefused | None:
         """Return a refusal with a code that means not executed if a combination matches."""
         if not self.stored_since and not self.unstored_since:
             return None
-        found = self.find(shared_part_ids(prompt))
+        found = self.find(crash_marks(request))
         if not found:
             return None
-        message = f"engines crash at requests with the prompt parts {', '.join(sorted(found[0]))}"
+        message = f"engines crash at requests with the marks {', '.join(sorted(found[0]))}"
         return RequestRefused(ResultCode.PART_QUARANTINED, message, self._left_ms(found[0]))
 
     def _left_ms(self, combination: Combination) -> int:
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -368,12 +368,12 @@
             # Drains that began before this process started may not be known yet.
             message = "not all is known yet"
             return RequestRefused(ResultCode.CONFIGURATION_STALE, message, RETRY_ELSEWHERE_MS)
-        return self.quarantine.refusal_for(request.prompt) or self.stop.refusal_for(request)
+        return self.quarantine.refusal_for(request) or self.stop.refusal_for(request)
 
     def _check_send(self, request: GatewayRequest) -> None:
         """Raise `RequestRefused` if this router's state may be too old to send a request now."""
         self.intake.check_may_send()
-        quarantined = self.quarantine.refusal_for(request.prompt)
+        quarantined = self.quarantine.refusal_for(request)
         if quarantined is not None:
             raise quarantined
         self.active_config.require_fresh(request.workspace)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -14,12 +14,13 @@
     CrashEvidence,
     EngineStart,
     FirstEvents,
+    WaitingRequest,
 )
 from jacinthcove.gateway.crashexaminer import EXAMINERS, MAX_QUARANTINED, CrashExaminer
-from jacinthcove.gateway.quarantine import QUARANTINE_MS, Quarantine
+from jacinthcove.gateway.quarantine import QUARANTINE_MS, Quarantine, crash_marks, request_digest
 from jacinthcove.mesh.peers import Member
 from jacinthcove.store.kinds import Gap
-from tests.gateway.samples import prompt
+from tests.gateway.samples import prompt, request, route
 
 DEADLY = "dead"
 POPULAR = "popular"
@@ -30,6 +31,11 @@
     return frozenset(parts)
 
 
+def waiting(*combinations):
+    """Return requests with these marks that waited at an engine."""
+    return [WaitingRequest(marks) for marks in combinations]
+
+
 @pytest.fixture
 def clock():
     return ManualClock()
@@ -100,7 +106,7 @@
         Answers on other prompts begin meanwhile.
         """
         self.clock.advance(SAME_CRASH_MS)
-        self.examiners[witness].report(EngineStart(f"e{number}", 1), [frozenset(parts)])
+        self.examiners[witness].report(EngineStart(f"e{number}", 1), waiting(only(*parts)))
         self.examiners["r7"].first_events.record(["sound"])
 
     def examine(self):
@@ -176,7 +182,9 @@
     for number in range(SUSPECT_CRASHES + 1):
         fleet.crash(number, f"r{number}", POPULAR, DEADLY)
         engine = EngineStart(f"e{number}", 1)
-        fleet.examiners["r6"].report(engine, [only(POPULAR), only(POPULAR, f"sound{number}")])
+        fleet.examiners["r6"].report(
+            engine, waiting(only(POPULAR), only(POPULAR, f"sound{number}"))
+        )
         fleet.examine()
     assert len(fleet.refusing(POPULAR, DEADLY)) == 8
     assert not fleet.refusing(POPULAR)
@@ -190,7 +198,9 @@
     fleet.examine()
     for number in range(10, 10 + 2 * SUSPECT_CRASHES):
         fleet.clock.advance(SAME_CRASH_MS)
-        fleet.examiners["r2"].report(EngineStart(f"e{number}", 1), [only(DEADLY), only("rare")])
+        fleet.examiners["r2"].report(
+            EngineStart(f"e{number}", 1), waiting(only(DEADLY), only("rare"))
+        )
         fleet.examiners["r7"].first_events.record(["sound"])
         fleet.examine()
     assert not fleet.refusing("rare")
@@ -307,12 +317,46 @@
     """All engines of a failure domain lose power, with many requests on popular parts."""
     for number in range(20):
         engine = EngineStart(f"e{number}", 1)
-        fleet.examiners[f"r{number % 8}"].report(engine, [only(POPULAR), only(DEADLY, POPULAR)])
+        fleet.examiners[f"r{number % 8}"].report(
+            engine, waiting(only(POPULAR), only(DEADLY, POPULAR))
+        )
     fleet.examiners["r7"].first_events.record(["sound"])
     fleet.examine()
     assert not fleet.refusing(POPULAR, DEADLY)
 
 
+def test_crashes_by_one_request_that_was_sent_on_each_count(fleet):
+    """A retry crashes the second engine within the time in which crashes may have one cause."""
+    for number in range(SUSPECT_CRASHES):
+        engine = EngineStart(f"e{number}", 1)
+        before = frozenset(f"e{earlier}" for earlier in range(number))
+        fleet.examiners["r2"].report(engine, [WaitingRequest(only(DEADLY), before)])
+    fleet.examiners["r7"].first_events.record(["sound"])
+    fleet.examine()
+    assert len(fleet.refusing(DEADLY)) == 8
+
+
+def test_a_deadly_request_is_found_although_answers_on_its_parts_begin(fleet):
+    for number in range(SUSPECT_CRASHES):
+        fleet.crash(number, f"r{number}", "request:1", POPULAR)
+        fleet.examiners["r6"].first_events.record([POPULAR, f"request:other{number}"])
+        fleet.examine()
+    assert len(fleet.refusing("request:1", POPULAR)) == 8
+    assert not fleet.refusing("request:2", POPULAR)
+
+
+def test_a_sound_request_that_waits_at_fewer_crashes_is_still_served(fleet):
+    for number in range(SUSPECT_CRASHES + 1):
+        fleet.clock.advance(SAME_CRASH_MS)
+        beside = [only("request:sound")] if number else []
+        engine = EngineStart(f"e{number}", 1)
+        fleet.examiners["r2"].report(engine, waiting(only("request:deadly"), *beside))
+    fleet.examiners["r7"].first_events.record(["another"])
+    fleet.examine()
+    assert fleet.refusing("request:deadly")
+    assert not fleet.refusing("request:sound")
+
+
 def test_a_late_report_of_the_same_crash_does_not_count_again(fleet, clock):
     for _ in range(SUSPECT_CRASHES):
         fleet.crash(1, "r2", DEADLY)
@@ -324,7 +368,7 @@
     """Every engine crashes at whatever it is asked, such as one with a broken model."""
     for number in range(SUSPECT_CRASHES + 2):
         clock.advance(SAME_CRASH_MS)
-        fleet.examiners["r1"].report(EngineStart(f"e{number}", 1), [only(POPULAR)])
+        fleet.examiners["r1"].report(EngineStart(f"e{number}", 1), waiting(only(POPULAR)))
         fleet.examine()
     assert not fleet.refusing(POPULAR)
 
@@ -334,7 +378,7 @@
         fleet.clock.advance(SAME_CRASH_MS)
         for part in range(MAX_QUARANTINED + 5):
             engine = EngineStart(f"e{number}-{part}", 1)
-            fleet.examiners["r1"].report(engine, [only(f"part{part}")])
+            fleet.examiners["r1"].report(engine, waiting(only(f"part{part}")))
     fleet.examiners["r7"].first_events.record(["sound"])
     fleet.examiners["r1"].examine()
     assert len(fleet.store.parts) == MAX_QUARANTINED
@@ -343,7 +387,7 @@
 def test_old_crashes_do_not_count(clock):
     evidence = CrashEvidence(clock)
     for number in range(SUSPECT_CRASHES):
-        evidence.record(EngineStart(f"e{number}", 1), [[DEADLY]])
+        evidence.record(EngineStart(f"e{number}", 1), waiting(only(DEADLY)))
         clock.advance(EVIDENCE_TTL_MS // 2 + 1)
     assert evidence.suspects() == []
 
@@ -351,9 +395,30 @@
 def test_only_requests_with_the_part_are_refused_and_told_not_run(clock):
     quarantine = Quarantine(clock)
     quarantine.add_stored(only(DEADLY))
-    refusal = quarantine.refusal_for(prompt(key=DEADLY))
+    refusal = quarantine.refusal_for(request(clock, prompt=prompt(key=DEADLY)))
     assert refusal.code is ResultCode.PART_QUARANTINED
     assert 0 < refusal.retry_after_ms <= QUARANTINE_MS
-    assert quarantine.refusal_for(prompt(key=POPULAR)) is None
+    assert quarantine.refusal_for(request(clock, prompt=prompt(key=POPULAR))) is None
     quarantine.add_stored(only("own"))
-    assert quarantine.refusal_for(prompt(key=POPULAR)) is None
+    assert quarantine.refusal_for(request(clock, prompt=prompt(key=POPULAR))) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"target": "/draft/2"},
+        {"method": "PUT"},
+        {"body": b"{1}"},
+        {"workspace": "large"},
+        {"route": route(host="other.example")},
+        {"target": "/draft/1s", "workspace": "mall"},
+    ],
+)
+def test_requests_that_differ_are_not_refused_for_each_other(clock, change):
+    assert request_digest(request(clock, **change)) != request_digest(request(clock))
+
+
+def test_the_same_request_at_another_time_has_the_same_marks(clock):
+    first = crash_marks(request(clock, id="q1"))
+    clock.advance(5_000)
+    assert crash_marks(request(clock, id="q2", headers=(("Host", "desk.example"),))) == first
--- a/tests/platform/test_deadly_requests.py
+++ b/tests/platform/test_deadly_requests.py
@@ -18,7 +18,7 @@
 class CrashingLedger:
     """The only target of the ledger; it starts again under another id after each crash."""
 
-    def __init__(self, store):
+    def __init__(self, store):  # noqa: F811
         self.store = store
         self.crashes = 0
         self.target = None
@@ -67,7 +67,6 @@
     return status
 
 
-@pytest.mark.known_red
 def test_a_plain_request_that_crashed_three_targets_is_refused_and_others_are_served(
     router, fallible
 ):
