--- a/src/jacinthcove/gateway/attempts.py
+++ b/src/jacinthcove/gateway/attempts.py
@@ -2,8 +2,9 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.activeconfig import ActiveConfig
+from jacinthcove.gateway.attempt import Attempt, AttemptObserver
 from jacinthcove.gateway.firstevents import OVERDUE_SLOWDOWN, FirstEventKey, slowdown
-from jacinthcove.gateway.forward import Attempt, AttemptObserver, ForwardedRequest
+from jacinthcove.gateway.forward import ForwardedRequest
 from jacinthcove.gateway.results import version_result
 from jacinthcove.gateway.retrypolicy import AttemptOutcome, NextAction
 from jacinthcove.gateway.rollouts import Rollouts
--- a/src/jacinthcove/gateway/crashwitness.py
+++ b/src/jacinthcove/gateway/crashwitness.py
@@ -2,9 +2,10 @@
 
 import gevent
 
+from jacinthcove.gateway.attempt import Attempt
 from jacinthcove.gateway.crashevidence import Combination, EngineStart, FirstEvents, WaitingRequest
 from jacinthcove.gateway.crashexaminer import CrashExaminer
-from jacinthcove.gateway.forward import Attempt, ForwardedRequest
+from jacinthcove.gateway.forward import ForwardedRequest
 from jacinthcove.gateway.quarantine import Quarantine, crash_marks
 from jacinthcove.gateway.retrypolicy import AttemptOutcome, NextAction
 from jacinthcove.targets.sockets import TargetNotListening, TargetUnreachable, connect
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -1,7 +1,6 @@
 """Forwards one request: admission, attempts at targets, and the final response."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 import gevent
@@ -12,10 +11,9 @@
 from jacinthcove.codes import ResultClass, ResultCode, result_class
 from jacinthcove.errors import JacinthcoveError, RequestRefused, TargetFailed
 from jacinthcove.gateway.admission import Admission
-from jacinthcove.gateway.choice import Choice
+from jacinthcove.gateway.attempt import Attempt, AttemptObserver
 from jacinthcove.gateway.codec import Execution, GatewayCodec, Headers, ResponseHead
 from jacinthcove.gateway.exchange import Exchange, last_event_id
-from jacinthcove.gateway.firstevents import FirstEventKey
 from jacinthcove.gateway.model import GatewayRequest, RetrySafety
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.retrypolicy import (
@@ -80,49 +78,6 @@
     """The deadline of the request has passed."""
 
 
-class AttemptObserver(Protocol):
-    """Receives the events of each attempt at a target."""
-
-    def on_sent(self, forwarded: "ForwardedRequest", attempt: "Attempt") -> None:
-        """Handle a request that is about to be sent to its target."""
-
-    def on_first_event(self, forwarded: "ForwardedRequest", attempt: "Attempt") -> None:
-        """Handle the first event of a stream."""
-
-    def on_ended(self, forwarded: "ForwardedRequest", attempt: "Attempt") -> None:
-        """Handle the end of an attempt, also when the caller has disconnected."""
-
-    def on_step_chosen(
-        self, forwarded: "ForwardedRequest", attempt: "Attempt", step: NextAction
-    ) -> None:
-        """Handle the step chosen after an attempt; not called when the caller has disconnected."""
-
-
-@dataclass
-class Attempt:
-    """One attempt at a target and its outcome; times are monotonic ms, 0 before the event."""
-
-    choice: Choice
-    end: AttemptOutcome = AttemptOutcome.BROKEN_BEFORE
-    head: ResponseHead | None = None
-    body: bytes = b""
-    reason: str = ""
-    chosen_at: int = 0
-    sent_at: int = 0
-    # The first event of a stream.
-    first_event_at: int = 0
-    ended_at: int = 0
-    # The counter that the time to the first event belongs to (None: not counted), and the time
-    # to expect at the load of the target.
-    first_event_key: FirstEventKey | None = None
-    expected_first_event_ms: float = 0.0
-
-    @property
-    def used_capacity(self) -> bool:
-        """Return whether the target may have worked on the request."""
-        return self.sent_at > 0 and not self.end.not_run
-
-
 class ForwardedRequest:
     """A request and the state of its attempts."""
 
--- a/src/jacinthcove/gateway/results.py
+++ b/src/jacinthcove/gateway/results.py
@@ -1,7 +1,8 @@
 """Turns the outcome of one attempt into evidence about the version of its target."""
 
 from jacinthcove.codes import ResultCode
-from jacinthcove.gateway.forward import Attempt, ForwardedRequest
+from jacinthcove.gateway.attempt import Attempt
+from jacinthcove.gateway.forward import ForwardedRequest
 from jacinthcove.gateway.retrypolicy import AttemptOutcome
 from jacinthcove.router.results import VersionResult
 
