--- a/src/jacinthcove/gateway/crashevidence.py
+++ b/src/jacinthcove/gateway/crashevidence.py
@@ -16,12 +16,13 @@
 from dataclasses import dataclass, replace
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.crashmarks import Combination, is_digest
 
-Combination = frozenset[str]
-
-# Crashes after which a mark is suspect, and the time in which several count as one.
+# Crashes after which a mark is suspect, and the time in which several count as one. That time is
+# short for digests: the same request is rarely at several engines that lose power together.
 SUSPECT_CRASHES = 3
 SAME_CRASH_MS = 100
+SAME_CRASH_OF_REQUEST_MS = 20
 # Older crashes do not count.
 EVIDENCE_TTL_MS = 600_000
 MAX_MARKS = 16_384
@@ -51,13 +52,13 @@
 class Victim:
     """A request that waited for its answer at an engine that crashed.
 
-    `marks` are without those on which an answer has begun since. `reported_at` is in monotonic ms.
+    `marks` are without those on which an answer has begun since. `crashed_at` is in monotonic ms.
     """
 
     engine: EngineStart
     marks: Combination
     broke_off_at: frozenset[str]
-    reported_at: int
+    crashed_at: int
 
 
 @dataclass(frozen=True)
@@ -106,11 +107,14 @@
         self.clock = clock
         self.victims: deque[Victim] = deque(maxlen=MAX_VICTIMS)
 
-    def record(self, engine: EngineStart, requests: Iterable[WaitingRequest]) -> None:
-        """Record a crash of an engine and the requests that waited there."""
-        now = self.clock.now()
+    def record(
+        self, engine: EngineStart, requests: Iterable[WaitingRequest], crashed_at: int
+    ) -> None:
+        """Record that an engine crashed at `crashed_at` (monotonic ms) with these requests."""
         self.victims += [
-            Victim(engine, item.marks, item.broke_off_at, now) for item in requests if item.marks
+            Victim(engine, item.marks, item.broke_off_at, crashed_at)
+            for item in requests
+            if item.marks
         ]
 
     def clear(self, cleared: Iterable[str]) -> None:
@@ -126,7 +130,7 @@
         counts only against marks of known combinations that also have a crash without explanation.
         """
         since = self.clock.now() - EVIDENCE_TTL_MS
-        recent = [item for item in self.victims if item.reported_at >= since]
+        recent = [item for item in self.victims if item.crashed_at >= since]
         explained = {
             item.engine for item in self.victims if any(found <= item.marks for found in known)
         }
@@ -135,8 +139,10 @@
         crashes: dict[str, dict[EngineStart, Crash]] = {}
         crashed_at: dict[EngineStart, int] = {}
         for item in recent:
-            # The oldest report comes first; a late router may report the same crash again.
-            at = crashed_at.setdefault(item.engine, item.reported_at)
+            # A late router may report the same crash again.
+            at = crashed_at[item.engine] = min(
+                item.crashed_at, crashed_at.get(item.engine, item.crashed_at)
+            )
             counted = item.marks & known_marks if item.engine in explained else item.marks
             for mark in counted:
                 found = crashes.setdefault(mark, {})
@@ -144,7 +150,7 @@
             if item.engine not in explained:
                 unexplained |= item.marks
         counts = {
-            mark: count_separate(found.values())
+            mark: count_separate(found.values(), same_crash_ms(mark))
             for mark, found in crashes.items()
             if len(found) >= SUSPECT_CRASHES and mark in unexplained
         }
@@ -157,7 +163,7 @@
 
     def age_ms(self, mark: str) -> int:
         """Return the time since the first crash of a suspect mark."""
-        first = min(item.reported_at for item in self.victims if mark in item.marks)
+        first = min(item.crashed_at for item in self.victims if mark in item.marks)
         return self.clock.now() - first
 
 
@@ -167,15 +173,20 @@
     return Crash(victim.engine.target_id, at, before | victim.broke_off_at)
 
 
-def count_separate(crashes: Iterable[Crash]) -> int:
-    """Return the number of crashes, of which those within `SAME_CRASH_MS` count as one.
+def same_crash_ms(mark: str) -> int:
+    """Return the time in which crashes under a mark count as one."""
+    return SAME_CRASH_OF_REQUEST_MS if is_digest(mark) else SAME_CRASH_MS
+
+
+def count_separate(crashes: Iterable[Crash], same_ms: int) -> int:
+    """Return the number of crashes, of which those within `same_ms` count as one.
 
     A crash counts by itself if a request had broken off at the one before it was sent on.
     """
     count, last = 0, None
     same: set[str] = set()
     for crash in sorted(crashes, key=lambda item: item.at):
-        if last is None or crash.at - last >= SAME_CRASH_MS or crash.broke_off_at & same:
+        if last is None or crash.at - last >= same_ms or crash.broke_off_at & same:
             count, last, same = count + 1, crash.at, set()
         same.add(crash.target_id)
     return count
--- a/src/jacinthcove/gateway/crashexaminer.py
+++ b/src/jacinthcove/gateway/crashexaminer.py
@@ -19,12 +19,12 @@
 from jacinthcove.clock import Clock
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.gateway.crashevidence import (
-    Combination,
     CrashEvidence,
     EngineStart,
     FirstEvents,
     WaitingRequest,
 )
+from jacinthcove.gateway.crashmarks import Combination
 from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.fanout import call_all, other_ids
@@ -96,13 +96,16 @@
         peers.register(BEGUN_QUERY, self.on_query)
         peers.register(QUARANTINE_NOTICE, self.on_notice)
 
-    def report(self, engine: EngineStart, requests: Collection[WaitingRequest]) -> None:
-        """Report a crash of an engine and the requests that waited there."""
+    def report(
+        self, engine: EngineStart, requests: Collection[WaitingRequest], crashed_at: int
+    ) -> None:
+        """Report that an engine crashed at `crashed_at` (monotonic ms) with these requests."""
         marks = [sorted(request.marks) for request in requests]
         log.info("engine_crashed", target=engine.target_id, requests=marks)
         message = pb.CrashReport(
             target_id=engine.target_id,
             started_at=engine.started_at,
+            age_ms=max(0, self.clock.now() - crashed_at),
             requests=[
                 pb.WaitingRequest(marks=item.marks, broke_off_at=item.broke_off_at)
                 for item in requests
@@ -110,7 +113,7 @@
         )
         # What a router sees itself is only a part of each crash, and misleads.
         if not self._send_to_examiners(message):
-            self._record(engine, requests)
+            self._record(engine, requests, crashed_at)
 
     def _send_to_examiners(self, message: pb.CrashReport) -> bool:
         """Send a report to all examiners; return whether one of them has it."""
@@ -143,7 +146,8 @@
             WaitingRequest(frozenset(item.marks), frozenset(item.broke_off_at))
             for item in message.requests
         ]
-        self._record(EngineStart(message.target_id, message.started_at), requests)
+        engine = EngineStart(message.target_id, message.started_at)
+        self._record(engine, requests, self.clock.now() - message.age_ms)
         return pb.Empty()
 
     def on_query(self, sender: str, message: pb.BegunQuery) -> pb.BegunReply:
@@ -157,8 +161,10 @@
         if message.marks:
             self.quarantine.add_found(frozenset(message.marks))
 
-    def _record(self, engine: EngineStart, requests: Collection[WaitingRequest]) -> None:
-        self.evidence.record(engine, requests)
+    def _record(
+        self, engine: EngineStart, requests: Collection[WaitingRequest], crashed_at: int
+    ) -> None:
+        self.evidence.record(engine, requests, crashed_at)
         self.new_evidence.set()
 
     def _examine_loop(self) -> None:
--- a/src/jacinthcove/gateway/crashwitness.py
+++ b/src/jacinthcove/gateway/crashwitness.py
@@ -1,12 +1,15 @@
 """Watches attempts at targets for answers that begin and for targets that crash."""
 
+from dataclasses import dataclass, field
+
 import gevent
 
 from jacinthcove.gateway.attempt import Attempt
-from jacinthcove.gateway.crashevidence import Combination, EngineStart, FirstEvents, WaitingRequest
+from jacinthcove.gateway.crashevidence import EngineStart, FirstEvents, WaitingRequest
 from jacinthcove.gateway.crashexaminer import CrashExaminer
+from jacinthcove.gateway.crashmarks import Combination, crash_marks
 from jacinthcove.gateway.forward import ForwardedRequest
-from jacinthcove.gateway.quarantine import Quarantine, crash_marks
+from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.gateway.retrypolicy import AttemptOutcome, NextAction
 from jacinthcove.targets.sockets import TargetNotListening, TargetUnreachable, connect
 
@@ -15,6 +18,14 @@
 CONFIRM_DELAY_MS = 30
 
 
+@dataclass
+class BrokenConnections:
+    """The requests that broke off at one engine since `since` (monotonic ms)."""
+
+    since: int
+    requests: set[WaitingRequest] = field(default_factory=set)
+
+
 class CrashWitness:
     """Reports the requests that waited for their answer at a crashed engine.
 
@@ -26,7 +37,7 @@
         self.quarantine = quarantine
         self.examiner = examiner
         # The requests that broke off at each engine, until it is known whether it crashed.
-        self.unconfirmed: dict[EngineStart, set[WaitingRequest]] = {}
+        self.unconfirmed: dict[EngineStart, BrokenConnections] = {}
 
     def on_sent(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
         """Do nothing: only answers and broken connections matter."""
@@ -71,18 +82,18 @@
     def _check_engine(self, attempt: Attempt, waiting: WaitingRequest) -> None:
         record = attempt.choice.target.record
         engine = EngineStart(record.id, record.started_at)
-        if engine in self.unconfirmed:
-            self.unconfirmed[engine].add(waiting)
-            return
-        self.unconfirmed[engine] = {waiting}
-        gevent.spawn_later(CONFIRM_DELAY_MS / 1000, self._confirm, engine, record.address)
+        broken = self.unconfirmed.get(engine)
+        if broken is None:
+            broken = self.unconfirmed[engine] = BrokenConnections(attempt.ended_at)
+            gevent.spawn_later(CONFIRM_DELAY_MS / 1000, self._confirm, engine, record.address)
+        broken.requests.add(waiting)
 
     def _confirm(self, engine: EngineStart, address: str) -> None:
-        requests = self.unconfirmed.pop(engine)
+        broken = self.unconfirmed.pop(engine)
         try:
             connect(address).close()
         except TargetNotListening:
-            self.examiner.report(engine, requests)
+            self.examiner.report(engine, broken.requests, broken.since)
         except TargetUnreachable:
             # The network is at fault, or the engine is too busy to accept.
             return
--- a/src/jacinthcove/gateway/quarantine.py
+++ b/src/jacinthcove/gateway/quarantine.py
@@ -5,47 +5,22 @@
 """
 
 from collections.abc import Collection
-from hashlib import blake2b
 
 import structlog
 
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
-from jacinthcove.gateway.crashevidence import Combination
+from jacinthcove.gateway.crashmarks import Combination, crash_marks
 from jacinthcove.gateway.model import GatewayRequest
 from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
 
-DIGEST_BYTES = 12
-DIGEST_PREFIX = "request:"
 # A combination is refused for this time, as the engines may be repaired meanwhile.
 QUARANTINE_MS = 600_000
 
 
-def request_digest(request: GatewayRequest) -> str:
-    """Return the mark of all requests of a workspace with the same method, path and body.
-
-    Ids of prompt parts have no colon, so it is none of them.
-    """
-    fields = (request.route.host, request.method, request.target, request.workspace)
-    digest = blake2b(digest_size=DIGEST_BYTES)
-    for field in (*(field.encode() for field in fields), request.body):
-        digest.update(len(field).to_bytes(8, "big"))
-        digest.update(field)
-    return f"{DIGEST_PREFIX}{digest.hexdigest()}"
-
-
-def crash_marks(request: GatewayRequest) -> Combination:
-    """Return the marks of a request: its digest, and all parts of its prompt but the last.
-
-    The last part belongs to this request only.
-    """
-    parts = (part.id for part in request.prompt.parts[:-1])
-    return frozenset((request_digest(request), *parts))
-
-
 class Quarantine:
     """The combinations in quarantine: those in the store, and those that the routers just found.
 
--- a/src/jacinthcove/platform/quarantinestore.py
+++ b/src/jacinthcove/platform/quarantinestore.py
@@ -5,7 +5,7 @@
 import orjson
 import structlog
 
-from jacinthcove.gateway.crashevidence import Combination
+from jacinthcove.gateway.crashmarks import Combination
 from jacinthcove.gateway.quarantine import Quarantine
 from jacinthcove.platform.names import QUARANTINE_KIND
 from jacinthcove.platform.storeclient import PlatformStoreClient
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -10,6 +10,7 @@
 from jacinthcove.gateway.crashevidence import (
     EVIDENCE_TTL_MS,
     SAME_CRASH_MS,
+    SAME_CRASH_OF_REQUEST_MS,
     SUSPECT_CRASHES,
     CrashEvidence,
     EngineStart,
@@ -17,7 +18,8 @@
     WaitingRequest,
 )
 from jacinthcove.gateway.crashexaminer import EXAMINERS, MAX_QUARANTINED, CrashExaminer
-from jacinthcove.gateway.quarantine import QUARANTINE_MS, Quarantine, crash_marks, request_digest
+from jacinthcove.gateway.crashmarks import crash_marks, request_digest
+from jacinthcove.gateway.quarantine import QUARANTINE_MS, Quarantine
 from jacinthcove.mesh.peers import Member
 from jacinthcove.store.kinds import Gap
 from tests.gateway.samples import prompt, request, route
@@ -100,13 +102,17 @@
         for id, examiner in self.examiners.items():
             examiner.join(self.mesh.members_of(id), self.mesh.peers_of(id))
 
+    def report(self, witness, engine, requests, age_ms=0):
+        """Let a router report a crash that it saw `age_ms` before."""
+        self.examiners[witness].report(engine, requests, self.clock.now() - age_ms)
+
     def crash(self, number, witness, *parts):
         """Let an engine crash while one request with these parts waits there.
 
         Answers on other prompts begin meanwhile.
         """
         self.clock.advance(SAME_CRASH_MS)
-        self.examiners[witness].report(EngineStart(f"e{number}", 1), waiting(only(*parts)))
+        self.report(witness, EngineStart(f"e{number}", 1), waiting(only(*parts)))
         self.examiners["r7"].first_events.record(["sound"])
 
     def examine(self):
@@ -182,9 +188,7 @@
     for number in range(SUSPECT_CRASHES + 1):
         fleet.crash(number, f"r{number}", POPULAR, DEADLY)
         engine = EngineStart(f"e{number}", 1)
-        fleet.examiners["r6"].report(
-            engine, waiting(only(POPULAR), only(POPULAR, f"sound{number}"))
-        )
+        fleet.report("r6", engine, waiting(only(POPULAR), only(POPULAR, f"sound{number}")))
         fleet.examine()
     assert len(fleet.refusing(POPULAR, DEADLY)) == 8
     assert not fleet.refusing(POPULAR)
@@ -198,9 +202,7 @@
     fleet.examine()
     for number in range(10, 10 + 2 * SUSPECT_CRASHES):
         fleet.clock.advance(SAME_CRASH_MS)
-        fleet.examiners["r2"].report(
-            EngineStart(f"e{number}", 1), waiting(only(DEADLY), only("rare"))
-        )
+        fleet.report("r2", EngineStart(f"e{number}", 1), waiting(only(DEADLY), only("rare")))
         fleet.examiners["r7"].first_events.record(["sound"])
         fleet.examine()
     assert not fleet.refusing("rare")
@@ -317,9 +319,7 @@
     """All engines of a failure domain lose power, with many requests on popular parts."""
     for number in range(20):
         engine = EngineStart(f"e{number}", 1)
-        fleet.examiners[f"r{number % 8}"].report(
-            engine, waiting(only(POPULAR), only(DEADLY, POPULAR))
-        )
+        fleet.report(f"r{number % 8}", engine, waiting(only(POPULAR), only(DEADLY, POPULAR)))
     fleet.examiners["r7"].first_events.record(["sound"])
     fleet.examine()
     assert not fleet.refusing(POPULAR, DEADLY)
@@ -330,12 +330,26 @@
     for number in range(SUSPECT_CRASHES):
         engine = EngineStart(f"e{number}", 1)
         before = frozenset(f"e{earlier}" for earlier in range(number))
-        fleet.examiners["r2"].report(engine, [WaitingRequest(only(DEADLY), before)])
+        fleet.report("r2", engine, [WaitingRequest(only(DEADLY), before)])
     fleet.examiners["r7"].first_events.record(["sound"])
     fleet.examine()
     assert len(fleet.refusing(DEADLY)) == 8
 
 
+@pytest.mark.parametrize(("apart_ms", "refused"), [(SAME_CRASH_OF_REQUEST_MS, True), (3, False)])
+def test_copies_of_a_request_that_crash_engines_at_once_are_told_from_a_power_loss(
+    fleet, apart_ms, refused
+):
+    """All copies are refused before the engines are back, whenever the reports arrive."""
+    for number in range(SUSPECT_CRASHES):
+        age_ms = 50 + apart_ms * (SUSPECT_CRASHES - number)
+        engine = EngineStart(f"e{number}", 1)
+        fleet.report(f"r{number}", engine, waiting(only("request:1")), age_ms)
+    fleet.examiners["r7"].first_events.record(["sound"])
+    fleet.examine()
+    assert bool(fleet.refusing("request:1")) is refused
+
+
 def test_a_deadly_request_is_found_although_answers_on_its_parts_begin(fleet):
     for number in range(SUSPECT_CRASHES):
         fleet.crash(number, f"r{number}", "request:1", POPULAR)
@@ -350,7 +364,7 @@
         fleet.clock.advance(SAME_CRASH_MS)
         beside = [only("request:sound")] if number else []
         engine = EngineStart(f"e{number}", 1)
-        fleet.examiners["r2"].report(engine, waiting(only("request:deadly"), *beside))
+        fleet.report("r2", engine, waiting(only("request:deadly"), *beside))
     fleet.examiners["r7"].first_events.record(["another"])
     fleet.examine()
     assert fleet.refusing("request:deadly")
@@ -368,7 +382,7 @@
     """Every engine crashes at whatever it is asked, such as one with a broken model."""
     for number in range(SUSPECT_CRASHES + 2):
         clock.advance(SAME_CRASH_MS)
-        fleet.examiners["r1"].report(EngineStart(f"e{number}", 1), waiting(only(POPULAR)))
+        fleet.report("r1", EngineStart(f"e{number}", 1), waiting(only(POPULAR)))
         fleet.examine()
     assert not fleet.refusing(POPULAR)
 
@@ -378,7 +392,7 @@
         fleet.clock.advance(SAME_CRASH_MS)
         for part in range(MAX_QUARANTINED + 5):
             engine = EngineStart(f"e{number}-{part}", 1)
-            fleet.examiners["r1"].report(engine, waiting(only(f"part{part}")))
+            fleet.report("r1", engine, waiting(only(f"part{part}")))
     fleet.examiners["r7"].first_events.record(["sound"])
     fleet.examiners["r1"].examine()
     assert len(fleet.store.parts) == MAX_QUARANTINED
@@ -387,7 +401,7 @@
 def test_old_crashes_do_not_count(clock):
     evidence = CrashEvidence(clock)
     for number in range(SUSPECT_CRASHES):
-        evidence.record(EngineStart(f"e{number}", 1), waiting(only(DEADLY)))
+        evidence.record(EngineStart(f"e{number}", 1), waiting(only(DEADLY)), clock.now())
         clock.advance(EVIDENCE_TTL_MS // 2 + 1)
     assert evidence.suspects() == []
 
--- a/tests/platform/test_crash_witness.py
+++ b/tests/platform/test_crash_witness.py
@@ -13,8 +13,8 @@
 )
 
 from jacinthcove.clock import SystemClock
+from jacinthcove.gateway.crashmarks import is_digest, request_digest
 from jacinthcove.gateway.crashwitness import CONFIRM_DELAY_MS
-from jacinthcove.gateway.quarantine import DIGEST_PREFIX, request_digest
 from jacinthcove.platform import names
 from tests.gateway.samples import request as sample
 
@@ -56,7 +56,7 @@
 
 
 def digests(marks):
-    return {mark for mark in marks if mark.startswith(DIGEST_PREFIX)}
+    return {mark for mark in marks if is_digest(mark)}
 
 
 def test_the_shared_parts_of_a_request_at_a_crashed_engine_are_reported(bed):
