Pass nothing on from a router too late to know its callers (GONE)

Cause: passing on came before the refusal of a late router, at any delay, so a router with more than it can pass on fell behind without a bound; and the close of a caller that had left was read late.

--- a/src/jacinthcove/gateway/handover.py
+++ b/src/jacinthcove/gateway/handover.py
@@ -125,9 +125,11 @@
         relays = self.relays.setdefault(helper.router, set())
         relays.add(peer)
         try:
-            self.passed_on.add()
             caller._sock.recv(len(data))
-            self._relay(caller, peer, mark_passed_on(data, self.clock.now() - received_at))
+            # The loop reports late that a caller has left.
+            if not has_disconnected(caller):
+                self.passed_on.add()
+                self._relay(caller, peer, mark_passed_on(data, self.clock.now() - received_at))
         finally:
             relays.discard(peer)
             peer.close()
--- a/src/jacinthcove/gateway/intake.py
+++ b/src/jacinthcove/gateway/intake.py
@@ -57,8 +57,11 @@
         return 1.0 - self.served_fraction
 
     def passes_on(self) -> bool:
-        """Return whether another router should serve the next request, if one has room."""
-        return self.rng.random() < self.passed_fraction
+        """Return whether another router should serve the next request, if one has room.
+
+        A router that is so late that its callers may have left passes nothing on.
+        """
+        return self.rng.random() < self.passed_fraction and not self.loop_delay.rejects_all()
 
     def refusal(self) -> RequestRefused | None:
         """Return a refusal for the requests that a late router has to reject, at random."""
