--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -103,11 +103,14 @@
         """
         if self.handover is None or self.leaving:
             return False
+        kept = self.body_bytes.open()
         self.open_requests += 1
         self.last_request_at = self.clock.now()
         try:
-            return self.handover.pass_on(caller, data, self.open_requests)
+            has_memory = kept.reserve(len(data))
+            return has_memory and self.handover.pass_on(caller, data, self.open_requests)
         finally:
+            kept.close()
             self.open_requests -= 1
 
     def record_shed(self, refusal: RequestRefused) -> None:
--- a/src/jacinthcove/gateway/handover.py
+++ b/src/jacinthcove/gateway/handover.py
@@ -24,6 +24,8 @@
 # only shortens its own time limit.
 WAITED_HEADER = "Jacinthcove-Waited-Ms"
 RECEIVE_BYTES = 65_536
+# Each relay takes two file descriptors.
+MAX_RELAYS = 800
 READ_EVENT = 1
 # While an answer is relayed, events are collected for this part of the time by which they may be
 # late, and sent on together.
@@ -112,6 +114,8 @@
         `open_requests` are those of this router.
         """
         received_at = self.clock.now()
+        if sum(len(relays) for relays in self.relays.values()) >= MAX_RELAYS:
+            return False
         helper = self.helpers.choose(open_requests, self.relays)
         if helper is None:
             return False
@@ -130,6 +134,9 @@
             if not has_disconnected(caller):
                 self.passed_on.add()
                 self._relay(caller, peer, mark_passed_on(data, self.clock.now() - received_at))
+        except OSError:
+            # The caller has reset its connection.
+            return True
         finally:
             relays.discard(peer)
             peer.close()
@@ -154,8 +161,7 @@
         try:
             if not self._relay_answer(caller, peer, request):
                 caller.sendall(_NO_ANSWER)
-        except (CallerLeft, OSError):
-            # Nobody waits for the rest.
+        except CallerLeft:
             return
         finally:
             watcher.stop()
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -123,7 +123,10 @@
         application = self.server.application
         if not application.passes_on():
             return False
-        data = await_whole_request(self.socket)
+        try:
+            data = await_whole_request(self.socket)
+        except OSError:
+            return False
         if data is None or not may_pass_on(data):
             return False
         application.connections.add(self)
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -1,12 +1,16 @@
 """Requests that a router cannot carry and that another router serves in its place."""
 
+import socket
+import struct
+
 import gevent
 import pytest
 from store_standin import eventually
 from test_platform_router import http, ledger, operator, start, store  # noqa: F401
 from wire_bed import header, read_response, request, response
 
-from jacinthcove.gateway import shedding
+from jacinthcove.bytebudget import FREE_BYTES
+from jacinthcove.gateway import handover, shedding
 from jacinthcove.gateway.handover import WAITED_HEADER, may_pass_on, take_waited_ms
 from jacinthcove.gateway.loopdelay import LATE_DELAY_MS, REJECT_ALL_DELAY_MS
 from jacinthcove.targets import sockets
@@ -121,10 +125,49 @@
     assert b"broke off" in body
 
 
+def refuse_at_once(router):
+    """Let a router refuse whatever it does not pass on."""
+    router.application.early_refusal = router.intake._late_refusal
+
+
+def test_relays_are_bounded_so_that_file_descriptors_remain(passing, monkeypatch):
+    late, _ = passing
+    refuse_at_once(late)
+    monkeypatch.setattr(handover, "MAX_RELAYS", 1)
+    late.application.handover.relays["another"] = {object()}
+    assert http(late.settings.caller_listen)[0] == 503
+    late.application.handover.relays.clear()
+    assert http(late.settings.caller_listen)[0] == 200
+
+
+def test_requests_that_are_passed_on_count_in_the_memory_for_bodies(
+    passing, ledger, monkeypatch  # noqa: F811
+):
+    late, _ = passing
+    refuse_at_once(late)
+    monkeypatch.setattr(shedding, "ARRIVAL_MS", 2_000)
+    large = request("/publish/1", b"x" * (FREE_BYTES + 1_000))
+    others = late.application.body_bytes.open()
+    assert others.reserve(late.application.body_bytes.limit_bytes - FREE_BYTES)
+    assert http(late.settings.caller_listen, raw=large)[0] == 503
+    assert not ledger.seen
+    others.close()
+    assert http(late.settings.caller_listen, raw=large)[0] == 200
+
+
+def test_a_caller_that_resets_its_connection_does_no_harm(passing, ledger):  # noqa: F811
+    late, _ = passing
+    sock = open_request(late, request("/publish/1")[:30])
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+    assert http(late.settings.caller_listen)[0] == 200
+    eventually(lambda: late.application.open_requests == 0)
+
+
 def test_a_late_router_without_help_refuses_and_says_not_run(pair, ledger):  # noqa: F811
     late, idle = pair
     idle.stop_now()
-    late.intake.refusal = late.application.early_refusal = late.intake._late_refusal
+    refuse_at_once(late)
     assert http(late.settings.caller_listen)[0] == 503
     assert not ledger.seen
 
