Count connections that carry requests in the tests of their reuse

What the test asks is that the next request gets a connection of its own; so connections count once a request arrives on them, in all tests of the file. No bound changed.

--- a/tests/platform/test_connection_reuse.py
+++ b/tests/platform/test_connection_reuse.py
@@ -29,14 +29,17 @@
 
 
 class KeepAliveTarget(ScriptedTarget):
-    """Serves one request after another on each connection until the script returns False."""
+    """Serves one request after another on each connection until the script returns False.
+
+    `connections` are those that carried a request; after a broken one the router connects once
+    more, without a request, to learn whether the target has crashed.
+    """
 
     def __init__(self, id, service, script):
         self.connections = []
         super().__init__(id, service, script)
 
     def _serve(self, sock, _):
-        self.connections.append(sock)
         while self._serve_one(sock):
             pass
 
@@ -53,6 +56,8 @@
         while len(body) < int(header(text, "Content-Length") or 0):
             body += sock.recv(65_536)
         self.seen.append(text)
+        if sock not in self.connections:
+            self.connections.append(sock)
         return self.script(self, sock, text) is not False
 
 
