Close callers' connections only while another router serves some of them

A router at the bound of its work closed each connection after its answer, so that callers connect anew and can be passed on. Without a router that has room, that only cost it 0.35 ms more for each request (users' request_cost, plain-kept: half of the requests met a closed connection).

Change: connections close while answers are relayed from other routers. test_a_busy_router_without_help_keeps_its_connections_open fails without it.

--- a/src/jacinthcove/gateway/handover.py
+++ b/src/jacinthcove/gateway/handover.py
@@ -114,7 +114,7 @@
         `open_requests` are those of this router.
         """
         received_at = self.clock.now()
-        if sum(len(relays) for relays in self.relays.values()) >= MAX_RELAYS:
+        if self.open_relays() >= MAX_RELAYS:
             return False
         helper = self.helpers.choose(open_requests, self.relays)
         if helper is None:
@@ -142,6 +142,10 @@
             peer.close()
         return True
 
+    def open_relays(self) -> int:
+        """Return the number of answers that are being relayed."""
+        return sum(len(relays) for relays in self.relays.values())
+
     def on_member(self, member: Member) -> None:
         """Break off the relays of a router that has died; its connections may stay silent."""
         if member.state is MemberState.DEAD:
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -177,7 +177,7 @@
         self.loop_work = LoopWork()
         self.intake = Intake(self.loop_delay, self.loop_work.take_fraction)
         helpers = Helpers(clock, settings.id, settings.failure_domain, self.fleet.candidates)
-        handover = Handover(
+        self.handover = handover = Handover(
             clock,
             helpers,
             bounds.event_delay_max_ms,
@@ -330,7 +330,8 @@
 
     def _closes_connections(self) -> bool:
         """Return whether callers should choose a router anew for their next requests."""
-        return not self.ready() or self.intake.passed_fraction > 0 or self.fleet.is_left_out()
+        others_serve = self.handover.open_relays() > 0
+        return not self.ready() or others_serve or self.fleet.is_left_out()
 
     def _on_loop_delay(self, delay_ms: float) -> None:
         self.metrics.gauge("loop_delay_ms").set(delay_ms)
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -172,6 +172,22 @@
     assert not ledger.seen
 
 
+def test_a_busy_router_without_help_keeps_its_connections_open(
+    start, operator, ledger  # noqa: F811
+):
+    """A new connection for each request would cost it more than it has."""
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    router.intake.task.close()
+    router.intake.served_fraction = 0.0
+    sock = open_request(router, request("/publish/1", id="q1"))
+    for number in (2, 3):
+        status, headers, _ = read_response(sock)
+        assert (status, headers.get("connection")) == (200, None)
+        sock.sendall(request(f"/publish/{number}", id=f"q{number}"))
+
+
 @pytest.mark.parametrize(
     ("data", "allowed"),
     [
