--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -1,6 +1,5 @@
 """The complete router against stand-ins of the store and of targets."""
 
-import os
 import socket
 
 import gevent
@@ -19,21 +18,16 @@
 from jacinthcove.platform.settings import decode_settings
 
 
-def own_ip():
-    """Return a loopback address of this process, whose free ports no other process takes."""
-    return f"127.{1 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}.1"
-
-
 def free_address():
     with socket.socket() as sock:
-        sock.bind((own_ip(), 0))
-        return f"{own_ip()}:{sock.getsockname()[1]}"
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
 def settings_for(store, name, mesh):
     text = SETTINGS.replace("front-1", name).replace("10.200.1.7:8781", store.address)
     text = text.replace("seeds=10.1.0.33:8785,10.2.0.18:8785", "seeds=")
-    text = text.replace("ip=10.1.0.33", f"ip={own_ip()}").replace("7400,7415", mesh)
+    text = text.replace("ip=10.1.0.33", "ip=127.0.0.1").replace("7400,7415", mesh)
     for port in ("8783", "8780", "8789"):
         text = text.replace(f"10.1.0.33:{port}", free_address())
     return decode_settings(text).unwrap()
