--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -18,7 +18,8 @@
 from benchmarks.caller import STAGGER_S, Plan, gap_histogram
 from benchmarks.site import BENCHMARK_ENVIRONMENT, benchmark_profile, machine, warm_engine_flags
 from testbed.fleet import FleetOptions, LocalFleet
-from testbed.processes import Program, cpu_seconds, free_addresses, resident_mb, stop_all
+from testbed.ports import free_addresses
+from testbed.processes import Program, cpu_seconds, resident_mb, stop_all
 
 ENGINES = 9
 # More slots than streams need, so that a lagging load report holds none of them back.
--- a/testbed/fleet.py
+++ b/testbed/fleet.py
@@ -16,7 +16,8 @@
 from jacinthcove.store.client import HttpStore
 from jacinthcove.store.connections import Connections, NoReply
 from jacinthcove.store.vms import Vm, VmList, VmRole, encode_vms
-from testbed.processes import Program, free_addresses, stop_all
+from testbed.ports import free_addresses
+from testbed.processes import Program, stop_all
 
 FLEET_KEY = "local-fleet-key"
 OPERATOR_KEY = "local-operator-key"
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -1,9 +1,7 @@
-"""Child processes on loopback and their addresses."""
+"""Child processes on loopback."""
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,9 +15,6 @@
 STOP_TIMEOUT_S = 40.0
 COMMAND_TIMEOUT_S = 60.0
 POLL_S = 0.05
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-_returned: set[int] = set()
 SOURCE = Path(__file__).resolve().parent.parent / "src"
 
 
@@ -33,32 +28,6 @@
     return any(int(mask, 16) & 1 << (number - 1) for mask in masks)
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return `count` loopback addresses whose ports were free a moment ago.
-
-    The ports are below the range from which the kernel takes those of outgoing connections, which
-    would otherwise occupy one of them before its process listens. No port is returned twice.
-    """
-    sockets: list[socket.socket] = []
-    try:
-        while len(sockets) < count:
-            port = random.randrange(FIRST_PORT, LAST_PORT)
-            sock = socket.socket()
-            try:
-                if port in _returned:
-                    raise OSError(f"port {port} was returned before")
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                sock.close()
-                continue
-            _returned.add(port)
-            sockets.append(sock)
-        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
-
-
 @dataclass
 class Program:
     """One process of a fleet; its output goes to `log_path`."""
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -1,7 +1,5 @@
 """The complete router against stand-ins of the store and of targets."""
 
-import socket
-
 import gevent
 import orjson
 import pytest
@@ -16,12 +14,7 @@
 from jacinthcove.platform import fleet
 from jacinthcove.platform.daemon import PlatformRouter
 from jacinthcove.platform.settings import decode_settings
-
-
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+from testbed.ports import free_addresses
 
 
 def settings_for(store, name, mesh):
@@ -29,7 +22,7 @@
     text = text.replace("seeds=10.1.0.33:8785,10.2.0.18:8785", "seeds=")
     text = text.replace("ip=10.1.0.33", "ip=127.0.0.1").replace("7400,7415", mesh)
     for port in ("8783", "8780", "8789"):
-        text = text.replace(f"10.1.0.33:{port}", free_address())
+        text = text.replace(f"10.1.0.33:{port}", free_addresses(1)[0])
     return decode_settings(text).unwrap()
 
 
@@ -89,7 +82,7 @@
     routers = []
 
     def make(name="front-1"):
-        mesh = free_address().rpartition(":")[2]
+        mesh = free_addresses(1)[0].rpartition(":")[2]
         router = PlatformRouter(settings_for(store, name, f"{mesh},{mesh}"), metrics_port=0)
         routers.append(router)
         gevent.spawn(router.start)
--- a/tests/targets/test_target_client.py
+++ b/tests/targets/test_target_client.py
@@ -11,7 +11,7 @@
 from jacinthcove.targets import client, sockets
 from jacinthcove.targets.client import TargetRequest, fetch, open_response, read_events
 from jacinthcove.targets.sockets import StallDetectingSocket, TargetStalled, TargetUnreachable
-from testbed.processes import free_addresses
+from testbed.ports import free_addresses
 
 OK = b"HTTP/1.1 200 OK\r\n"
 
