--- a/src/jacinthcove/gateway/handover.py
+++ b/src/jacinthcove/gateway/handover.py
@@ -7,14 +7,15 @@
 
 import contextlib
 import re
-import socket
 from collections.abc import Callable
 from typing import Any
 
 import gevent
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.callererrors import CallerDisconnected
 from jacinthcove.gateway.codec import Headers
+from jacinthcove.gateway.disconnects import has_disconnected, watch_disconnect
 from jacinthcove.gateway.helpers import Helpers
 from jacinthcove.mesh.peers import Member, MemberState
 from jacinthcove.observe.metrics import Counter
@@ -26,7 +27,6 @@
 RECEIVE_BYTES = 65_536
 # Each relay takes two file descriptors.
 MAX_RELAYS = 800
-READ_EVENT = 1
 # While an answer is relayed, events are collected for this part of the time by which they may be
 # late, and sent on together.
 PAUSE_FRACTION = 0.5
@@ -69,21 +69,6 @@
     return rest, int(found[0]) if _WAITED_MS.fullmatch(found[0]) else 0
 
 
-def has_disconnected(sock: Any) -> bool:
-    """Return whether the other side of a gevent socket has closed its connection."""
-    try:
-        # Peeks at the underlying non-blocking socket, so no duplicate descriptor is needed.
-        return not sock._sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
-class CallerLeft(Exception):  # noqa: N818 - names an outcome
-    """The caller has closed its connection before the end of its answer."""
-
-
 class Handover:
     """Lets other routers serve requests, and relays their answers to the callers.
 
@@ -153,23 +138,13 @@
                 peer.close()
 
     def _relay(self, caller: Any, peer: Any, request: bytes) -> None:
-        relay = gevent.getcurrent()
-        watcher = gevent.get_hub().loop.io(caller.fileno(), READ_EVENT)
-
-        def on_readable() -> None:
-            watcher.stop()
-            if has_disconnected(caller):
-                relay.kill(CallerLeft, block=False)
-
-        watcher.start(on_readable)
+        caller_left = CallerDisconnected("the caller closed its connection")
         try:
-            if not self._relay_answer(caller, peer, request):
-                caller.sendall(_NO_ANSWER)
-        except CallerLeft:
+            with watch_disconnect(caller, caller_left):
+                if not self._relay_answer(caller, peer, request):
+                    caller.sendall(_NO_ANSWER)
+        except CallerDisconnected:
             return
-        finally:
-            watcher.stop()
-            watcher.close()
 
     def _relay_answer(self, caller: Any, peer: Any, request: bytes) -> bool:
         """Relay until the helper closes its connection; return whether any answer has begun."""
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -1,8 +1,7 @@
 """The HTTP server of the gateway: strict parsing, caller disconnects, graceful stop."""
 
-import contextlib
 import re
-from collections.abc import Iterator
+from contextlib import AbstractContextManager
 from typing import Any
 
 import gevent
@@ -15,14 +14,14 @@
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.callererrors import BodyNotRead, CallerDisconnected, MalformedRequest
 from jacinthcove.gateway.codec import Headers, RawRequest
-from jacinthcove.gateway.handover import has_disconnected, may_pass_on, take_waited_ms
+from jacinthcove.gateway.disconnects import has_disconnected, watch_disconnect
+from jacinthcove.gateway.handover import may_pass_on, take_waited_ms
 from jacinthcove.gateway.model import CallerLimits
 from jacinthcove.gateway.shedding import answer_whole_request, await_whole_request
 from jacinthcove.router.connection import CallerHandler
 
 log = structlog.get_logger()
 
-READ_EVENT = 1
 BACKLOG = 1_024
 # Empty lines before a request line are skipped up to this number.
 MAX_EMPTY_LINES = 2
@@ -292,23 +291,10 @@
         """Return the request as received, with `body`."""
         return RawRequest(self.command, self.path, self.raw_headers, body)
 
-    @contextlib.contextmanager
-    def watch_disconnect(self) -> Iterator[None]:
+    def watch_disconnect(self) -> AbstractContextManager[None]:
         """Raise `CallerDisconnected` in this greenlet when the caller closes its connection."""
-        greenlet = gevent.getcurrent()
-        watcher = gevent.get_hub().loop.io(self.socket.fileno(), READ_EVENT)
-
-        def on_readable() -> None:
-            watcher.stop()
-            if self.has_disconnected():
-                greenlet.kill(CallerDisconnected("the caller closed its connection"), block=False)
-
-        watcher.start(on_readable)
-        try:
-            yield
-        finally:
-            watcher.stop()
-            watcher.close()
+        error = CallerDisconnected("the caller closed its connection")
+        return watch_disconnect(self.socket, error)
 
     def has_disconnected(self) -> bool:
         """Return whether the caller has closed its connection."""
