End the relay of a passed-on request with the time limit of its route (CONFIG)

Callers would see: a request that a late router passes on to a router that has just lost its power stays unanswered until the members call that router dead, 4 to 5 s, or for the longest time limit of all routes, though its own route allows 2.5 s. Change: host and path are found in the bytes; the relay ends 100 ms after the limit of their route, with 504 if nothing has been answered. The bytes that routers exchange lie in handovermessages.py. Test: test_a_relay_ends_with_the_time_limit_of_its_route failed before (no answer within 5 s, limit 1.2 s).

--- a/src/jacinthcove/gateway/activeconfig.py
+++ b/src/jacinthcove/gateway/activeconfig.py
@@ -73,10 +73,14 @@
             )
         return self.table
 
-    def max_timeout_ms(self) -> int:
-        """Return the longest time limit of a route, 0 before the first configuration."""
-        routes = self.table.config.routes if self.table is not None else ()
-        return max((route.timeout_ms for route in routes), default=0)
+    def time_limit_ms(self, host: str, path: str) -> int:
+        """Return the time limit of a route, or the longest one if this router does not know it."""
+        if self.table is None:
+            return 0
+        try:
+            return self.table.find(host, path).timeout_ms
+        except RequestRefused:
+            return max((route.timeout_ms for route in self.table.config.routes), default=0)
 
     def require_fresh(self, workspace: str) -> None:
         """Raise `RequestRefused` if the key of `workspace` may have been revoked since.
--- a/src/jacinthcove/gateway/handover.py
+++ b/src/jacinthcove/gateway/handover.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import re
 from collections.abc import Callable
 from typing import Any
 
@@ -14,66 +13,34 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.callererrors import CallerDisconnected
-from jacinthcove.gateway.codec import Headers
 from jacinthcove.gateway.disconnects import has_disconnected, watch_disconnect
+from jacinthcove.gateway.handovermessages import (
+    BROKEN_OFF,
+    TIMED_OUT,
+    FailedRelay,
+    host_and_path,
+    mark_passed_on,
+)
 from jacinthcove.gateway.helpers import Helpers
 from jacinthcove.mesh.peers import Member, MemberState
 from jacinthcove.observe.metrics import Counter
 from jacinthcove.targets.sockets import TargetUnreachable, connect
 
-# How many ms another router has had a request that it passed on. A caller who sends this header
-# only shortens its own time limit.
-WAITED_HEADER = "Jacinthcove-Waited-Ms"
 RECEIVE_BYTES = 65_536
 # Each relay takes two file descriptors.
 MAX_RELAYS = 800
 # While an answer is relayed, events are collected for this part of the time by which they may be
 # late, and sent on together.
 PAUSE_FRACTION = 0.5
-_WAITED_MS = re.compile(r"[0-9]{1,9}")
-_MARK = f"\r\n{WAITED_HEADER}: ".encode()
-_LINE_END = b"\r\n"
-# An answer to an older version may end with its connection, which shows no breaking off.
-_VERSION = b" HTTP/1.1"
-_NO_ANSWER_BODY = b"the router that had the request broke off\n"
-_NO_ANSWER = (
-    b"HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Type: text/plain\r\n"
-    b"Content-Length: %d\r\n\r\n%b" % (len(_NO_ANSWER_BODY), _NO_ANSWER_BODY)
-)
-
-
-def may_pass_on(data: bytes) -> bool:
-    """Return whether a request, given as received, may go to another router.
-
-    One that comes from another router may not, so no request travels on and on.
-    """
-    line_end = data.find(_LINE_END)
-    return data.endswith(_VERSION, 0, line_end) and not data.startswith(_MARK, line_end)
-
-
-def mark_passed_on(data: bytes, waited_ms: int) -> bytes:
-    """Return a request with the header that tells how long this router has had it."""
-    request_line, _, rest = data.partition(_LINE_END)
-    return b"%b%b%d\r\n%b" % (request_line, _MARK, max(0, waited_ms), rest)
-
-
-def take_waited_ms(headers: Headers) -> tuple[Headers, int | None]:
-    """Return the headers of a request without the mark, and how long another router has had it.
-
-    The time is None if no router has passed the request on.
-    """
-    found = [value for name, value in headers if name == WAITED_HEADER]
-    if not found:
-        return headers, None
-    rest = tuple(item for item in headers if item[0] != WAITED_HEADER)
-    return rest, int(found[0]) if _WAITED_MS.fullmatch(found[0]) else 0
+# A helper answers at the time limit of its route; this is for its answer to arrive.
+LIMIT_SLACK_MS = 100
 
 
 class Handover:
     """Lets other routers serve requests, and relays their answers to the callers.
 
     `event_delay_max_ms` is the time by which an event may reach its caller late. `time_limit_ms`
-    returns the longest time that an answer may take. `passed_on` counts the requests.
+    returns the time that an answer may take, by host and path. `passed_on` counts the requests.
     """
 
     def __init__(
@@ -81,7 +48,7 @@
         clock: Clock,
         helpers: Helpers,
         event_delay_max_ms: int,
-        time_limit_ms: Callable[[], int],
+        time_limit_ms: Callable[[str, str], int],
         passed_on: Counter,
     ):
         self.clock = clock
@@ -111,6 +78,7 @@
         except TargetUnreachable:
             self.helpers.record_unreachable(helper.router)
             return False
+        ends_at = received_at + self.time_limit_ms(*host_and_path(data)) + LIMIT_SLACK_MS
         relays = self.relays.setdefault(helper.router, set())
         relays.add(peer)
         try:
@@ -118,7 +86,8 @@
             # The loop reports late that a caller has left.
             if not has_disconnected(caller):
                 self.passed_on.add()
-                self._relay(caller, peer, mark_passed_on(data, self.clock.now() - received_at))
+                request = mark_passed_on(data, self.clock.now() - received_at)
+                self._relay(caller, peer, request, ends_at)
         except OSError:
             # The caller has reset its connection.
             return True
@@ -137,25 +106,28 @@
             for peer in self.relays.pop(member.id, set()):
                 peer.close()
 
-    def _relay(self, caller: Any, peer: Any, request: bytes) -> None:
+    def _relay(self, caller: Any, peer: Any, request: bytes, ends_at: int) -> None:
         caller_left = CallerDisconnected("the caller closed its connection")
         try:
             with watch_disconnect(caller, caller_left):
-                if not self._relay_answer(caller, peer, request):
-                    caller.sendall(_NO_ANSWER)
+                failure = self._relay_answer(caller, peer, request, ends_at)
+                if failure is not None:
+                    caller.sendall(failure.encode())
         except CallerDisconnected:
             return
 
-    def _relay_answer(self, caller: Any, peer: Any, request: bytes) -> bool:
-        """Relay until the helper closes its connection; return whether any answer has begun."""
+    def _relay_answer(
+        self, caller: Any, peer: Any, request: bytes, ends_at: int
+    ) -> FailedRelay | None:
+        """Relay until the helper closes its connection; return a failure if no answer has begun."""
         answered = False
-        with (
-            contextlib.suppress(OSError),
-            gevent.Timeout(self.time_limit_ms() / 1000, False),
-        ):
+        remaining_s = max(0, ends_at - self.clock.now()) / 1000
+        with contextlib.suppress(OSError), gevent.Timeout(remaining_s, False):
             peer.sendall(request)
             while data := peer.recv(RECEIVE_BYTES):
                 answered = True
                 caller.sendall(data)
                 gevent.sleep(self.pause_s)
-        return answered
+        if answered:
+            return None
+        return TIMED_OUT if self.clock.now() >= ends_at else BROKEN_OFF
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -15,7 +15,7 @@
 from jacinthcove.gateway.callererrors import BodyNotRead, CallerDisconnected, MalformedRequest
 from jacinthcove.gateway.codec import Headers, RawRequest
 from jacinthcove.gateway.disconnects import has_disconnected, watch_disconnect
-from jacinthcove.gateway.handover import may_pass_on, take_waited_ms
+from jacinthcove.gateway.handovermessages import may_pass_on, take_waited_ms
 from jacinthcove.gateway.model import CallerLimits
 from jacinthcove.gateway.shedding import answer_whole_request, await_whole_request
 from jacinthcove.router.connection import CallerHandler
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -181,7 +181,7 @@
             clock,
             helpers,
             bounds.event_delay_max_ms,
-            self.active_config.max_timeout_ms,
+            self.active_config.time_limit_ms,
             self.metrics.counter("requests_passed_on_total"),
         )
         self.application = GatewayApplication(
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 
 import gevent
 import pytest
@@ -11,7 +12,13 @@
 
 from jacinthcove.bytebudget import FREE_BYTES
 from jacinthcove.gateway import handover, shedding
-from jacinthcove.gateway.handover import WAITED_HEADER, may_pass_on, take_waited_ms
+from jacinthcove.gateway.directory import Candidate
+from jacinthcove.gateway.handovermessages import (
+    WAITED_HEADER,
+    host_and_path,
+    may_pass_on,
+    take_waited_ms,
+)
 from jacinthcove.gateway.loopdelay import LATE_DELAY_MS, REJECT_ALL_DELAY_MS
 from jacinthcove.targets import sockets
 
@@ -111,6 +118,29 @@
     assert ledger.closed_by_peer.wait(1)
 
 
+@pytest.fixture
+def silent_helper(passing):
+    """Let the late router pass requests on to a router that accepts them and stays silent."""
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    helpers = passing[0].handover.helpers
+    helpers.candidates = lambda: [Candidate("silent", address, "qc-east-a", 0)]
+    helpers.looked_up_at = None
+    yield
+    listener.close()
+
+
+def test_a_relay_ends_with_the_time_limit_of_its_route(passing, silent_helper):
+    """Another route allows ten times as long."""
+    limit_s = 1.2
+    started_at = time.monotonic()
+    status, _, _ = http(passing[0].settings.caller_listen, "/publish/1")
+    assert status == 504
+    assert limit_s - 0.1 < time.monotonic() - started_at < limit_s + 0.5
+
+
 def test_an_answer_that_breaks_off_does_not_look_complete(passing, ledger):  # noqa: F811
     late, idle = passing
 
@@ -205,3 +235,22 @@
 )
 def test_an_odd_mark_of_a_caller_counts_as_no_time(value, waited_ms):
     assert take_waited_ms(((WAITED_HEADER, value), ("Host", "x"))) == ((("Host", "x"),), waited_ms)
+
+
+@pytest.mark.parametrize(
+    ("head", "found"),
+    [
+        (b"GET /a/b?c=/d HTTP/1.1\r\nHost: x\r\n\r\n", ("x", "/a/b")),
+        (b"GET / HTTP/1.1\r\nA: b\r\nhOST:  x:80 \r\nB: c\r\n\r\n", ("x:80", "/")),
+        (b"GET / HTTP/1.1\r\nA: b\r\n\r\n\r\nHost: y\r\n\r\n", ("", "/")),
+        (b"\r\n\r\n", ("", "")),
+    ],
+)
+def test_the_route_of_a_request_is_found_in_its_head_only(head, found):
+    assert host_and_path(head) == found
+
+
+def test_an_unknown_route_may_take_as_long_as_any_as_another_router_may_know_it(passing):
+    config = passing[0].active_config
+    assert config.time_limit_ms("desk.example", "/publish/1") == 1_200
+    assert config.time_limit_ms("desk.example", "/added-later/1") == 12_000
