--- a/tests/platform/test_deadly_requests.py
+++ b/tests/platform/test_deadly_requests.py
@@ -2,9 +2,9 @@
 
 import gevent
 import pytest
+from router_bed import http
 from store_standin import eventually
 from test_platform_decode import ENTRY
-from test_platform_router import http, operator, start, store  # noqa: F401
 from wire_bed import KEY, ScriptedTarget, request, response
 
 from jacinthcove.codes import ResultCode
@@ -18,7 +18,7 @@
 class CrashingLedger:
     """The only target of the ledger; it starts again under another id after each crash."""
 
-    def __init__(self, store):  # noqa: F811
+    def __init__(self, store):
         self.store = store
         self.crashes = 0
         self.target = None
@@ -40,14 +40,14 @@
 
 
 @pytest.fixture
-def fallible(store):  # noqa: F811
+def fallible(store):
     fallible = CrashingLedger(store)
     yield fallible
     fallible.target.close()
 
 
 @pytest.fixture
-def router(start, operator, fallible):  # noqa: F811
+def router(start, operator, fallible):
     operator(7)
     router = start()
     eventually(router.ready)
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -6,8 +6,8 @@
 
 import gevent
 import pytest
+from router_bed import http
 from store_standin import eventually
-from test_platform_router import http, ledger, operator, start, store  # noqa: F401
 from wire_bed import header, read_response, request, response
 
 from jacinthcove.address import split_address
@@ -24,7 +24,7 @@
 
 
 @pytest.fixture
-def pair(start, operator, ledger):  # noqa: F811
+def pair(start, operator, ledger):
     """Return two routers that know each other; the first one is late."""
     operator(7)
     routers = start("front-1"), start("front-2")
@@ -34,7 +34,7 @@
     return routers
 
 
-def test_callers_of_a_late_router_are_served_by_an_idle_one(passing, ledger):  # noqa: F811
+def test_callers_of_a_late_router_are_served_by_an_idle_one(passing, ledger):
     """Without help the router refuses half of them."""
     late, idle = passing
     for number in range(20):
@@ -44,7 +44,7 @@
         assert len(ledger.seen) == number + 1
 
 
-def test_a_request_whose_caller_has_left_is_not_passed_on(passing, ledger):  # noqa: F811
+def test_a_request_whose_caller_has_left_is_not_passed_on(passing, ledger):
     late, idle = passing
     seen = len(ledger.seen)
     sock = open_request(late, request("/publish/left"))
@@ -53,7 +53,7 @@
     assert len(ledger.seen) == seen
 
 
-def test_a_router_too_late_to_know_its_callers_refuses(pair, ledger):  # noqa: F811
+def test_a_router_too_late_to_know_its_callers_refuses(pair, ledger):
     pair[0].loop_delay.delay_ms = lambda: REJECT_ALL_DELAY_MS + 1
     gevent.sleep(0.3)
     assert not pair[0].intake.passes_on()
@@ -79,7 +79,7 @@
     return sock
 
 
-def test_a_slow_answer_is_not_cut_off_on_its_way(passing, ledger):  # noqa: F811
+def test_a_slow_answer_is_not_cut_off_on_its_way(passing, ledger):
     def answer_slowly(target, sock, head):
         gevent.sleep((handover.CONNECT_TIMEOUT_MS + 300) / 1000)
         sock.sendall(response(head))
@@ -88,7 +88,7 @@
     assert http(passing[0].settings.caller_listen)[0] == 200
 
 
-def test_the_target_sees_the_request_as_the_caller_sent_it(passing, ledger):  # noqa: F811
+def test_the_target_sees_the_request_as_the_caller_sent_it(passing, ledger):
     raw = request("/publish/7", b"body of the caller", id="q7")
     assert http(passing[0].settings.caller_listen, raw=raw)[0] == 200
     assert ledger.bodies[-1] == b"body of the caller"
@@ -97,9 +97,7 @@
     assert passed_on(passing[1]) == 0
 
 
-def test_a_body_that_arrives_in_pieces_is_passed_on_whole(
-    passing, ledger, monkeypatch  # noqa: F811
-):
+def test_a_body_that_arrives_in_pieces_is_passed_on_whole(passing, ledger, monkeypatch):
     monkeypatch.setattr(shedding, "ARRIVAL_MS", 2_000)
     data = request("/publish/8", b"x" * 9_000)
     sock = open_request(passing[0], data[:5_000])
@@ -109,7 +107,7 @@
     assert ledger.bodies[-1] == b"x" * 9_000
 
 
-def test_a_caller_that_leaves_ends_its_request_at_the_target(passing, ledger):  # noqa: F811
+def test_a_caller_that_leaves_ends_its_request_at_the_target(passing, ledger):
     ledger.script = lambda target, sock, head: sock.recv(1) or target.closed_by_peer.set()
     sock = open_request(passing[0], request("/publish/9"))
     eventually(lambda: ledger.seen)
@@ -152,7 +150,7 @@
     assert limit_s - 0.1 < time.monotonic() - started_at < limit_s + 0.5
 
 
-def test_an_answer_that_breaks_off_does_not_look_complete(passing, ledger):  # noqa: F811
+def test_an_answer_that_breaks_off_does_not_look_complete(passing, ledger):
     late, idle = passing
 
     def stop_helper(target, sock, head):
@@ -181,9 +179,7 @@
     assert http(late.settings.caller_listen)[0] == 200
 
 
-def test_requests_that_are_passed_on_count_in_the_memory_for_bodies(
-    passing, ledger, monkeypatch  # noqa: F811
-):
+def test_requests_that_are_passed_on_count_in_the_memory_for_bodies(passing, ledger, monkeypatch):
     late, _ = passing
     refuse_at_once(late)
     monkeypatch.setattr(shedding, "ARRIVAL_MS", 2_000)
@@ -196,7 +192,7 @@
     assert http(late.settings.caller_listen, raw=large)[0] == 200
 
 
-def test_a_caller_that_resets_its_connection_does_no_harm(passing, ledger):  # noqa: F811
+def test_a_caller_that_resets_its_connection_does_no_harm(passing, ledger):
     late, _ = passing
     sock = open_request(late, request("/publish/1")[:30])
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -205,7 +201,7 @@
     eventually(lambda: late.application.open_requests == 0)
 
 
-def test_a_late_router_without_help_refuses_and_says_not_run(pair, ledger):  # noqa: F811
+def test_a_late_router_without_help_refuses_and_says_not_run(pair, ledger):
     late, idle = pair
     idle.stop_now()
     refuse_at_once(late)
@@ -213,9 +209,7 @@
     assert not ledger.seen
 
 
-def test_a_busy_router_without_help_keeps_its_connections_open(
-    start, operator, ledger  # noqa: F811
-):
+def test_a_busy_router_without_help_keeps_its_connections_open(start, operator, ledger):
     """A new connection for each request would cost it more than it has."""
     operator(7)
     router = start()
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -8,7 +8,6 @@
 import pytest
 from store_standin import eventually
 from test_platform_decode import ENTRY
-from test_platform_router import http, ledger, operator, start, store  # noqa: F401
 from wire_bed import ScriptedTarget, header, read_response, request, response
 
 from jacinthcove.gateway.plannedstop import STREAM_DRAIN_MS
@@ -21,7 +20,7 @@
 
 
 @pytest.fixture
-def busy_router(start, operator, ledger):  # noqa: F811
+def busy_router(start, operator, ledger):
     """Return a router with a short grace period whose target needs `WORK_S` per request."""
 
     def work(target, sock, head):
@@ -115,7 +114,7 @@
 @pytest.mark.parametrize("path", ["/publish/1", "/draft/1"])
 @pytest.mark.parametrize("work_s", [0.9, 30])
 def test_requests_taken_late_in_the_grace_period_are_not_cut(
-    start, operator, store, ledger, path, work_s  # noqa: F811
+    start, operator, store, ledger, path, work_s
 ):
     """A request that cannot end before the router does must be refused, not passed on."""
 
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -1,96 +1,17 @@
 """The complete router against stand-ins of the store and of targets."""
 
 import gevent
-import orjson
 import pytest
-from store_standin import StoreStandin, eventually
-from test_platform_decode import CONFIG, ENTRY, SETTINGS
-from wire_bed import KEY, ScriptedTarget, read_response, request, response
+from router_bed import get, http, refusal_code
+from store_standin import eventually
+from test_platform_decode import ENTRY
+from wire_bed import KEY, response
 
 from jacinthcove.codes import ResultCode
 from jacinthcove.gateway.exchange import Exchange
 from jacinthcove.gateway.loopdelay import REJECT_ALL_DELAY_MS
 from jacinthcove.gateway.raterule import COLD_WINDOW_MS
 from jacinthcove.platform import fleet
-from jacinthcove.platform.daemon import PlatformRouter
-from jacinthcove.platform.settings import decode_settings
-from testbed.ports import free_addresses
-
-
-def settings_for(store, name, mesh):
-    text = SETTINGS.replace("front-1", name).replace("10.200.1.7:8781", store.address)
-    text = text.replace("seeds=10.1.0.33:8785,10.2.0.18:8785", "seeds=")
-    text = text.replace("ip=10.1.0.33", "ip=127.0.0.1").replace("7400,7415", mesh)
-    for port in ("8783", "8780", "8789"):
-        text = text.replace(f"10.1.0.33:{port}", free_addresses(1)[0])
-    return decode_settings(text).unwrap()
-
-
-def http(address, path="/publish/1", key=KEY, raw=None):
-    """Send one request and return status, headers and body of the response."""
-    host, _, port = address.rpartition(":")
-    with gevent.socket.create_connection((host, int(port))) as sock:
-        sock.settimeout(5)
-        sock.sendall(raw or request(path, key=key))
-        return read_response(sock)
-
-
-def refusal_code(router):
-    """Send one request and return the result code of its refusal, None if it is served.
-
-    A late router refuses with a code of its own, so the status does not tell the reason.
-    """
-    status, _, body = http(router.settings.caller_listen)
-    return None if status == 200 else orjson.loads(body)["code"]
-
-
-def get(address, path):
-    return http(address, raw=f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-
-
-@pytest.fixture
-def store():
-    store = StoreStandin()
-    store.start()
-    yield store
-    store.close()
-
-
-@pytest.fixture
-def ledger(store):
-    target = ScriptedTarget(
-        "i-1", "ledger", lambda target, sock, head: sock.sendall(response(head))
-    )
-    store.put("servers", "i-1", ENTRY | {"service": "ledger", "address": target.address})
-    yield target
-    target.close()
-
-
-@pytest.fixture
-def operator(store):
-    """Return a function that writes a configuration version with the given API keys."""
-
-    def write(version, keys=(KEY,)):
-        tenants = [{"name": "small", "api_keys": list(keys)}]
-        store.put("config", "main", {**CONFIG, "version": version, "tenants": tenants})
-
-    return write
-
-
-@pytest.fixture
-def start(store):
-    routers = []
-
-    def make(name="front-1"):
-        mesh = free_addresses(1)[0].rpartition(":")[2]
-        router = PlatformRouter(settings_for(store, name, f"{mesh},{mesh}"), metrics_port=0)
-        routers.append(router)
-        gevent.spawn(router.start)
-        return router
-
-    yield make
-    for router in routers:
-        router.stop_now()
 
 
 def test_requests_are_refused_without_a_configuration(start, store, ledger):
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from store_standin import StoreStandin, eventually
+from store_standin import eventually
 
 from jacinthcove.clock import SystemClock
 from jacinthcove.errors import Conflict, StoreUnavailable
@@ -34,14 +34,6 @@
         self.confirmed = known_at
 
 
-@pytest.fixture
-def store():
-    store = StoreStandin()
-    store.start()
-    yield store
-    store.close()
-
-
 @pytest.fixture
 def store_client(store):
     store_client = PlatformStoreClient(store.address, 300)
--- a/tests/platform/test_silent_watches.py
+++ b/tests/platform/test_silent_watches.py
@@ -4,9 +4,9 @@
 
 import gevent
 import pytest
+from router_bed import settings_for
 from store_standin import StoreStandin, eventually
 from test_platform_decode import CONFIG, SETTINGS
-from test_platform_router import settings_for
 
 from jacinthcove.platform import names
 from jacinthcove.platform.daemon import PlatformRouter
@@ -56,11 +56,9 @@
 
 
 @pytest.fixture
-def router(store, monkeypatch):
-    monkeypatch.setattr(
-        "test_platform_router.SETTINGS", SETTINGS + f"\nbounds.evacuate_ms={EVACUATE_MS}\n"
-    )
-    router = PlatformRouter(settings_for(store, "front-1", "0,0"), metrics_port=0)
+def router(store):
+    more = f"bounds.evacuate_ms={EVACUATE_MS}\n"
+    router = PlatformRouter(settings_for(store, "front-1", "0,0", more), metrics_port=0)
     starting = gevent.spawn(router.start)
     yield router
     starting.kill()
