--- a/src/jacinthcove/standins/engine.py
+++ b/src/jacinthcove/standins/engine.py
@@ -13,36 +13,32 @@
 from jacinthcove.errors import NotAdmitted
 from jacinthcove.standins.batch import Batch, EngineSettings, Stream
 from jacinthcove.standins.faults import FaultControl, Faults
-from jacinthcove.standins.orders import LOAD_VERSION, Order, OrderReceiver
+from jacinthcove.standins.orders import LOAD_VERSION, Order
 from jacinthcove.standins.server import (
     Request,
     Response,
-    Standin,
     dropped_connection_error,
     error_response,
     json_response,
 )
+from jacinthcove.standins.target import TargetStandin
 from jacinthcove.standins.text import response_text, token_text
 
 MAX_STREAMS = 2_000
 SILENT_STREAM_MS = 120_000
 
 
-class Engine(Standin):
+class Engine(TargetStandin):
     """A simulated model engine that serves its API on one address."""
 
     def __init__(self, address: str, settings: EngineSettings, clock: Clock | None = None):
-        super().__init__(address, clock)
+        super().__init__(address, clock, settings.version, settings.checks_fencing)
         self.settings = settings
         self.faults = FaultControl(self.clock, settings.seed, self._on_faults_changed)
         self.batch = Batch(settings, self.clock, self.faults)
-        self.version = settings.version
         self.role = ""
-        self.boot_id = uuid4().hex
         self.streams: OrderedDict[str, Stream] = OrderedDict()
-        self.request_runs: Counter[str] = Counter()
         self.prompt_runs: Counter[str] = Counter()
-        self.order_receiver = OrderReceiver(settings.checks_fencing)
         self.load_reports: deque[tuple[int, dict[str, Any]]] = deque()
         self.greenlets: list[gevent.Greenlet] = []
 
@@ -63,29 +59,24 @@
         self.load_reports.clear()
         self.batch.reset()
 
-    def handle_request(self, request: Request) -> Response:
-        """Dispatch one request by its path."""
+    def handle_call(self, request: Request) -> Response | None:
+        """Handle completions, streams and cache events."""
         path = request.path
-        if path == "/faults":
-            return self.faults.handle_request(request)
-        if path == "/executions":
-            return json_response({"requests": self.request_runs, "prompts": self.prompt_runs})
-        if self.faults.delay_and_check_outage():
-            return error_response(503, "outage")
         if path == "/v1/completions" and request.method == "POST":
             return self._handle_completion(request.json())
         if path.startswith("/v1/streams/"):
             return self._handle_stream_call(request)
-        if path == "/load":
-            return json_response(self.load_report())
         if path == "/cache-events":
             return self._cache_events(request)
-        if path == "/orders":
-            response, order = self.order_receiver.handle_request(request)
-            if order is not None:
-                gevent.spawn(self._execute_order, order)
-            return response
-        return error_response(404, f"no such call: {request.method} {path}")
+        return None
+
+    def other_runs(self) -> dict[str, Counter[str]]:
+        """Return how often each prompt ran."""
+        return {"prompts": self.prompt_runs}
+
+    def on_order(self, order: Order) -> None:
+        """Execute an order in a greenlet of its own."""
+        gevent.spawn(self._execute_order, order)
 
     def load_report(self) -> dict[str, Any]:
         """Return the newest report that is at least `load_lag_ms` old, with its age."""
--- a/src/jacinthcove/standins/service.py
+++ b/src/jacinthcove/standins/service.py
@@ -3,22 +3,21 @@
 from collections import Counter
 from dataclasses import dataclass
 from typing import Any
-from uuid import uuid4
 
 import gevent
 from gevent.lock import BoundedSemaphore
 
 from jacinthcove.clock import Clock
 from jacinthcove.standins.faults import FaultControl
-from jacinthcove.standins.orders import LOAD_VERSION, OrderReceiver
+from jacinthcove.standins.orders import LOAD_VERSION, Order
 from jacinthcove.standins.server import (
     Request,
     Response,
-    Standin,
     dropped_connection_error,
     error_response,
     json_response,
 )
+from jacinthcove.standins.target import TargetStandin
 
 
 @dataclass(frozen=True)
@@ -35,7 +34,7 @@
     seed: int = 0
 
 
-class Service(Standin):
+class Service(TargetStandin):
     """A simulated plain service that serves its API on one address.
 
     `GET /executions` returns how often each request id ran, and each order per route, so that a
@@ -43,36 +42,28 @@
     """
 
     def __init__(self, address: str, settings: ServiceSettings, clock: Clock | None = None):
-        super().__init__(address, clock)
+        super().__init__(address, clock, settings.version, settings.checks_fencing)
         self.settings = settings
         self.faults = FaultControl(self.clock, settings.seed)
-        self.version = settings.version
-        self.boot_id = uuid4().hex
         self.admitted = 0
         self.running_slots = BoundedSemaphore(settings.max_running)
-        self.request_runs: Counter[str] = Counter()
         self.order_runs: Counter[str] = Counter()
-        self.order_receiver = OrderReceiver(settings.checks_fencing)
-
-    def handle_request(self, request: Request) -> Response:
-        """Dispatch one request by its path."""
-        path = request.path
-        if path == "/faults":
-            return self.faults.handle_request(request)
-        if path == "/executions":
-            return json_response({"requests": self.request_runs, "orders": self.order_runs})
-        if self.faults.delay_and_check_outage():
-            return error_response(503, "outage")
-        if path.startswith("/v1/operations/") and request.method == "POST":
-            return self._handle_operation(path.removeprefix("/v1/operations/"), request.json())
-        if path == "/load":
-            return json_response(self.load_report())
-        if path == "/orders":
-            response, order = self.order_receiver.handle_request(request)
-            if order is not None and order.kind == LOAD_VERSION:
-                self.version = order.version
-            return response
-        return error_response(404, f"no such call: {request.method} {path}")
+
+    def handle_call(self, request: Request) -> Response | None:
+        """Handle operations."""
+        operation = request.path.removeprefix("/v1/operations/")
+        if operation == request.path or request.method != "POST":
+            return None
+        return self._handle_operation(operation, request.json())
+
+    def other_runs(self) -> dict[str, Counter[str]]:
+        """Return how often each order ran, by route and order id."""
+        return {"orders": self.order_runs}
+
+    def on_order(self, order: Order) -> None:
+        """Load a version at once; a service has no roles."""
+        if order.kind == LOAD_VERSION:
+            self.version = order.version
 
     def load_report(self) -> dict[str, Any]:
         """Return the current load in the format of an engine's report."""
--- a/tests/platform/router_bed.py
+++ b/tests/platform/router_bed.py
@@ -10,7 +10,7 @@
 
 
 def settings_for(store, name, mesh, more=""):
-    """Return the settings of a router; `more` has further lines, which replace others of the same name."""
+    """Return the settings of a router; `more` has lines that replace those of the same name."""
     text = (SETTINGS + more).replace("front-1", name).replace("10.200.1.7:8781", store.address)
     text = text.replace("seeds=10.1.0.33:8785,10.2.0.18:8785", "seeds=")
     text = text.replace("ip=10.1.0.33", "ip=127.0.0.1").replace("7400,7415", mesh)
