Ask in the soak for the calls that may be served only (serves_again)

Change: the checker counts calls whose key and route were in force until their end, with the same fraction as before. A route that is not there from the start is recorded as such, so a run on it is found now. Tests: 'refusals of a key and a route that are gone' failed before; 'no recovery of the key in force'.

--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -98,6 +98,16 @@
     return []
 
 
+def _is_in_force(history: History, call: Call) -> bool:
+    """Return whether the key and the route of a call were in force until its end."""
+    spans = (*history.removed_keys, *history.removed_routes)
+    subjects = (call.key, call.route)
+    return not any(
+        span.subject in subjects and span.start < call.ended_at and call.sent_at < span.end
+        for span in spans
+    )
+
+
 def drained_targets_get_nothing(history: History) -> list[str]:
     """No request reaches a target or failure domain that is drained for longer than allowed."""
     found = []
@@ -150,9 +160,13 @@
 
 
 def serves_again(history: History) -> list[str]:
-    """Requests are served again soon after the last fault."""
+    """Requests that may be served are served again soon after the last fault."""
     since = history.faults_over_at + RECOVER_S
-    after = [call for call in history.calls if call.sent_at > since and not call.gave_up]
+    after = [
+        call
+        for call in history.calls
+        if call.sent_at > since and not call.gave_up and _is_in_force(history, call)
+    ]
     served = sum(200 <= call.status < 300 and call.body is not None for call in after)
     if len(after) >= MIN_CALLS and served < RECOVERED_PART * len(after):
         statuses = Counter(call.status for call in after)
--- a/soak/world.py
+++ b/soak/world.py
@@ -57,6 +57,7 @@
     def __init__(self, seed: int, routers: int, callers: int, directory: Path, network: str):
         self.rng = random.Random(seed)
         self.history = History(workspaces=dict(KEYS))
+        self.history.removed_routes.append(Span("route", 0.0, NEVER, EXTRA_ROUTE[0]))
         self.store = StoreStandin()
         self.version = 1
         self.routes = list(ROUTES)
@@ -329,7 +330,7 @@
         gone = self.history.removed_routes
         if EXTRA_ROUTE not in self.routes:
             gone.append(Span("route", now, NEVER, EXTRA_ROUTE[0]))
-        elif gone:
+        else:
             last = gone.pop()
             gone.append(Span("route", last.start, now, last.subject))
 
--- a/tests/soak/test_soak_checkers.py
+++ b/tests/soak/test_soak_checkers.py
@@ -86,6 +86,18 @@
         checkers.serves_again,
         history([call(f"c{n}", status=503) for n in range(20)], faults_over_at=1.0),
     ),
+    "no recovery of the key in force": (
+        checkers.serves_again,
+        history(
+            [
+                *(call(f"c{n}", status=401, key="taken") for n in range(20)),
+                *(call(f"d{n}", status=401) for n in range(16)),
+                *(call(f"e{n}") for n in range(4)),
+            ],
+            faults_over_at=1.0,
+            removed_keys=[Span("key", 2.0, NEVER, "taken")],
+        ),
+    ),
     "crash": (checkers.processes_live, history(exit_codes={"router-1": 1})),
 }
 
@@ -119,6 +131,19 @@
             disturbances=[Span("store_slow", 6.0, 8.0)],
         ),
     ),
+    "refusals of a key and a route that are gone": (
+        checkers.serves_again,
+        history(
+            [
+                *(call(f"c{n}", status=401, key="taken") for n in range(40)),
+                *(call(f"d{n}", route="gone", status=404) for n in range(40)),
+                *(call(f"e{n}") for n in range(12)),
+            ],
+            faults_over_at=1.0,
+            removed_keys=[Span("key", 2.0, NEVER, "taken")],
+            removed_routes=[Span("route", 0.0, NEVER, "gone")],
+        ),
+    ),
     "cut by a kill": (
         checkers.stops_are_graceful,
         history(
