--- a/src/jacinthcove/gateway/callercounts.py
+++ b/src/jacinthcove/gateway/callercounts.py
@@ -15,21 +15,25 @@
 class RouterCallers:
     """What a router reported about its callers at `reported_at` (monotonic ms).
 
-    `away`: it accepts no callers. `late`: it has more work than it can keep up with.
+    `away`: it accepts no callers. `late`: it has more work than it can keep up with. `full`: it has
+    no room for requests of other routers.
     """
 
     open_requests: int
     away: bool
     late: bool
+    full: bool
     reported_at: int
 
 
-NO_CALLERS = RouterCallers(open_requests=0, away=False, late=False, reported_at=0)
+NO_CALLERS = RouterCallers(open_requests=0, away=False, late=False, full=False, reported_at=0)
 
 
 def callers_from_report(message: pb.LoadShare | pb.IncludedReport, now: int) -> RouterCallers:
     """Convert the caller fields of a load report that was received at `now`."""
-    return RouterCallers(message.open_requests, message.away, message.late, now)
+    return RouterCallers(
+        message.open_requests, message.away, message.late, message.full, reported_at=now
+    )
 
 
 class CallerCounts:
@@ -53,6 +57,12 @@
         """Return the other routers that recently reported that they accept no callers."""
         return frozenset(router for router, item in self._recent().items() if item.away)
 
+    def with_room(self) -> frozenset[str]:
+        """Return the routers that recently reported that they have room for others' requests."""
+        return frozenset(
+            router for router, item in self._recent().items() if not (item.full or item.away)
+        )
+
     def overloaded(self) -> frozenset[str]:
         """Return the routers that have more callers than they can carry."""
         callers = self._recent()
--- a/src/jacinthcove/gateway/intake.py
+++ b/src/jacinthcove/gateway/intake.py
@@ -56,6 +56,10 @@
         """Return the fraction of new requests for which another router is sought."""
         return 1.0 - self.served_fraction
 
+    def is_full(self) -> bool:
+        """Return whether this router has no room for the requests of others."""
+        return self.served_fraction < 1.0 or self.loop_delay.is_late()
+
     def passes_on(self) -> bool:
         """Return whether another router should serve the next request, if one has room.
 
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -240,6 +240,7 @@
             open_requests=digest.open_requests,
             away=digest.away,
             late=digest.late,
+            full=digest.full,
         )
         return pb.LoadBundle(
             shares=shares,
@@ -274,6 +275,7 @@
             open_requests=share.open_requests,
             away=share.away,
             late=share.late,
+            full=share.full,
         )
         for target in share.targets:
             if target.parts:
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -148,6 +148,7 @@
         self.open_requests: Callable[[], int] = lambda: 0
         self.accepts_callers: Callable[[], bool] = lambda: True
         self.is_late: Callable[[], bool] = lambda: False
+        self.is_full: Callable[[], bool] = lambda: False
         # The count that was sent last. This router compares itself with others by it, so that all
         # routers agree on which has the most callers.
         self.reported_open_requests = 0
@@ -203,6 +204,7 @@
             open_requests=self.reported_open_requests,
             away=not self.accepts_callers(),
             late=self.is_late(),
+            full=self.is_full(),
         )
         return message, since, group.sent_at
 
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -125,6 +125,7 @@
             lambda: self.application.open_requests,
             self.ready,
             lambda: self.loop_delay.is_late(),
+            lambda: self.intake.is_full(),
         )
         self.admission = Admission(
             clock,
@@ -176,7 +177,7 @@
         self.loop_delay = LoopDelay(clock, self._on_loop_delay)
         self.loop_work = LoopWork()
         self.intake = Intake(self.loop_delay, self.loop_work.take_fraction)
-        helpers = Helpers(clock, settings.id, settings.failure_domain, self.fleet.candidates)
+        helpers = Helpers(clock, settings.id, settings.failure_domain, self.fleet.helpers)
         self.handover = handover = Handover(
             clock,
             helpers,
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -62,6 +62,7 @@
         open_requests: Callable[[], int],
         accepts_callers: Callable[[], bool],
         is_late: Callable[[], bool],
+        is_full: Callable[[], bool],
     ):
         self.settings = settings
         self.clock = clock
@@ -72,6 +73,7 @@
         self.open_requests = open_requests
         self.accepts_callers = accepts_callers
         self.is_late = is_late
+        self.is_full = is_full
         # While this is False, the router knows no other router.
         self.joined = False
         me = Member(
@@ -149,6 +151,13 @@
             excluded |= {self.members.me.id}
         return [item for item in self.alive_routers() if item.router not in excluded]
 
+    def helpers(self) -> list[Candidate]:
+        """Return the routers with room for requests of others; empty before it has joined."""
+        if self.exchange is None or not self.joined:
+            return []
+        with_room = self.exchange.callers.with_room()
+        return [item for item in self.alive_routers() if item.router in with_room]
+
     def is_left_out(self) -> bool:
         """Return whether this router is overloaded while others have room for its callers."""
         return self.exchange is not None and self.exchange.callers.is_crowded()
@@ -178,6 +187,7 @@
         self.exchange.reporter.open_requests = self.open_requests
         self.exchange.reporter.accepts_callers = self.accepts_callers
         self.exchange.reporter.is_late = self.is_late
+        self.exchange.reporter.is_full = self.is_full
         self.exchange.news = self.news
         self.parts = PartsExchange(self.clock, self.members, self.links, self.registry)
         self.exchange.on_report_received = self.parts.record_report_received
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -30,6 +30,9 @@
     routers = start("front-1"), start("front-2")
     eventually(lambda: all(router.ready() for router in routers))
     eventually(lambda: all(len(router.fleet.candidates()) == 2 for router in routers))
+    # Both run in the process of the test, so the work of their loop does not tell them apart.
+    routers[1].intake.is_full = lambda: False
+    eventually(routers[0].fleet.helpers)
     routers[0].loop_delay.delay_ms = lambda: (LATE_DELAY_MS + REJECT_ALL_DELAY_MS) // 2
     return routers
 
@@ -169,6 +172,24 @@
     router.application.early_refusal = router.intake._late_refusal
 
 
+def test_a_router_that_is_full_itself_gets_no_requests_of_others(passing, ledger):
+    late, helper = passing
+    helper.intake.is_full = lambda: True
+    eventually(lambda: not late.fleet.helpers())
+    refuse_at_once(late)
+    eventually(lambda: http(late.settings.caller_listen)[0] == 503)
+    seen = len(ledger.seen)
+    assert [http(late.settings.caller_listen)[0] for _ in range(5)] == [503] * 5
+    assert len(ledger.seen) == seen
+
+
+def test_a_router_that_has_not_reported_gets_no_requests_of_others(pair):
+    late, helper = pair
+    late.fleet.exchange.callers.by_router.clear()
+    assert not late.fleet.helpers()
+    assert len(late.fleet.candidates()) == 2
+
+
 def test_relays_are_bounded_so_that_file_descriptors_remain(passing, monkeypatch):
     late, _ = passing
     refuse_at_once(late)
