--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -32,7 +32,8 @@
     `overloaded` returns whether other routers would serve callers better; `on_request` is called
     with every request that could be decoded. `early_refusal` returns why the router refuses a
     request whatever it is, or None; on a new connection it is asked before the request is parsed.
-    Before that, `passes_on` is asked whether another router should serve it by `handover`.
+    `helper_refusal` returns why it refuses those that other routers pass on. Before both,
+    `passes_on` is asked whether another router should serve the request, by `handover`.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         overloaded: Callable[[], bool] = lambda: False,
         on_request: Callable[[GatewayRequest], None] = lambda request: None,
         early_refusal: Callable[[], RequestRefused | None] = lambda: None,
+        helper_refusal: Callable[[], RequestRefused | None] = lambda: None,
         passes_on: Callable[[], bool] = lambda: False,
         handover: Handover | None = None,
     ):
@@ -62,6 +64,7 @@
         self.overloaded = overloaded
         self.on_request = on_request
         self.early_refusal = early_refusal
+        self.helper_refusal = helper_refusal
         self.passes_on = passes_on
         self.handover = handover
         self.shed_counter = metrics.counter("requests_shed_total")
--- a/src/jacinthcove/gateway/handovermessages.py
+++ b/src/jacinthcove/gateway/handovermessages.py
@@ -22,8 +22,12 @@
 
     One that comes from another router may not, so no request travels on and on.
     """
-    line_end = data.find(_LINE_END)
-    return data.endswith(_VERSION, 0, line_end) and not data.startswith(_MARK, line_end)
+    return data.endswith(_VERSION, 0, data.find(_LINE_END)) and not is_passed_on(data)
+
+
+def is_passed_on(data: bytes) -> bool:
+    """Return whether a request, given as received, comes from another router."""
+    return data.startswith(_MARK, data.find(_LINE_END))
 
 
 def host_and_path(data: bytes) -> tuple[str, str]:
--- a/src/jacinthcove/gateway/intake.py
+++ b/src/jacinthcove/gateway/intake.py
@@ -72,6 +72,10 @@
         rejected = self.rng.random() < self.loop_delay.rejected_fraction()
         return self._late_refusal() if rejected else None
 
+    def helper_refusal(self) -> RequestRefused | None:
+        """Return a refusal for requests of other routers, which took this one for idle, or None."""
+        return self._late_refusal() if self.loop_delay.is_late() else None
+
     def check_may_send(self) -> None:
         """Raise `RequestRefused` if this router is so late that it has old news of its callers."""
         if self.loop_delay.rejects_all():
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -15,9 +15,13 @@
 from jacinthcove.gateway.callererrors import BodyNotRead, CallerDisconnected, MalformedRequest
 from jacinthcove.gateway.codec import Headers, RawRequest
 from jacinthcove.gateway.disconnects import has_disconnected, watch_disconnect
-from jacinthcove.gateway.handovermessages import may_pass_on, take_waited_ms
+from jacinthcove.gateway.handovermessages import is_passed_on, may_pass_on, take_waited_ms
 from jacinthcove.gateway.model import CallerLimits
-from jacinthcove.gateway.shedding import answer_whole_request, await_whole_request
+from jacinthcove.gateway.shedding import (
+    answer_whole_request,
+    await_whole_request,
+    peek_whole_request,
+)
 from jacinthcove.router.connection import CallerHandler
 
 log = structlog.get_logger()
@@ -112,7 +116,7 @@
         """Serve the requests of the connection; the first one may be passed on or refused."""
         if self._pass_on():
             return
-        refusal = self.server.application.early_refusal()
+        refusal = self.server.application.early_refusal() or self._helper_refusal()
         self.passed_early_check = refusal is None
         if refusal is None or not self._shed(refusal):
             super().handle()
@@ -137,6 +141,17 @@
         self._close()
         return True
 
+    def _helper_refusal(self) -> RequestRefused | None:
+        """Return why this router refuses a first request that another router passed on, or None."""
+        refusal = self.server.application.helper_refusal()
+        if refusal is None:
+            return None
+        try:
+            data = peek_whole_request(self.socket)
+        except OSError:
+            return None
+        return refusal if data is not None and is_passed_on(data) else None
+
     def _close(self) -> None:
         self.rfile.close()
         self.socket.close()
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -197,6 +197,7 @@
             self._closes_connections,
             self._on_request,
             self.intake.refusal,
+            self.intake.helper_refusal,
             self.intake.passes_on,
             handover,
         )
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -183,6 +183,19 @@
     assert len(ledger.seen) == seen
 
 
+def test_a_helper_that_has_become_late_refuses_at_once(passing, ledger):
+    late, helper = passing
+    choice = Candidate("front-2", helper.settings.caller_listen, "qc-east-a", 0)
+    late.handover.helpers.choose = lambda open_requests, passed_on: choice
+    helper.loop_delay.delay_ms = lambda: LATE_DELAY_MS + 1
+    seen = len(ledger.seen)
+    before = passed_on(late)
+    assert [http(late.settings.caller_listen)[0] for _ in range(5)] == [503] * 5
+    assert passed_on(late) == before + 5
+    assert len(ledger.seen) == seen
+    assert http(helper.settings.caller_listen)[0] == 200
+
+
 def test_a_router_that_has_not_reported_gets_no_requests_of_others(pair):
     late, helper = pair
     late.fleet.exchange.callers.by_router.clear()
