--- a/tests/gateway/test_loadexchange.py
+++ b/tests/gateway/test_loadexchange.py
@@ -265,9 +265,11 @@
     collector.reporter.open_requests = lambda: 70
     collector.reporter.accepts_callers = lambda: False
     collector.reporter.is_late = lambda: True
+    collector.reporter.is_full = lambda: True
     me = collector.members.me.id
     reported = next(item for item in collector.same_domain_bundle().included if item.router == me)
-    assert (reported.open_requests, reported.away, reported.late) == (70, True, True)
+    assert (reported.open_requests, reported.away) == (70, True)
+    assert (reported.late, reported.full) == (True, True)
 
 
 def test_routers_agree_on_which_late_routers_to_leave_out(clock):
@@ -288,6 +290,19 @@
     assert 0 < len(found.pop()) <= len(late.callers.open_requests()) / 3
 
 
+def test_every_full_router_is_known_to_have_no_room_however_many_are(clock):
+    fleet = Fleet(clock)
+    asking = fleet.exchanges["a5"]
+    fleet.round()
+    assert "a3" in asking.callers.with_room()
+    for exchange in fleet.same_domain(fleet.exchanges["a3"]):
+        exchange.reporter.is_full = lambda: True
+    fleet.round()
+    fleet.round()
+    same_domain = {exchange.members.me.id for exchange in fleet.same_domain(asking)}
+    assert not same_domain & asking.callers.with_room()
+
+
 def test_a_router_judges_its_own_load_as_the_others_do(clock):
     """The last report counts too: it may still say late when the router no longer is."""
     fleet = Fleet(clock)
