Excuse a router in the soak that ends before its handler by what it did, not by 1.5 s

Cause, suspected for these plays and reproduced in a test: a router that starts for longer than 1.5 s ends by SIGTERM, as its handler is not installed yet, and counted as ended by itself. Change: such an end is excused if the handler was not installed when the signal was sent and the router had answered no caller, whatever the time. A router with a handler, or one that has answered, is not excused any more within its first 1.5 s, so the check is stricter there. Tests: test_a_router_that_starts_slowly_may_end_by_the_signal_before_its_handler failed before; two others guard the stricter side.

--- a/soak/routers.py
+++ b/soak/routers.py
@@ -18,8 +18,6 @@
 RESTART_S = 0.4
 # A started interpreter is asked this often whether it has reached the first line of the program.
 SIGNAL_POLL_S = 0.01
-# Time in which a started router installs the handlers of its signals.
-START_S = 1.5
 POLL_S = 0.05
 BOUNDS = """bounds.revoke_ms=5000
 bounds.retry_budget_ratio=0.2
@@ -54,6 +52,8 @@
         self.stopping: Span | None = None
         self.expected_end = False
         self.launched_at = 0.0
+        # Whether the handler of SIGTERM was installed when the signal was sent.
+        self.handles_stop = False
         self.closed = False
         self.keeper: gevent.Greenlet | None = None
 
@@ -113,6 +113,7 @@
         if self.process is None or self.process.poll() is not None or self.expected_end:
             return
         self.expected_end = True
+        self.handles_stop = handles_signal(self.process.pid, signal.SIGTERM)
         self.stopping = Span("router_term", self.history.now(), 0.0, self.address)
         self.signal(signal.SIGTERM)
 
@@ -131,9 +132,9 @@
             if self.stopping is not None:
                 span = Span("router_term", self.stopping.start, self.history.now(), self.address)
                 self.history.terminated.append(span)
-            starting = self.history.now() - self.launched_at < START_S
-            if starting and self.process.returncode == -signal.SIGTERM:
-                # It had not installed its handler and taken no request.
+            by_signal = self.process.returncode == -signal.SIGTERM
+            if by_signal and not self.handles_stop and not self._has_answered():
+                # It was still reading its modules.
                 self.stopping = None
             if not self.expected_end or (self.stopping and self.process.returncode):
                 self.history.exit_codes[f"{self.id}@{self.history.now():.1f}"] = (
@@ -141,6 +142,13 @@
                 )
             gevent.sleep(RESTART_S)
 
+    def _has_answered(self) -> bool:
+        """Return whether the process has answered a caller."""
+        return any(
+            call.router == self.address and call.status and call.ended_at > self.launched_at
+            for call in self.history.calls
+        )
+
     def _launch(self) -> None:
         self.stopping, self.expected_end = None, False
         self.launched_at = self.history.now()
--- a/tests/soak/test_soak_world.py
+++ b/tests/soak/test_soak_world.py
@@ -4,6 +4,11 @@
 import subprocess
 import sys
 
+import gevent
+import pytest
+
+from soak.history import Call, History
+from soak.routers import RouterProcess
 from soak.world import network_of
 from testbed.processes import handles_signal
 
@@ -37,3 +42,47 @@
         process.kill()
         process.communicate()
     assert not handles_signal(process.pid, signal.SIGHUP)
+
+
+SLEEP = "import time; print(0, flush=True); time.sleep(60)"
+SLEEP_WITH_HANDLER = f"import os, signal; signal.signal(15, lambda *a: os._exit(7)); {SLEEP}"
+
+
+@pytest.fixture
+def terminate(tmp_path, monkeypatch):
+    """Return a function that ends a router which runs `code`, and returns the history."""
+
+    def terminate(code, answered=False):
+        router = RouterProcess(0, "127.0.0.1", "a", "127.0.0.1:1", tmp_path, History())
+        if answered:
+            call = Call("c1", "/publish/1", "k", router.address, 0.0, ended_at=1e9, status=200)
+            router.history.calls.append(call)
+
+        def launch():
+            router.launched_at = router.history.now()
+            command = [sys.executable, "-c", code]
+            router.process = subprocess.Popen(command, stdout=subprocess.PIPE)
+            router.process.stdout.readline()
+            router.closed = True
+
+        monkeypatch.setattr(router, "_launch", launch)
+        router.start()
+        gevent.sleep(2)
+        router.terminate()
+        router.keeper.join(5)
+        router.close()
+        return router.history
+
+    return terminate
+
+
+def test_a_router_that_starts_slowly_may_end_by_the_signal_before_its_handler(terminate):
+    assert not terminate(SLEEP).exit_codes
+
+
+def test_a_router_that_has_answered_may_not_end_by_the_signal(terminate):
+    assert list(terminate(SLEEP, answered=True).exit_codes.values()) == [-15]
+
+
+def test_a_router_with_its_handler_may_not_end_with_an_error(terminate):
+    assert list(terminate(SLEEP_WITH_HANDLER).exit_codes.values()) == [7]
