--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -188,6 +188,9 @@
     choice = Candidate("front-2", helper.settings.caller_listen, "qc-east-a", 0)
     late.handover.helpers.choose = lambda open_requests, passed_on: choice
     helper.loop_delay.delay_ms = lambda: LATE_DELAY_MS + 1
+    # It would pass its own callers' requests on as well, or refuse them at random.
+    helper.application.passes_on = lambda: False
+    helper.loop_delay.rejected_fraction = lambda: 0.0
     seen = len(ledger.seen)
     before = passed_on(late)
     assert [http(late.settings.caller_listen)[0] for _ in range(5)] == [503] * 5
