Tell in logs and metrics which version a router has, and since when it had no word

Change: configuration_version in the lines of attempts and refusals; version before and time without a word in configuration_applied; gauges configuration_version and configuration_age_ms.

--- a/src/jacinthcove/gateway/activeconfig.py
+++ b/src/jacinthcove/gateway/activeconfig.py
@@ -36,9 +36,16 @@
         """Apply a configuration and notify the listeners, unless its version is not newer."""
         if self.table is not None and config.version <= self.table.config.version:
             return
+        before = self.version()
         self.table = RouteTable(config)
         self.revision = revision
-        log.info("configuration_applied", version=config.version, store_revision=revision)
+        log.info(
+            "configuration_applied",
+            version=config.version,
+            before=before,
+            store_revision=revision,
+            silent_ms=self.age_ms(),
+        )
         for listener in self.listeners:
             listener(config)
 
@@ -47,6 +54,10 @@
         self.confirmed_at = max(known_at, self.confirmed_at or 0)
         self.check_freshness()
 
+    def version(self) -> int:
+        """Return the version in force, 0 before the first configuration."""
+        return 0 if self.table is None else self.table.config.version
+
     def age_ms(self) -> int | None:
         """Return the age of the last confirmation, or None before the first."""
         return None if self.confirmed_at is None else self.clock.boot() - self.confirmed_at
--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -235,6 +235,7 @@
             reason=refusal.message,
             retry_after_ms=refusal.retry_after_ms,
             held_ms=self.clock.now() - received_at,
+            configuration_version=self.active_config.version(),
             configuration_age_ms=self.active_config.age_ms(),
             outcome="refused",
         )
--- a/src/jacinthcove/gateway/attempts.py
+++ b/src/jacinthcove/gateway/attempts.py
@@ -138,6 +138,7 @@
             reread_tokens=attempt.choice.reread_tokens,
             tokens_per_ms=round(target.load.tokens_per_ms, 1),
             error_rate=round(target.error_rate, 2),
+            configuration_version=self.active_config.version(),
             configuration_age_ms=self.active_config.age_ms(),
             goal_ms=request.route.latency_goal_ms,
             chosen_ms=max(0, attempt.chosen_at - request.received_at),
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -19,6 +19,7 @@
 from jacinthcove.gateway.crashwitness import CrashWitness
 from jacinthcove.gateway.directory import routers_for
 from jacinthcove.gateway.forward import Forwarder
+from jacinthcove.gateway.gauges import RouterGauges
 from jacinthcove.gateway.handover import Handover
 from jacinthcove.gateway.helpers import Helpers
 from jacinthcove.gateway.intake import Intake
@@ -177,6 +178,9 @@
         self.loop_delay = LoopDelay(clock, self._on_loop_delay)
         self.loop_work = LoopWork()
         self.intake = Intake(self.loop_delay, self.loop_work.take_fraction)
+        self.gauges = RouterGauges(
+            self.metrics, self.intake, self.active_config, self.answer_bytes, self.body_bytes
+        )
         helpers = Helpers(clock, settings.id, settings.failure_domain, self.fleet.helpers)
         self.handover = handover = Handover(
             clock,
@@ -336,12 +340,7 @@
         return not self.ready() or others_serve or self.fleet.is_left_out()
 
     def _on_loop_delay(self, delay_ms: float) -> None:
-        self.metrics.gauge("loop_delay_ms").set(delay_ms)
-        self.metrics.gauge("passed_on_fraction").set(self.intake.passed_fraction)
-        self.metrics.gauge("answer_bytes_highest").set(self.answer_bytes.highest_bytes)
-        self.metrics.gauge("body_bytes_highest").set(self.body_bytes.highest_bytes)
-        self.metrics.gauge("bodies_refused").set(self.body_bytes.refusals)
-        self.metrics.gauge("answers_evicted").set(self.answer_bytes.evictions)
+        self.gauges.sample(delay_ms)
         self.relief.sample(self.fleet.is_left_out())
 
     def _has_initial_state(self) -> bool:
--- a/tests/gateway/test_activeconfig.py
+++ b/tests/gateway/test_activeconfig.py
@@ -30,6 +30,11 @@
     assert refused.value.code is ResultCode.CONFIGURATION_STALE
 
 
+def test_the_version_in_force_is_known_to_logs_and_metrics(active_config, clock):
+    assert ActiveConfig(clock, MAX_AGE_MS).version() == 0
+    assert active_config.version() == 3
+
+
 @pytest.mark.parametrize("version", [2, 3])
 def test_an_older_or_equal_version_is_not_applied(active_config, version):
     active_config.apply(config(version=version, routes=()), 11)
