--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,11 +3,12 @@
 import gevent
 import pytest
 from router_bed import settings_for
-from store_standin import StoreStandin
+from store_standin import StoreStandin, eventually
 from test_platform_decode import CONFIG, ENTRY
 from wire_bed import KEY, GatewayTestBed, ScriptedTarget, response
 
 from jacinthcove.gateway import targets
+from jacinthcove.gateway.loopdelay import LATE_DELAY_MS, REJECT_ALL_DELAY_MS
 from jacinthcove.platform.daemon import PlatformRouter
 from testbed.ports import free_addresses
 
@@ -70,3 +71,24 @@
     yield make
     for router in routers:
         router.stop_now()
+
+
+@pytest.fixture
+def pair(start, operator, ledger):
+    """Return two routers that know each other; the first one is late."""
+    operator(7)
+    routers = start("front-1"), start("front-2")
+    eventually(lambda: all(router.ready() for router in routers))
+    eventually(lambda: all(len(router.fleet.candidates()) == 2 for router in routers))
+    # Both run in the process of the test, so the work of their loop does not tell them apart.
+    routers[1].intake.is_full = lambda: False
+    eventually(routers[0].fleet.helpers)
+    routers[0].loop_delay.delay_ms = lambda: (LATE_DELAY_MS + REJECT_ALL_DELAY_MS) // 2
+    return routers
+
+
+@pytest.fixture
+def passing(pair):
+    """Return the two routers once the late one passes requests on."""
+    eventually(pair[0].intake.passes_on)
+    return pair
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -23,20 +23,6 @@
 from jacinthcove.gateway.loopdelay import LATE_DELAY_MS, REJECT_ALL_DELAY_MS
 
 
-@pytest.fixture
-def pair(start, operator, ledger):
-    """Return two routers that know each other; the first one is late."""
-    operator(7)
-    routers = start("front-1"), start("front-2")
-    eventually(lambda: all(router.ready() for router in routers))
-    eventually(lambda: all(len(router.fleet.candidates()) == 2 for router in routers))
-    # Both run in the process of the test, so the work of their loop does not tell them apart.
-    routers[1].intake.is_full = lambda: False
-    eventually(routers[0].fleet.helpers)
-    routers[0].loop_delay.delay_ms = lambda: (LATE_DELAY_MS + REJECT_ALL_DELAY_MS) // 2
-    return routers
-
-
 def test_callers_of_a_late_router_are_served_by_an_idle_one(passing, ledger):
     """Without help the router refuses half of them."""
     late, idle = passing
@@ -64,13 +50,6 @@
     assert not ledger.seen
 
 
-@pytest.fixture
-def passing(pair):
-    """Return the two routers once the late one passes requests on."""
-    eventually(pair[0].intake.passes_on)
-    return pair
-
-
 def passed_on(router):
     return router.application.handover.passed_on.value
 
--- a/tests/store/relay_bed.py
+++ b/tests/store/relay_bed.py
@@ -86,6 +86,28 @@
             raise StoreUnavailable("the store is unavailable")
 
 
+class RejectingStore:
+    """One router's access to the store, which rejects its calls while `rejects` is set."""
+
+    def __init__(self, store):
+        self.store = store
+        self.rejects = False
+
+    def list_all(self, kind):
+        self._check()
+        return self.store.list_all(kind)
+
+    def watch(self, kind, revision, wait_ms):
+        self._check()
+        news = self.store.watch(kind, revision, wait_ms)
+        self._check()
+        return news
+
+    def _check(self):
+        if self.rejects:
+            raise StoreUnavailable("too many requests")
+
+
 class Mesh:
     """Calls between routers of one process; routers in `silent` do not reply."""
 
@@ -107,7 +129,7 @@
 
     def call(self, member_id, kind, message, timeout_ms):
         if member_id in self.mesh.silent or member_id not in self.mesh.handlers:
-            gevent.sleep(0.02)
+            gevent.sleep(timeout_ms / 1000)
             raise PeerUnavailable(f"{member_id} is silent")
         return self.mesh.handlers[member_id](self.id, message)
 
@@ -147,12 +169,12 @@
 
 
 class Router:
-    def __init__(self, id, store, mesh, ids=IDS):
+    def __init__(self, id, store, mesh, ids=IDS, wait_ms=400):
         self.id = id
         clock = SystemClock()
         log = ChangeLog(clock)
         self.source = RelayedSource(clock, store, {KIND: log})
         self.source.join(Members(id, ids), mesh.peers(id))
         self.follower = Follower()
-        self.watch = KindWatch(self.source, clock, KIND, 400, self.follower, log)
+        self.watch = KindWatch(self.source, clock, KIND, wait_ms, self.follower, log)
         self.watch.start()
--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from relay_bed import IDS, KIND, Mesh, Router, Store, at
+from relay_bed import IDS, KIND, Mesh, RejectingStore, Router, Store, at
 
 from jacinthcove.clock import ManualClock, SystemClock
 from jacinthcove.errors import StoreUnavailable
@@ -231,28 +231,6 @@
     assert log.revision == at(90)
 
 
-class RejectingStore:
-    """One router's access to the store, which rejects its calls while `rejects` is set."""
-
-    def __init__(self, store):
-        self.store = store
-        self.rejects = False
-
-    def list_all(self, kind):
-        self._check()
-        return self.store.list_all(kind)
-
-    def watch(self, kind, revision, wait_ms):
-        self._check()
-        news = self.store.watch(kind, revision, wait_ms)
-        self._check()
-        return news
-
-    def _check(self):
-        if self.rejects:
-            raise StoreUnavailable("too many requests")
-
-
 def two_domains(store, mesh, size):
     ids = [f"{domain}-{number}" for domain in "ab" for number in range(size)]
     views = {id: RejectingStore(store) for id in ids}
