Pass requests on only to a router with the same version of the configuration (CONFIG)

What callers saw: a request that its router passed on was denied for good (401, 404) though the key or route was there, ran although its key had been revoked, or was served under a version that the first router had not, so that the next request of the same caller was denied again. A router that the store rejects or that is cut off from it says that it has room until its keys may no longer be accepted (4.5 s), and nobody compared versions. Evidence: three tests of test_passed_on_versions.py failed on; they leave KNOWN-RED. Why it works: both routers compare at the moment at which they act, so what the reports say may be old.

--- a/src/jacinthcove/gateway/application.py
+++ b/src/jacinthcove/gateway/application.py
@@ -15,6 +15,7 @@
 from jacinthcove.gateway.codec import GatewayCodec
 from jacinthcove.gateway.forward import Forwarder, ResponseAborted
 from jacinthcove.gateway.handover import Handover
+from jacinthcove.gateway.handovermessages import PassedOn
 from jacinthcove.gateway.model import CallerLimits, GatewayRequest
 from jacinthcove.gateway.server import GatewayHandler
 from jacinthcove.observe.decisions import DecisionLog
@@ -146,7 +147,8 @@
         return sink.result
 
     def _serve(self, connection: GatewayHandler, sink: CallerSink) -> None:
-        received_at = self.clock.now() - (connection.waited_ms or 0)
+        passed_on = connection.passed_on
+        received_at = self.clock.now() - (passed_on.waited_ms if passed_on is not None else 0)
         request_id = self.codec.request_id(connection.raw_headers)
         code = ResultCode.INTERNAL
         workspace = ""
@@ -155,6 +157,7 @@
             body = connection.read_body(kept)
             raw = connection.raw_request(body)
             with connection.watch_disconnect():
+                self._check_same_version(passed_on)
                 request = self.codec.decode(raw, self.active_config.routes(), received_at)
                 workspace = request.workspace
                 self.on_request(request)
@@ -194,6 +197,19 @@
         self.metrics.counter("requests_total", code=code.name.lower()).add()
         self.metrics.histogram("request_ms").observe(self.clock.now() - received_at)
 
+    def _check_same_version(self, passed_on: PassedOn | None) -> None:
+        """Refuse a request of a router with another version, which may allow what this one denies.
+
+        Its caller must not get the answers of two versions in turn either.
+        """
+        version = self.active_config.version()
+        if passed_on is not None and passed_on.configuration != version:
+            raise RequestRefused(
+                ResultCode.CONFIGURATION_STALE,
+                f"version {version} differs from {passed_on.configuration} of the other router",
+                RETRY_ELSEWHERE_MS,
+            )
+
     def _check_accepting(self, connection: GatewayHandler, request: GatewayRequest) -> None:
         passed, connection.passed_early_check = connection.passed_early_check, False
         refusal = (None if passed else self.early_refusal()) or self.refusal(request)
--- a/src/jacinthcove/gateway/callercounts.py
+++ b/src/jacinthcove/gateway/callercounts.py
@@ -16,23 +16,31 @@
     """What a router reported about its callers at `reported_at` (monotonic ms).
 
     `away`: it accepts no callers. `late`: it has more work than it can keep up with. `full`: it has
-    no room for requests of other routers.
+    no room for requests of other routers. `configuration` is the version in force there.
     """
 
     open_requests: int
     away: bool
     late: bool
     full: bool
+    configuration: int
     reported_at: int
 
 
-NO_CALLERS = RouterCallers(open_requests=0, away=False, late=False, full=False, reported_at=0)
+NO_CALLERS = RouterCallers(
+    open_requests=0, away=False, late=False, full=False, configuration=0, reported_at=0
+)
 
 
 def callers_from_report(message: pb.LoadShare | pb.IncludedReport, now: int) -> RouterCallers:
     """Convert the caller fields of a load report that was received at `now`."""
     return RouterCallers(
-        message.open_requests, message.away, message.late, message.full, reported_at=now
+        message.open_requests,
+        message.away,
+        message.late,
+        message.full,
+        message.configuration,
+        reported_at=now,
     )
 
 
@@ -57,10 +65,15 @@
         """Return the other routers that recently reported that they accept no callers."""
         return frozenset(router for router, item in self._recent().items() if item.away)
 
-    def with_room(self) -> frozenset[str]:
-        """Return the routers that recently reported that they have room for others' requests."""
+    def with_room(self, configuration: int) -> frozenset[str]:
+        """Return the routers that recently reported room for others' requests and this version.
+
+        A router with another version of the configuration may deny what this one allows.
+        """
         return frozenset(
-            router for router, item in self._recent().items() if not (item.full or item.away)
+            router
+            for router, item in self._recent().items()
+            if item.configuration == configuration and not (item.full or item.away)
         )
 
     def overloaded(self) -> frozenset[str]:
--- a/src/jacinthcove/gateway/handover.py
+++ b/src/jacinthcove/gateway/handover.py
@@ -6,18 +6,19 @@
 """
 
 import contextlib
-from collections.abc import Callable
 from typing import Any
 
 import gevent
 
 from jacinthcove.clock import Clock
+from jacinthcove.gateway.activeconfig import ActiveConfig
 from jacinthcove.gateway.callererrors import CallerDisconnected
 from jacinthcove.gateway.disconnects import has_disconnected, watch_disconnect
 from jacinthcove.gateway.handovermessages import (
     BROKEN_OFF,
     TIMED_OUT,
     FailedRelay,
+    PassedOn,
     host_and_path,
     mark_passed_on,
 )
@@ -41,8 +42,8 @@
 class Handover:
     """Lets other routers serve requests, and relays their answers to the callers.
 
-    `event_delay_max_ms` is the time by which an event may reach its caller late. `time_limit_ms`
-    returns the time that an answer may take, by host and path. `passed_on` counts the requests.
+    `event_delay_max_ms` is the time by which an event may reach its caller late. `passed_on` counts
+    the requests.
     """
 
     def __init__(
@@ -50,13 +51,13 @@
         clock: Clock,
         helpers: Helpers,
         event_delay_max_ms: int,
-        time_limit_ms: Callable[[str, str], int],
+        active_config: ActiveConfig,
         passed_on: Counter,
     ):
         self.clock = clock
         self.helpers = helpers
         self.pause_s = PAUSE_FRACTION * event_delay_max_ms / 1000
-        self.time_limit_ms = time_limit_ms
+        self.active_config = active_config
         self.passed_on = passed_on
         # The connections to helpers that relay an answer, by router.
         self.relays: dict[str, set[Any]] = {}
@@ -80,7 +81,8 @@
         except TargetUnreachable:
             self.helpers.record_unreachable(helper.router)
             return False
-        ends_at = received_at + self.time_limit_ms(*host_and_path(data)) + LIMIT_SLACK_MS
+        limit_ms = self.active_config.time_limit_ms(*host_and_path(data))
+        ends_at = received_at + limit_ms + LIMIT_SLACK_MS
         relays = self.relays.setdefault(helper.router, set())
         relays.add(peer)
         try:
@@ -88,8 +90,9 @@
             # The loop reports late that a caller has left.
             if not has_disconnected(caller):
                 self.passed_on.add()
-                request = mark_passed_on(data, self.clock.now() - received_at)
-                self._relay(caller, peer, request, ends_at)
+                waited_ms = max(0, self.clock.now() - received_at)
+                mark = PassedOn(waited_ms, self.active_config.version())
+                self._relay(caller, peer, mark_passed_on(data, mark), ends_at)
         except OSError:
             # The caller has reset its connection.
             return True
--- a/src/jacinthcove/gateway/handovermessages.py
+++ b/src/jacinthcove/gateway/handovermessages.py
@@ -6,11 +6,11 @@
 from jacinthcove.gateway.codec import Headers
 from jacinthcove.gateway.shedding import HEAD_END
 
-# How many ms another router has had a request that it passed on. A caller who sends this header
-# only shortens its own time limit.
-WAITED_HEADER = "Jacinthcove-Waited-Ms"
-_WAITED_MS = re.compile(r"[0-9]{1,9}")
-_MARK = f"\r\n{WAITED_HEADER}: ".encode()
+# How many ms another router has had a request that it passed on, and the version of its
+# configuration. A caller who sends this header only shortens its own time limit or is refused.
+MARK_HEADER = "Jacinthcove-Waited-Ms"
+_MARK_VALUE = re.compile(r"([0-9]{1,9});version=([0-9]{1,18})")
+_MARK = f"\r\n{MARK_HEADER}: ".encode()
 _LINE_END = b"\r\n"
 # An answer to an older version may end with its connection, which shows no breaking off.
 _VERSION = b" HTTP/1.1"
@@ -39,22 +39,38 @@
     return host[1].decode("latin-1") if host else "", path
 
 
-def mark_passed_on(data: bytes, waited_ms: int) -> bytes:
-    """Return a request with the header that tells how long this router has had it."""
+@dataclass(frozen=True)
+class PassedOn:
+    """What a router says of a request that it passes on.
+
+    It has had the request for `waited_ms`, and `configuration` is the version in force there.
+    """
+
+    waited_ms: int
+    configuration: int
+
+
+UNREADABLE_MARK = PassedOn(0, 0)
+
+
+def mark_passed_on(data: bytes, mark: PassedOn) -> bytes:
+    """Return a request with the header that tells what this router says of it."""
     request_line, _, rest = data.partition(_LINE_END)
-    return b"%b%b%d\r\n%b" % (request_line, _MARK, max(0, waited_ms), rest)
+    value = b"%d;version=%d" % (mark.waited_ms, mark.configuration)
+    return b"%b%b%b\r\n%b" % (request_line, _MARK, value, rest)
 
 
-def take_waited_ms(headers: Headers) -> tuple[Headers, int | None]:
-    """Return the headers of a request without the mark, and how long another router has had it.
+def take_mark(headers: Headers) -> tuple[Headers, PassedOn | None]:
+    """Return the headers of a request without the mark, and what the mark says.
 
-    The time is None if no router has passed the request on.
+    The mark is None if no router has passed the request on.
     """
-    found = [value for name, value in headers if name == WAITED_HEADER]
+    found = [value for name, value in headers if name == MARK_HEADER]
     if not found:
         return headers, None
-    rest = tuple(item for item in headers if item[0] != WAITED_HEADER)
-    return rest, int(found[0]) if _WAITED_MS.fullmatch(found[0]) else 0
+    rest = tuple(item for item in headers if item[0] != MARK_HEADER)
+    value = _MARK_VALUE.fullmatch(found[0])
+    return rest, PassedOn(int(value[1]), int(value[2])) if value else UNREADABLE_MARK
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/gateway/helpers.py
+++ b/src/jacinthcove/gateway/helpers.py
@@ -14,7 +14,7 @@
 
 
 class Helpers:
-    """The routers to which this one passes requests on; `candidates` returns those with room.
+    """The routers to which this one passes requests on; `candidates` returns those that may serve.
 
     Reports of their load are old, so the better of two random ones is taken.
     """
@@ -53,6 +53,10 @@
         has_room = own_requests(found) <= MAX_LOAD_FRACTION * open_requests
         return found if has_room else None
 
+    def forget(self) -> None:
+        """Look the routers up again, because others may serve now than before."""
+        self.looked_up_at = None
+
     def record_unreachable(self, router: str) -> None:
         """Leave a router out that could not be reached, until the next look-up."""
         self.known = [item for item in self.known if item.router != router]
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -241,6 +241,7 @@
             away=digest.away,
             late=digest.late,
             full=digest.full,
+            configuration=digest.configuration,
         )
         return pb.LoadBundle(
             shares=shares,
@@ -276,6 +277,7 @@
             away=share.away,
             late=share.late,
             full=share.full,
+            configuration=share.configuration,
         )
         for target in share.targets:
             if target.parts:
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -149,6 +149,7 @@
         self.accepts_callers: Callable[[], bool] = lambda: True
         self.is_late: Callable[[], bool] = lambda: False
         self.is_full: Callable[[], bool] = lambda: False
+        self.configuration: Callable[[], int] = lambda: 0
         # The count that was sent last. This router compares itself with others by it, so that all
         # routers agree on which has the most callers.
         self.reported_open_requests = 0
@@ -205,6 +206,7 @@
             away=not self.accepts_callers(),
             late=self.is_late(),
             full=self.is_full(),
+            configuration=self.configuration(),
         )
         return message, since, group.sent_at
 
--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -15,7 +15,12 @@
 from jacinthcove.gateway.callererrors import BodyNotRead, CallerDisconnected, MalformedRequest
 from jacinthcove.gateway.codec import Headers, RawRequest
 from jacinthcove.gateway.disconnects import has_disconnected, watch_disconnect
-from jacinthcove.gateway.handovermessages import is_passed_on, may_pass_on, take_waited_ms
+from jacinthcove.gateway.handovermessages import (
+    PassedOn,
+    is_passed_on,
+    may_pass_on,
+    take_mark,
+)
 from jacinthcove.gateway.model import CallerLimits
 from jacinthcove.gateway.shedding import (
     answer_whole_request,
@@ -108,8 +113,8 @@
     raw_headers: Headers = ()
     # Whether it has been decided already that the next request is not refused for lateness.
     passed_early_check = False
-    # How long another router has had the request that it passed on, None if none did.
-    waited_ms: int | None = None
+    # What another router says of the request that it passed on, None if none did.
+    passed_on: PassedOn | None = None
     rfile: Any
 
     def handle(self) -> None:
@@ -231,7 +236,7 @@
     def read_request(self, raw_requestline: str) -> Any:
         """Parse the request head that `read_requestline` has read."""
         headers = parse_headers(self.header_block)
-        self.raw_headers, self.waited_ms = take_waited_ms(headers)
+        self.raw_headers, self.passed_on = take_mark(headers)
         parts = raw_requestline.rstrip("\r\n").split(" ")
         if len(parts) != 3 or not parts[1].startswith("/") or "#" in parts[1]:
             raise MalformedRequest(400, "the request line is malformed")
@@ -317,7 +322,7 @@
 
     def closes_connection(self) -> bool:
         """Return whether the connection closes after the response, as always if passed on."""
-        return self.waited_ms is not None or super().closes_connection()
+        return self.passed_on is not None or super().closes_connection()
 
     def abort(self) -> None:
         """Close the connection after this request, even if its response is incomplete."""
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -127,6 +127,7 @@
             self.ready,
             lambda: self.loop_delay.is_late(),
             lambda: self.intake.is_full(),
+            self.active_config.version,
         )
         self.admission = Admission(
             clock,
@@ -186,9 +187,10 @@
             clock,
             helpers,
             bounds.event_delay_max_ms,
-            self.active_config.time_limit_ms,
+            self.active_config,
             self.metrics.counter("requests_passed_on_total"),
         )
+        self.active_config.listeners.append(lambda config: helpers.forget())
         self.application = GatewayApplication(
             clock,
             self.active_config,
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -63,6 +63,7 @@
         accepts_callers: Callable[[], bool],
         is_late: Callable[[], bool],
         is_full: Callable[[], bool],
+        configuration: Callable[[], int],
     ):
         self.settings = settings
         self.clock = clock
@@ -74,6 +75,7 @@
         self.accepts_callers = accepts_callers
         self.is_late = is_late
         self.is_full = is_full
+        self.configuration = configuration
         # While this is False, the router knows no other router.
         self.joined = False
         me = Member(
@@ -152,10 +154,10 @@
         return [item for item in self.alive_routers() if item.router not in excluded]
 
     def helpers(self) -> list[Candidate]:
-        """Return the routers with room for requests of others; empty before it has joined."""
+        """Return the routers that may serve requests of this one; empty before it has joined."""
         if self.exchange is None or not self.joined:
             return []
-        with_room = self.exchange.callers.with_room()
+        with_room = self.exchange.callers.with_room(self.configuration())
         return [item for item in self.alive_routers() if item.router in with_room]
 
     def is_left_out(self) -> bool:
@@ -188,6 +190,7 @@
         self.exchange.reporter.accepts_callers = self.accepts_callers
         self.exchange.reporter.is_late = self.is_late
         self.exchange.reporter.is_full = self.is_full
+        self.exchange.reporter.configuration = self.configuration
         self.exchange.news = self.news
         self.parts = PartsExchange(self.clock, self.members, self.links, self.registry)
         self.exchange.on_report_received = self.parts.record_report_received
--- a/tests/gateway/test_loadexchange.py
+++ b/tests/gateway/test_loadexchange.py
@@ -294,13 +294,13 @@
     fleet = Fleet(clock)
     asking = fleet.exchanges["a5"]
     fleet.round()
-    assert "a3" in asking.callers.with_room()
+    assert "a3" in asking.callers.with_room(0)
     for exchange in fleet.same_domain(fleet.exchanges["a3"]):
         exchange.reporter.is_full = lambda: True
     fleet.round()
     fleet.round()
     same_domain = {exchange.members.me.id for exchange in fleet.same_domain(asking)}
-    assert not same_domain & asking.callers.with_room()
+    assert not same_domain & asking.callers.with_room(0)
 
 
 def test_a_router_judges_its_own_load_as_the_others_do(clock):
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -15,10 +15,12 @@
 from jacinthcove.gateway import handover, shedding
 from jacinthcove.gateway.directory import Candidate
 from jacinthcove.gateway.handovermessages import (
-    WAITED_HEADER,
+    MARK_HEADER,
+    UNREADABLE_MARK,
+    PassedOn,
     host_and_path,
     may_pass_on,
-    take_waited_ms,
+    take_mark,
 )
 from jacinthcove.gateway.loopdelay import LATE_DELAY_MS, REJECT_ALL_DELAY_MS
 
@@ -74,7 +76,7 @@
     raw = request("/publish/7", b"body of the caller", id="q7")
     assert http(passing[0].settings.caller_listen, raw=raw)[0] == 200
     assert ledger.bodies[-1] == b"body of the caller"
-    assert header(ledger.seen[-1], WAITED_HEADER) is None
+    assert header(ledger.seen[-1], MARK_HEADER) is None
     assert passed_on(passing[0]) >= 1
     assert passed_on(passing[1]) == 0
 
@@ -252,10 +254,15 @@
 
 
 @pytest.mark.parametrize(
-    ("value", "waited_ms"), [("30", 30), ("-1", 0), ("9" * 12, 0), ("x", 0), ("", 0)]
+    ("value", "mark"),
+    [("30;version=7", PassedOn(30, 7))]
+    + [
+        (odd, UNREADABLE_MARK)
+        for odd in ("30", "-1;version=7", "9" * 12 + ";version=7", "3;version=x", "x", "")
+    ],
 )
-def test_an_odd_mark_of_a_caller_counts_as_no_time(value, waited_ms):
-    assert take_waited_ms(((WAITED_HEADER, value), ("Host", "x"))) == ((("Host", "x"),), waited_ms)
+def test_an_odd_mark_of_a_caller_counts_as_no_time_and_no_version(value, mark):
+    assert take_mark(((MARK_HEADER, value), ("Host", "x"))) == ((("Host", "x"),), mark)
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_passed_on_versions.py
+++ b/tests/platform/test_passed_on_versions.py
@@ -1,6 +1,5 @@
 """A request that is passed on must be handled under the version of the router that has it."""
 
-import pytest
 from router_bed import http
 from store_standin import eventually
 from wire_bed import KEY
@@ -24,7 +23,6 @@
     return {http(router.settings.caller_listen, key=key)[0] for _ in range(count)}
 
 
-@pytest.mark.known_red
 def test_a_request_with_a_new_key_is_not_denied_by_a_helper_that_does_not_know_it(
     passing, operator
 ):
@@ -34,7 +32,6 @@
     assert statuses(late, NEW_KEY) <= {200, 503}
 
 
-@pytest.mark.known_red
 def test_a_request_with_a_revoked_key_is_not_run_by_a_helper_that_still_knows_it(
     passing, operator, ledger
 ):
@@ -45,7 +42,6 @@
     assert not ledger.seen
 
 
-@pytest.mark.known_red
 def test_callers_of_a_router_do_not_see_a_version_come_and_go_through_its_helper(passing, operator):
     late, helper = passing
     stop_hearing(late)
