Shorten the first watch after word of other routers only where its age matters

Change: only the configuration has a bound on its age, so only its first watch is short, and only its watches after a change. The watches of relay routers stay short for all kinds.

--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -218,7 +218,9 @@
         self.relief = CallerRelief(clock)
         self.admission.is_late = self.loop_delay.is_late
         self.changelogs: dict[str, ChangeLog] = {}
-        self.source = RelayedSource(clock, self.store_client, self.changelogs, bounds.apply_ms)
+        self.source = RelayedSource(
+            clock, self.store_client, self.changelogs, bounds.apply_ms, frozenset((CONFIG_KIND,))
+        )
         followers: dict[str, Follower] = {
             CONFIG_KIND: ConfigFollower(self.active_config),
             TARGETS_KIND: TargetFollower(self.registry),
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -128,14 +128,21 @@
 class RelayedSource:
     """A `KindSource` that asks the relay router of its failure domain before the store.
 
-    A change has to be in force `apply_ms` after the store has it.
+    A change has to be in force `apply_ms` after the store has it. Of `dated_kinds` it matters how
+    old the last word is, so watches that would let it become older are shorter.
     """
 
     def __init__(
-        self, clock: Clock, direct: KindSource, logs: Mapping[str, ChangeLog], apply_ms: int
+        self,
+        clock: Clock,
+        direct: KindSource,
+        logs: Mapping[str, ChangeLog],
+        apply_ms: int,
+        dated_kinds: frozenset[str] = frozenset(),
     ):
         self.clock = clock
         self.apply_ms = apply_ms
+        self.dated_kinds = dated_kinds
         self.direct = direct
         self.logs = logs
         self.members: Members | None = None
@@ -169,7 +176,8 @@
             except (PeerUnavailable, StoreUnavailable) as error:
                 self.direct_until = self.clock.now() + FALLBACK_MS
                 log.info("store_asked_directly", kind=kind, router=relay, reason=str(error))
-        wait_ms = self._wait_within(kind, wait_ms, max(wait_ms, self.apply_ms))
+        if kind in self.dated_kinds:
+            wait_ms = self._wait_within(kind, wait_ms, max(wait_ms, self.apply_ms))
         return self._watch_directly(kind, revision, wait_ms)
 
     def _watch_through(
--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -258,6 +258,23 @@
     assert waiting.value is None
 
 
+@pytest.mark.parametrize("dated", [True, False])
+def test_the_first_watch_after_word_of_others_is_short_where_its_age_matters(store, dated):
+    """A router that asks the store itself again must not count as outdated while it waits."""
+    clock = SystemClock()
+    log = ChangeLog(clock)
+    waits = []
+    watch = store.watch
+    store.watch = lambda kind, revision, wait_ms: waits.append(wait_ms) or watch(kind, revision, 1)
+    source = RelayedSource(clock, store, {KIND: log}, APPLY_MS, frozenset((KIND,) * dated))
+    source.watch(KIND, at(1), 2_800)
+    log.restart(at(1), clock.boot())
+    source.watch(KIND, at(1), 2_800)
+    log.known_at = clock.boot() - 1_400
+    source.watch(KIND, at(1), 2_800)
+    assert waits == pytest.approx([600, 2_800, 1_600] if dated else [2_800] * 3, abs=50)
+
+
 def test_a_relay_router_soon_knows_that_nothing_followed_a_change(store, mesh):
     """What it tells others must not look old because its watch had waited long for the change."""
     router = Router(IDS[0], store, mesh, ["r0"] * MIN_ROUTERS, wait_ms=2_800)
