--- a/tests/targets/test_target_client.py
+++ b/tests/targets/test_target_client.py
@@ -56,6 +56,8 @@
         b"no HTTP\r\n\r\n",
         b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 500 Error\r\nX-Not-Admitted: 1\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + OK + b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}",
         OK + b"Content-Length: 10\r\n\r\nabc",
         OK + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
     ],
