--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -49,6 +49,8 @@
 PULL_WAIT_FRACTION = 1 / 4
 # The state of a relay router is used up to this fraction of the time in which a change applies.
 MAX_AGE_FRACTION = 2 / 3
+# Above that age of a digest the relay router is asked with this wait, before the store is.
+LAST_PULL_WAIT_MS = 200
 # A reply may arrive this much later than the wait.
 PULL_MARGIN_MS = 400
 # How long a router keeps to the alternative (the store itself, or fallback routers) after a
@@ -184,10 +186,13 @@
         self, relay: str, kind: str, revision: StoreRevision, wait_ms: int
     ) -> WatchResult:
         """Watch through the relay router; raises `StoreUnavailable` if what it knows is too old."""
+        pull_wait_ms = self._pull_wait_ms(wait_ms)
+        if self._forget_old_digest(relay, kind):
+            pull_wait_ms = min(pull_wait_ms, LAST_PULL_WAIT_MS)
         unchanged = self._wait_for_digest(relay, kind, revision, wait_ms)
         if unchanged is not None:
             return unchanged
-        result = self._pull(relay, kind, revision, wait_ms)
+        result = self._pull(relay, kind, revision, pull_wait_ms)
         if not result.changes:
             self._check_age(result.relay_age_ms or 0)
         return result
@@ -230,7 +235,7 @@
     ) -> WatchResult | None:
         for router in self.fallback_routers():
             try:
-                return self._pull(router, kind, revision, wait_ms)
+                return self._pull(router, kind, revision, self._pull_wait_ms(wait_ms))
             except (PeerUnavailable, StoreUnavailable) as error:
                 log.debug("store_helper_failed", kind=kind, router=router, reason=str(error))
         return None
@@ -281,6 +286,19 @@
             if pending is not None and revision > pending.revision:
                 pending.newer.set()
 
+    def _forget_old_digest(self, relay: str, kind: str) -> bool:
+        """Forget the last digest if it is too old, and return whether it was.
+
+        Digests of a fleet at rest count as older than they are, as routers report less often.
+        """
+        latest = self.digest_revisions.get(kind)
+        if latest is None or latest.router != relay:
+            return False
+        too_old = self.clock.boot() - latest.known_at >= self._max_age_ms()
+        if too_old:
+            del self.digest_revisions[kind]
+        return too_old
+
     def _forget_digest(self, router: str, kind: str) -> None:
         latest = self.digest_revisions.get(kind)
         if latest is None or latest.router != router:
@@ -294,20 +312,15 @@
     ) -> WatchResult | None:
         """Wait for digests of the relay router instead of a pull.
 
-        Returns a result without changes if nothing is newer, None if a pull is needed; raises
-        `StoreUnavailable` if the last digest is too old.
+        Returns a result without changes if nothing is newer, None if a pull is needed.
         """
         latest = self.digest_revisions.get(kind)
         if latest is None or latest.router != relay or latest.revision > revision:
             return None
         asked_at = self.clock.boot()
-        age_ms = asked_at - latest.known_at
-        self._check_age(age_ms)
-        usable_ms = self._max_age_ms() - age_ms
+        usable_ms = max(0, latest.known_at + self._max_age_ms() - asked_at)
         pending = self.pending_watches[kind] = PendingWatch(revision, Event())
-        newer = self.clock.wait(
-            pending.newer, min(PULL_WAIT_MS, wait_ms * PULL_WAIT_FRACTION, usable_ms)
-        )
+        newer = self.clock.wait(pending.newer, min(self._pull_wait_ms(wait_ms), usable_ms))
         current = self.digest_revisions.get(kind)
         if newer or current is None or current.router != relay:
             return None
@@ -338,9 +351,11 @@
             return pb.StoreNews(unknown=True, era=changes.revision.era)
         return encode_result(result)
 
+    def _pull_wait_ms(self, wait_ms: int) -> int:
+        return min(PULL_WAIT_MS, int(wait_ms * PULL_WAIT_FRACTION))
+
     def _pull(self, router: str, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         assert self.peers is not None
-        wait_ms = min(PULL_WAIT_MS, int(wait_ms * PULL_WAIT_FRACTION))
         message = pb.StorePull(
             kind=kind, revision=revision.number, era=revision.era, wait_ms=wait_ms
         )
