--- a/features/environment.py
+++ b/features/environment.py
@@ -34,6 +34,12 @@
     context.traffic = None
 
 
+def after_step(context, step):
+    # The progress format names a failing scenario, but not why its step failed.
+    if step.status == "failed":
+        print(f"\n{step.location}: {step.name}: {step.exception!r}", file=sys.__stderr__)
+
+
 def after_scenario(context, scenario):
     if context.traffic is not None:
         context.traffic.stop()
