--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -185,6 +185,16 @@
     return next(r for r in fleet if r.id != r.source.relay_router())
 
 
+@pytest.fixture
+def one(fleet):
+    """Return a router that is not the relay router, and whose own watch has ended."""
+    one = non_relay_router(fleet)
+    wait_until(lambda: all(r.watch.listed for r in fleet))
+    one.watch.close()
+    one.source.direct_until = 0
+    return one
+
+
 def test_digest_without_newer_revision_replaces_a_pull(fleet, mesh):
     router = non_relay_router(fleet)
     wait_until(lambda: router.watch.listed)
@@ -222,11 +232,7 @@
 OLD_DIGEST_MS = int(APPLY_MS * MAX_AGE_FRACTION) + 50
 
 
-def test_the_store_is_asked_soon_when_the_last_digest_of_a_silent_router_is_too_old(fleet, mesh):
-    one = non_relay_router(fleet)
-    wait_until(lambda: one.watch.listed)
-    one.watch.close()
-    one.source.direct_until = 0
+def test_the_store_is_asked_soon_when_the_last_digest_of_a_silent_router_is_too_old(one, mesh):
     mesh.silent.add(one.source.relay_router())
     receive_digest(one.source, one.watch.revision, OLD_DIGEST_MS)
     asked_at = one.source.clock.boot()
@@ -235,34 +241,22 @@
     assert waited_ms < APPLY_MS - OLD_DIGEST_MS
 
 
-def test_a_digest_that_is_too_old_costs_no_call_of_the_store_while_its_router_has_news(fleet):
+def test_a_digest_that_is_too_old_costs_no_call_of_the_store_while_its_router_has_news(one):
     """A fleet at rest reports so seldom that a digest looks older than it is."""
-    one = non_relay_router(fleet)
-    wait_until(lambda: all(r.watch.listed for r in fleet))
-    one.watch.close()
-    one.source.direct_until = 0
     receive_digest(one.source, one.watch.revision, OLD_DIGEST_MS)
     assert one.source.watch(KIND, one.watch.revision, 400).relay_age_ms < APPLY_MS / 2
     assert not one.source.digest_revisions
 
 
-def test_word_of_a_relay_router_that_is_too_old_is_not_used(fleet, store, mesh):
+def test_word_of_a_relay_router_that_is_too_old_is_not_used(fleet, one):
     """Its watch may be silent, or it may have been suspended."""
-    one = non_relay_router(fleet)
-    wait_until(lambda: one.watch.listed)
     relay = next(r for r in fleet if r.id == one.source.relay_router())
     relay.watch.close()
-    one.watch.close()
-    one.source.direct_until = 0
     relay.watch.changes.restart(one.watch.revision, SystemClock().boot() - APPLY_MS)
     assert one.source.watch(KIND, one.watch.revision, 400).relay_age_ms is None
 
 
-def test_a_digest_without_a_kind_ends_the_wait_for_its_changes(fleet, mesh):
-    one = non_relay_router(fleet)
-    wait_until(lambda: one.watch.listed)
-    one.watch.close()
-    one.source.direct_until = 0
+def test_a_digest_without_a_kind_ends_the_wait_for_its_changes(one):
     receive_digest(one.source, one.watch.revision)
     relay = one.source.relay_router()
     waiting = gevent.spawn(one.source._wait_for_digest, relay, KIND, one.watch.revision, 4_000)
