--- a/tests/platform/router_bed.py
+++ b/tests/platform/router_bed.py
@@ -5,6 +5,7 @@
 from test_platform_decode import SETTINGS
 from wire_bed import KEY, read_response, request
 
+from jacinthcove.platform.names import CONFIG_KIND
 from jacinthcove.platform.settings import decode_settings
 from testbed.ports import free_addresses
 
@@ -28,6 +29,11 @@
         return read_response(sock)
 
 
+def stop_hearing(router):
+    """Leave a router without news of the configuration, as one that the store rejects has none."""
+    next(watch for watch in router.watches if watch.kind == CONFIG_KIND).close()
+
+
 def refusal_code(router):
     """Send one request and return the result code of its refusal, None if it is served.
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -1,13 +1,10 @@
 """Answers of engines in trouble, which must not reach callers as complete answers of the engine."""
 
-import socket
-import struct
-
 import gevent
 import pytest
 from router_bed import http
 from store_standin import eventually
-from test_unframed_answers import events, unframed_head
+from test_unframed_answers import events, sends, unframed_head
 from wire_bed import GatewayTestBed, ScriptedTarget, header, request
 
 from jacinthcove.gateway import shedding
@@ -36,13 +33,7 @@
 def resets_during_upload(kind, part, pause_s):
     """Return a script that answers at once without a length, in part, and then resets."""
 
-    def script(target, sock, head):
-        sock.sendall(unframed_head(head, kind) + part)
-        gevent.sleep(pause_s)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        sock.close()
-
-    return script
+    return sends(lambda head: unframed_head(head, kind) + part, reset=True, pause_s=pause_s)
 
 
 def answers_with_status(status, kind=PLAIN, keeps=False):
--- a/tests/platform/test_old_denials.py
+++ b/tests/platform/test_old_denials.py
@@ -1,11 +1,9 @@
 """A router must not deny a name for good once a newer version with that name may be in force."""
 
 import pytest
-from router_bed import http
+from router_bed import http, stop_hearing
 from store_standin import eventually
 
-from jacinthcove.platform.names import CONFIG_KIND
-
 # A new version is in force after 2 s, a revoked key is no longer accepted after 5 s.
 WITHOUT_WORD_MS = 3_000
 
@@ -16,7 +14,7 @@
     operator(7)
     router = start()
     eventually(router.ready)
-    next(watch for watch in router.watches if watch.kind == CONFIG_KIND).close()
+    stop_hearing(router)
     router.active_config.confirmed_at = router.clock.boot() - WITHOUT_WORD_MS
     return router
 
--- a/tests/platform/test_passed_on_versions.py
+++ b/tests/platform/test_passed_on_versions.py
@@ -1,19 +1,14 @@
 """A request that is passed on must be handled under the version of the router that has it."""
 
-from router_bed import http
+from router_bed import http, stop_hearing
 from store_standin import eventually
 from wire_bed import KEY
 
-from jacinthcove.platform.names import CONFIG_KIND
+from jacinthcove.gateway.directory import Candidate
 
 NEW_KEY = "key-of-version-8"
 
 
-def stop_hearing(router):
-    """Leave a router without news of the configuration, as one that the store rejects has none."""
-    next(watch for watch in router.watches if watch.kind == CONFIG_KIND).close()
-
-
 def write_version_8(operator, router, keys):
     operator(8, keys)
     eventually(lambda: router.active_config.version() == 8)
@@ -54,6 +49,9 @@
     late, helper = passing
     stop_hearing(helper)
     helper.active_config.confirmed_at = helper.clock.boot() - 3_000
+    # The helper soon reports that it has no room, and the late router would serve some itself.
+    choice = Candidate("front-2", helper.settings.caller_listen, "qc-east-a", 0)
+    late.handover.helpers.choose = lambda open_requests, passed_on: choice
     seen = len(ledger.seen)
     assert statuses(late, KEY, 5) == {503}
     assert len(ledger.seen) == seen
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 
+import gevent
 import pytest
 from wire_bed import chunk, event, header, stream_head
 
@@ -19,11 +20,12 @@
     ).encode()
 
 
-def sends(make, reset=False):
-    """Return a script that sends `make(head)` and then closes or resets the connection."""
+def sends(make, reset=False, pause_s=0):
+    """Return a script that sends `make(head)` and after a pause closes or resets the connection."""
 
     def script(target, sock, head):
         sock.sendall(make(head))
+        gevent.sleep(pause_s)
         if reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         sock.close()
