Check a routing configuration before it is sent

Operators send whole configurations to the store, and a route that can never match or a misspelt field showed only after routers had applied it.

--- a/src/jacinthcove/commands/operator.py
+++ b/src/jacinthcove/commands/operator.py
@@ -19,6 +19,7 @@
 from cleo.helpers import argument, option
 
 from jacinthcove.commands.moves import WATCH_PERIOD_MS, describe_move, move_request
+from jacinthcove.commands.routingcheck import RoutingCheck
 from jacinthcove.config.document import ParseResult, encode, parse, read_config_files
 from jacinthcove.config.model import FleetConfig
 from jacinthcove.config.options import Address, Duration, Scalar
@@ -372,6 +373,7 @@
     MoveWatch,
     MoveAbort,
     MoveList,
+    RoutingCheck,
     Status,
 )
 
--- a/src/jacinthcove/config/document.py
+++ b/src/jacinthcove/config/document.py
@@ -241,10 +241,15 @@
 
 def diff(old: FleetConfig, new: FleetConfig) -> list[str]:
     """Return one line per changed path, except `revision`; the values of secrets are hidden."""
+    return difference_lines(old, new, ignored=("revision",))
+
+
+def difference_lines(old: Any, new: Any, ignored: tuple[str, ...] = ()) -> list[str]:
+    """Return one line per path that differs between two dataclasses, except the `ignored` paths."""
     before, after = _flatten(old), _flatten(new)
     lines = []
     for path in sorted(before.keys() | after.keys()):
-        if path == "revision" or before.get(path) == after.get(path):
+        if path in ignored or before.get(path) == after.get(path):
             continue
         secret = path.rpartition(".")[2] in _SECRET_FIELDS
         old_value, new_value = (
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -97,14 +97,15 @@
         }
     return RoutingConfig(
         version=int(spec["version"]),
-        routes=tuple(_route(item) for item in spec.get("routes") or ()),
-        services={item["name"]: _service(item) for item in spec.get("services") or ()},
+        routes=tuple(decode_route(item) for item in spec.get("routes") or ()),
+        services={item["name"]: decode_service(item) for item in spec.get("services") or ()},
         limits=_limits(limits),
         workspace_by_key=workspace_by_key,
     )
 
 
-def _route(item: dict[str, Any]) -> HttpRoute:
+def decode_route(item: dict[str, Any]) -> HttpRoute:
+    """Decode a route; a malformed one raises `ValueError`, `KeyError` or `TypeError`."""
     split = item.get("traffic_split")
     if split:
         shares = tuple(ServiceShare(entry["service"], float(entry["weight"])) for entry in split)
@@ -125,7 +126,8 @@
     )
 
 
-def _service(item: dict[str, Any]) -> GatewayService:
+def decode_service(item: dict[str, Any]) -> GatewayService:
+    """Decode a service; a malformed one raises `ValueError`, `KeyError` or `TypeError`."""
     engine = item.get("engine")
     capacity = None
     if engine:
--- /dev/null
+++ b/src/jacinthcove/routingcheck/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a routing configuration before an operator sends it."""
