Report usage from one router at a time, under a lease in the store

Cause: a deployment wants the begun requests of each workspace and window reported once, by one router, with a fencing token, and the platform checks nothing back. Change: the lease counts by the boot clock, is never released early, and takes its token from the era and the revision that it replaces. Routers send totals of begun requests to three candidates and agree on true time with them. A report is stored before it is sent.

--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -96,6 +96,8 @@
         self.excluded_targets: set[str] = set()
         self.last_event_id = request.last_event_id
         self.first_event_at = 0
+        # Whether a target began to answer, at any attempt.
+        self.answer_began = False
         self.attempts: list[Attempt] = []
         # The bytes of the response of the last attempt, until the caller has got them.
         self.kept = forwarder.answer_bytes.open()
@@ -252,6 +254,8 @@
                 target.record_full(self.clock.now(), self.forwarder.admission.rng.random())
             return
         stream = self.request.route.retry_safety is RetrySafety.STREAM
+        if not stream or head.execution is not Execution.SUCCEEDED:
+            self._record_answer_begun()
         if stream and head.execution is Execution.SUCCEEDED:
             self._relay_stream(attempt, exchange, response)
         else:
@@ -266,6 +270,12 @@
                 attempt.reason = f"the target answered {head.status}"
         target.record_result(attempt.end is AttemptOutcome.ANSWERED_FAILURE)
 
+    def _record_answer_begun(self) -> None:
+        """Tell once per request that it began to run at a target, however often it is sent."""
+        if not self.answer_began:
+            self.answer_began = True
+            self.forwarder.on_answer_begun(self.request.workspace)
+
     def _is_own_response(self, response: TargetResponse) -> bool:
         return self.forwarder.codec.is_response_to(self.request, response)
 
@@ -295,6 +305,7 @@
             if awaiting_first_event:
                 awaiting_first_event = False
                 load.on_first_event(self.request.id)
+                self._record_answer_begun()
                 attempt.first_event_at = self.clock.now()
                 if not self.first_event_at:
                     self.first_event_at = attempt.first_event_at
@@ -338,6 +349,8 @@
         self.connections = connections
         self.check_config_fresh = check_config_fresh
         self.observer = observer
+        # Called with the workspace of each request whose answer begins.
+        self.on_answer_begun: Callable[[str], None] = lambda workspace: None
 
     def run(self, request: GatewayRequest, sink: Sink) -> ResultCode:
         """Deliver the response to one request; raises `RequestRefused` or `ResponseAborted`."""
--- a/src/jacinthcove/mesh/kinds.py
+++ b/src/jacinthcove/mesh/kinds.py
@@ -26,6 +26,8 @@
 BEGUN_QUERY = "begun_query"
 QUARANTINE_NOTICE = "quarantine_notice"
 PERMIT_PULL = "permit_pull"
+BEGUN_COUNTS = "begun_counts"
+DUTY_LEASE = "duty_lease"
 
 
 @dataclass(frozen=True)
@@ -58,4 +60,6 @@
     BEGUN_QUERY: MessageTypes(pb.BegunQuery, pb.BegunReply),
     QUARANTINE_NOTICE: MessageTypes(pb.QuarantineNotice, pb.Empty),
     PERMIT_PULL: MessageTypes(pb.PermitPull, pb.PermitReply),
+    BEGUN_COUNTS: MessageTypes(pb.BegunCounts, pb.BegunCountsReply),
+    DUTY_LEASE: MessageTypes(pb.DutyLeaseNotice, pb.Empty),
 }
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -44,6 +44,7 @@
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
 from jacinthcove.platform.codec import PlatformCodec
+from jacinthcove.platform.dutywiring import Duties
 from jacinthcove.platform.endpoints import Endpoints
 from jacinthcove.platform.fleet import Fleet
 from jacinthcove.platform.followers import (
@@ -179,6 +180,8 @@
             ),
             self.answer_bytes,
         )
+        self.duties = Duties(settings, clock, self.metrics, self.store_client)
+        forwarder.on_answer_begun = self.duties.record_begun
         self.loop_delay = LoopDelay(clock, self._on_loop_delay)
         self.loop_work = LoopWork()
         self.intake = Intake(self.loop_delay, self.loop_work.take_fraction)
@@ -237,6 +240,7 @@
         self.fleet.listeners += [
             self.source.join,
             self.examiner.join,
+            self.duties.join,
             self._start_permits,
             lambda members, peers: members.subscribe(handover.on_member),
         ]
@@ -284,6 +288,7 @@
         """Leave the fleet, finish open requests, and stop before the grace period ends."""
         self.stop.begin()
         self.application.leaving = True
+        self.duties.stop_acting()
         log.info("router_leaving", open_requests=self.application.open_requests)
         self.fleet.leave()
         while self.stop.left_ms() > 0 and not self._can_stop_early():
@@ -306,23 +311,20 @@
     def stop_now(self) -> None:
         """Stop at once without finishing open requests."""
         self.server.stop_accepting()
-        self.intake.close()
-        self.loop_work.close()
-        self.loop_delay.close()
-        self.examiner.close()
+        for part in (self.intake, self.loop_work, self.loop_delay, self.examiner, self.duties):
+            part.close()
         if self.permits is not None:
             self.permits.close()
         self.fleet.close()
-        self.connections.close()
         for watch in self.watches:
             watch.close()
-        self.endpoints.close()
-        self.store_client.close()
-        self.arrivals.close()
+        for last in (self.connections, self.endpoints, self.store_client, self.arrivals):
+            last.close()
 
     def reload(self, settings: PlatformSettings) -> None:
         """Apply changed bounds; addresses stay as they were at the start."""
         self.settings = replace(self.settings, bounds=settings.bounds)
+        self.duties.reload(settings)
         self.stop.grace_ms = settings.bounds.grace_ms
         waits = watch_waits(settings.bounds)
         for watch in self.watches:
--- a/src/jacinthcove/platform/names.py
+++ b/src/jacinthcove/platform/names.py
@@ -64,3 +64,10 @@
 ROUTERS_KIND = "jacinthcove-routers"
 SECRETS_KIND = "jacinthcove-secrets"
 QUARANTINE_KIND = "jacinthcove-quarantine"
+DUTIES_KIND = "jacinthcove-duties"
+
+# Calls of the router that holds the duties, and their headers.
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
+DUTY_HOLDER = "X-Duty-Holder"
+FENCING_TOKEN = "X-Fence-Token"
--- a/src/jacinthcove/platform/settings.py
+++ b/src/jacinthcove/platform/settings.py
@@ -39,6 +39,25 @@
     lookup_lifetime_max_ms: int
 
 
+@dataclass(frozen=True)
+class DutySettings:
+    """The calls that one router at a time makes to the platform, and their limits."""
+
+    # Empty if no router makes such calls.
+    address: str
+    duties: frozenset[str]
+    # Calls per second of all routers together.
+    calls_per_s: float
+    lease_ms: int
+    usage_window_ms: int
+    # The report of a window is due this long after its end.
+    usage_late_ms: int
+
+    def performs(self, duty: str) -> bool:
+        """Return whether the routers perform a duty."""
+        return bool(self.address) and duty in self.duties
+
+
 @dataclass(frozen=True)
 class PlatformSettings:
     """Settings of a router; addresses are `ip:port`."""
@@ -54,6 +73,7 @@
     # The platform kills a process that takes more memory.
     memory_mb: int
     bounds: Bounds
+    duties: DutySettings
 
 
 def parse_lines(text: str) -> dict[str, str]:
@@ -112,6 +132,27 @@
     )
 
 
+def _decode_duties(reader: _SettingsReader) -> DutySettings:
+    names = (name.strip() for name in reader.values.get("cloud.duties", "").split(","))
+    settings = DutySettings(
+        address=reader.values.get("cloud.address", ""),
+        duties=frozenset(name for name in names if name),
+        calls_per_s=reader.number("cloud.duty_per_s", 50.0),
+        lease_ms=reader.integer("bounds.lease_ms", default=3_000),
+        usage_window_ms=reader.integer("bounds.usage_window_s", 1_000, 5),
+        usage_late_ms=reader.integer("bounds.usage_late_s", 1_000, 10),
+    )
+    if settings.address and ":" not in settings.address:
+        reader.problems.append(f"cloud.address must be ip:port, not {settings.address!r}")
+    for name, value in (
+        ("bounds.lease_ms", settings.lease_ms),
+        ("bounds.usage_window_s", settings.usage_window_ms),
+    ):
+        if value < 1:
+            reader.problems.append(f"{name} must be positive")
+    return settings
+
+
 def decode_settings(text: str) -> Result[PlatformSettings, tuple[str, ...]]:
     """Return the settings, or all problems found in the text."""
     reader = _SettingsReader(parse_lines(text))
@@ -130,5 +171,6 @@
         store=reader.text("platform.address"),
         memory_mb=reader.integer("limits.memory_mb", default=DEFAULT_MEMORY_MB),
         bounds=_decode_bounds(reader),
+        duties=_decode_duties(reader),
     )
     return Failure(tuple(reader.problems)) if reader.problems else Success(settings)
--- a/src/jacinthcove/platform/storeclient.py
+++ b/src/jacinthcove/platform/storeclient.py
@@ -141,12 +141,17 @@
             raise StoreUnavailable(f"{kind}/{name} could neither be created nor found")
         return stored
 
-    def replace(self, kind: str, name: str, spec: Any, revision: int) -> None:
-        """Replace the spec of an object; raises `Conflict` unless it still has `revision`."""
+    def replace(self, kind: str, name: str, spec: Any, revision: int) -> int:
+        """Replace the spec of an object; raises `Conflict` unless it still has `revision`.
+
+        Returns the new revision, 0 if the response does not contain the object.
+        """
         metadata = {"name": name, "revision": revision}
         body = orjson.dumps({"metadata": metadata, "spec": spec})
         path = f"{OBJECTS_PATH}{kind}/{quote(name, safe='')}"
-        self._check_written(self._call("replace", "PUT", path, body), name)
+        reply = self._call("replace", "PUT", path, body)
+        self._check_written(reply, name)
+        return _written_revision(reply, name)
 
     def delete(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
@@ -217,6 +222,15 @@
             raise StoreUnavailable(f"the store returned status {reply.status}")
 
 
+def _written_revision(reply: Reply, name: str) -> int:
+    """Return the revision that the response to a write names, 0 if it names none."""
+    try:
+        written = _decode_object(orjson.loads(reply.body))
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+        return 0
+    return written.revision if written.name == name else 0
+
+
 def decode_era(reply: Reply) -> int:
     """Return the era that a response of the store names, 0 if it names none."""
     text = reply.headers.get(STORE_ERA.lower(), "0").strip()
--- /dev/null
+++ b/tests/duties/test_usagereport.py
@@ -0,0 +1,198 @@
+"""The usage report, one failure a test."""
+
+import pytest
+from duty_bed import LATE_MS, LEASE_MS, WINDOW_MS, World, broken_rules
+
+TOLERANCE = 0.05
+
+
+@pytest.fixture
+def world():
+    """Return a world in which `r0` has reported its first windows."""
+    world = World()
+    work(world, 20_000)
+    return world
+
+
+def work(world, duration_ms):
+    """Let requests begin at each running router."""
+
+    def each():
+        for name, router in world.routers.items():
+            if not router.frozen:
+                world.begin(name, "large", 5)
+                world.begin(name, f"of-{name}")
+
+    world.run(duration_ms, each)
+
+
+def wrong_windows(world, since=0, tolerance=TOLERANCE):
+    """Return the windows reported wrongly."""
+    wrong = []
+    for window, counts in world.reported().items():
+        true = {name: n for (k, name), n in world.begun.items() if k == window}
+        names = counts.keys() | true.keys()
+        off = [
+            n for n in names if abs(counts.get(n, 0) - true.get(n, 0)) > tolerance * true.get(n, 0)
+        ]
+        if off and window >= since:
+            wrong.append(window)
+    return wrong
+
+
+def missing_windows(world, since):
+    """Return the windows whose report is due and missing, since a time."""
+    last = (world.now - LATE_MS) // WINDOW_MS
+    return [k for k in range(since // WINDOW_MS + 1, last) if k not in world.reported()]
+
+
+def test_all_windows_are_reported_exactly(world):
+    """Guards against wrong sums, windows and repeated calls in a calm fleet."""
+    start = world.now - 20_000
+    work(world, 20_000)
+    assert missing_windows(world, start - WINDOW_MS) == []
+    assert wrong_windows(world, tolerance=0) == []
+    assert len(world.calls_of("usage")) == len(world.reported())
+
+
+def test_counts_of_a_killed_holder_survive(world):
+    """Guards against counts that only the holder has."""
+    since = world.now
+    del world.routers["r0"]
+    work(world, 30_000)
+    assert missing_windows(world, since - WINDOW_MS) == []
+    assert wrong_windows(world) == []
+    assert broken_rules(world.platform.calls) == []
+
+
+def test_restarted_router_counts_once_and_keeps_its_former_counts(world):
+    """Guards against a restart under the same name that replaces or repeats counts."""
+    work(world, 2_000)
+    world.start("r2")
+    work(world, 20_000)
+    assert wrong_windows(world, tolerance=0.0) == []
+
+
+def test_report_that_was_stored_but_not_sent_is_repeated_exactly(world):
+    """Guards against a second report with other counts by the next holder."""
+    world.routers["r0"].link.platform_away = True
+    work(world, 8_000)
+    stored = dict(world.routers["r0"].reporter.stored.reports)
+    del world.routers["r0"]
+    world.begin("r1", "large", 1_000)
+    work(world, 10_000)
+    reported = world.reported()
+    assert stored
+    assert all(reported[window] == counts for window, counts in stored.items())
+
+
+def test_holder_killed_between_store_and_send(world):
+    """Guards against a report that the next holder composes anew."""
+    holder = world.routers["r0"]
+    sent = world.platform.calls.copy()
+    holder.reporter._send = lambda: None
+    work(world, WINDOW_MS + 2_000)
+    stored = dict(holder.reporter.stored.reports)
+    del world.routers["r0"]
+    work(world, 10_000)
+    assert len(world.platform.calls) > len(sent)
+    assert all(world.reported()[window] == counts for window, counts in stored.items())
+
+
+def test_unanswered_report_is_repeated_exactly_and_more_slowly(world):
+    """Guards against a report that is given up, and against calls without a pause."""
+    world.platform.answers = False
+    before = len(world.platform.calls)
+    work(world, 10_000)
+    assert 2 <= len(world.platform.calls) - before <= 12
+    world.platform.answers = True
+    work(world, 10_000)
+    assert missing_windows(world, world.now - 20_000) == []
+    assert broken_rules(world.platform.calls) == []
+
+
+@pytest.mark.parametrize("fault", ["late", "lost", "down"])
+def test_unconfirmed_store_write(world, fault):
+    """Guards against sending a report that the store may not have."""
+    holder = world.routers["r0"]
+    work(world, 1_750)
+    holder.reporter.store.link = type(holder.link)(era=1, fault=fault)
+    work(world, 1_000)
+    if fault in ("late", "down"):
+        sent = world.reported().keys()
+        stored = world.store.objects["reports"][1]["reports"]
+        assert sent <= {item["window"] for item in stored} | {min(sent), *sorted(sent)[:-4]}
+    holder.reporter.store.link = holder.link
+    world.store.apply_late()
+    work(world, 10_000)
+    assert missing_windows(world, world.now - 20_000) == []
+    assert broken_rules(world.platform.calls) == []
+
+
+def test_no_second_report_after_an_older_copy_of_the_store(world):
+    """Guards against other counts for a window whose report the copy has lost."""
+    copy = world.store.copy()
+    work(world, 10_000)
+    # The process that remembers the reports is gone when the copy comes back.
+    del world.routers["r0"]
+    world.store.restore(copy)
+    for name in ("r1", "r2"):
+        world.start(name)
+    work(world, 30_000)
+    assert broken_rules(world.platform.calls) == []
+    assert missing_windows(world, world.now - 15_000) == []
+
+
+def test_router_that_did_not_see_a_window_does_not_report_it(world):
+    """Guards against a report without the counts of routers that have gone."""
+    work(world, 2_000)
+    window = world.now // WINDOW_MS
+    names = list(world.routers)
+    world.routers.clear()
+    world.run(WINDOW_MS)
+    for name in names:
+        world.start(name)
+    work(world, 30_000)
+    assert window not in world.reported() or window not in wrong_windows(world)
+    assert missing_windows(world, world.now - 20_000) == []
+
+
+def test_silent_router_delays_a_report_but_does_not_prevent_it(world):
+    """Guards against one frozen router that keeps all reports from being sent."""
+    world.routers["r2"].frozen = True
+    work(world, 30_000)
+    assert missing_windows(world, world.now - 30_000) == []
+    assert wrong_windows(world) == []
+
+
+def test_clock_that_jumps_moves_no_window(world):
+    """Guards against counts in the wrong window on a router whose time of day jumps."""
+    since = world.now // WINDOW_MS
+    for name, jump in (("r1", 7_000), ("r0", -4_000)):
+        world.routers[name].clock.wall_ms += jump
+        work(world, 10_000)
+    world.routers["r0"].clock.wall_ms += 4_000
+    work(world, 20_000)
+    assert wrong_windows(world, since=since) == []
+
+
+def test_starting_router_adopts_the_time_of_the_others(world):
+    """Guards against a router whose clock is off when it starts."""
+    router = world.start("r2")
+    router.clock.wall_ms -= 60_000
+    work(world, 20_000)
+    assert abs(router.time.now() - world.now) < 50
+    assert wrong_windows(world) == []
+
+
+def test_takeover_is_fast_enough_for_each_report(world):
+    """Guards against a change of the holder that takes longer than a report may wait."""
+    for _ in range(3):
+        world.holder().frozen = True
+        frozen = [router for router in world.routers.values() if router.frozen]
+        work(world, LEASE_MS + 2_000)
+        assert world.holder() is not None
+        frozen[0].frozen = False
+        work(world, 15_000)
+    assert broken_rules(world.platform.calls) == []
+    assert missing_windows(world, world.now - 60_000) == []
