--- a/src/jacinthcove/platform/registration.py
+++ b/src/jacinthcove/platform/registration.py
@@ -35,21 +35,35 @@
         self.may_be_first_start = False
 
     def load_key(self) -> str:
-        """Return the mesh key of the fleet, which the first router creates."""
-        new = {"key": secrets.token_hex(16)}
-        self.key = str(self.store_client.ensure(SECRETS_KIND, MESH_SECRET, new).spec["key"])
+        """Return the mesh key of the fleet, which the first router creates.
+
+        It is read first, as one call is enough whenever another router has created it.
+        """
+        stored = self.store_client.get(SECRETS_KIND, MESH_SECRET)
+        if stored is None:
+            new = {"key": secrets.token_hex(16)}
+            stored = self.store_client.ensure(SECRETS_KIND, MESH_SECRET, new)
+        self.key = str(stored.spec["key"])
         return self.key
 
     def register(self) -> list[KindObject]:
-        """Register this router, and return the registrations of all routers."""
+        """Register this router, and return the registrations of all routers.
+
+        The list is read after the write, so that of two new routers at least one sees the other. It
+        also shows the registration that a restarted router has already.
+        """
         try:
-            registration = self.store_client.ensure(ROUTERS_KIND, self.me.id, self.spec)
+            is_new = self.store_client.create(ROUTERS_KIND, self.me.id, self.spec)
         except StoreUnavailable:
             self.may_be_first_start = True
             raise
-        self.may_be_first_start = self.may_be_first_start or not registration.revision
-        self._correct(ROUTERS_KIND, registration, self.spec)
-        return list(self.store_client.list_all(ROUTERS_KIND).objects)
+        self.may_be_first_start = self.may_be_first_start or is_new
+        registered = list(self.store_client.list_all(ROUTERS_KIND).objects)
+        if not is_new:
+            for item in registered:
+                if item.name == self.me.id:
+                    self._correct(ROUTERS_KIND, item, self.spec)
+        return registered
 
     def restore(self, includes_key: bool) -> None:
         """Write again what an older copy of the store lacks."""
--- a/src/jacinthcove/platform/storeclient.py
+++ b/src/jacinthcove/platform/storeclient.py
@@ -129,12 +129,18 @@
             raise StoreUnavailable(f"the response for {kind}/{name} contains {found.name}")
         return found
 
-    def ensure(self, kind: str, name: str, spec: Any) -> KindObject:
-        """Create an object unless it exists; returns the stored one, with revision 0 if new."""
+    def create(self, kind: str, name: str, spec: Any) -> bool:
+        """Create an object unless it exists; returns whether it is new."""
         body = orjson.dumps({"metadata": {"name": name}, "spec": spec})
         reply = self._call("create", "POST", f"{OBJECTS_PATH}{kind}", body)
-        if reply.status != 409:
-            self._check_written(reply, name)
+        if reply.status == 409:
+            return False
+        self._check_written(reply, name)
+        return True
+
+    def ensure(self, kind: str, name: str, spec: Any) -> KindObject:
+        """Create an object unless it exists; returns the stored one, with revision 0 if new."""
+        if self.create(kind, name, spec):
             return KindObject(name, 0, spec)
         stored = self.get(kind, name)
         if stored is None:
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -193,8 +193,9 @@
         if unchanged is not None:
             return unchanged
         result = self._pull(relay, kind, revision, pull_wait_ms)
-        if not result.changes:
-            self._check_age(result.relay_age_ms or 0)
+        age_ms = result.relay_age_ms or 0
+        if not result.changes and age_ms >= self._max_age_ms():
+            raise StoreUnavailable(f"the relay router has had no word for {age_ms} ms")
         return result
 
     def _wait_within(self, kind: str, wait_ms: int, max_age_ms: int) -> int:
@@ -210,10 +211,6 @@
     def _max_age_ms(self) -> int:
         return int(self.apply_ms * MAX_AGE_FRACTION)
 
-    def _check_age(self, age_ms: int) -> None:
-        if age_ms >= self._max_age_ms():
-            raise StoreUnavailable(f"the relay router has had no word for {age_ms} ms")
-
     def _watch_directly(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         """Watch the store, or pull from fallback routers while it rejects this router."""
         if self.clock.now() < self.fallback_until:
@@ -276,7 +273,10 @@
         """
         items = list(news)
         for kind in self.digest_revisions.keys() - {item.kind for item in items}:
-            self._forget_digest(router, kind)
+            if self._digest_of(router, kind) is not None:
+                del self.digest_revisions[kind]
+                if (pending := self.pending_watches.get(kind)) is not None:
+                    pending.newer.set()
         for item in items:
             revision = StoreRevision(item.era, item.revision)
             self.digest_revisions[item.kind] = DigestRevision(
@@ -291,21 +291,15 @@
 
         Digests of a fleet at rest count as older than they are, as routers report less often.
         """
-        latest = self.digest_revisions.get(kind)
-        if latest is None or latest.router != relay:
+        latest = self._digest_of(relay, kind)
+        if latest is None or self.clock.boot() - latest.known_at < self._max_age_ms():
             return False
-        too_old = self.clock.boot() - latest.known_at >= self._max_age_ms()
-        if too_old:
-            del self.digest_revisions[kind]
-        return too_old
+        del self.digest_revisions[kind]
+        return True
 
-    def _forget_digest(self, router: str, kind: str) -> None:
+    def _digest_of(self, router: str, kind: str) -> DigestRevision | None:
         latest = self.digest_revisions.get(kind)
-        if latest is None or latest.router != router:
-            return
-        del self.digest_revisions[kind]
-        if (pending := self.pending_watches.get(kind)) is not None:
-            pending.newer.set()
+        return latest if latest is not None and latest.router == router else None
 
     def _wait_for_digest(
         self, relay: str, kind: str, revision: StoreRevision, wait_ms: int
@@ -314,15 +308,15 @@
 
         Returns a result without changes if nothing is newer, None if a pull is needed.
         """
-        latest = self.digest_revisions.get(kind)
-        if latest is None or latest.router != relay or latest.revision > revision:
+        latest = self._digest_of(relay, kind)
+        if latest is None or latest.revision > revision:
             return None
         asked_at = self.clock.boot()
         usable_ms = max(0, latest.known_at + self._max_age_ms() - asked_at)
         pending = self.pending_watches[kind] = PendingWatch(revision, Event())
         newer = self.clock.wait(pending.newer, min(self._pull_wait_ms(wait_ms), usable_ms))
-        current = self.digest_revisions.get(kind)
-        if newer or current is None or current.router != relay:
+        current = self._digest_of(relay, kind)
+        if newer or current is None:
             return None
         return WatchResult((), revision, relay_age_ms=max(0, asked_at - current.known_at))
 
--- /dev/null
+++ b/tests/store/calls_bed.py
@@ -0,0 +1,383 @@
+"""A simulated day of a fleet that counts the calls of the store, in virtual time.
+
+It runs the real `KindWatch`, `RelayedSource` and `Registration` over a fake store and fake links.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+import gevent
+from gevent.event import Event
+from relay_bed import Follower
+
+from jacinthcove.errors import PeerUnavailable, StoreUnavailable
+from jacinthcove.mesh.peers import Member
+from jacinthcove.platform.names import (
+    CONFIG_KIND,
+    DRAINED_DOMAINS_KIND,
+    QUARANTINE_KIND,
+    ROLLOUTS_KIND,
+    SECRETS_KIND,
+    TARGETS_KIND,
+)
+from jacinthcove.platform.registration import Registration
+from jacinthcove.platform.watchwaits import watch_waits
+from jacinthcove.store import kindwatch
+from jacinthcove.store.changelog import ChangeLog
+from jacinthcove.store.kinds import Change, HistoryGone, KindObject, Listing, StoreRevision
+from jacinthcove.store.kinds import WatchResult as Result
+from jacinthcove.store.kindwatch import KindWatch
+from jacinthcove.store.relay import RelayedSource
+
+KINDS = (CONFIG_KIND, TARGETS_KIND, DRAINED_DOMAINS_KIND, ROLLOUTS_KIND, QUARANTINE_KIND)
+BOUNDS = SimpleNamespace(apply_ms=3_000, contact_ms=3_000, evacuate_ms=5_000, rollback_ms=5_000)
+DAY_MS = 50_000
+START_SPREAD_MS = 300
+# From the start of the exchange with other routers until their tables are known.
+JOIN_MS = 150
+STORE_MS = 2
+LINK_MS = 1
+CALL_TIMEOUT_MS = 800
+WATCH_SLACK_MS = 600
+DIGEST_PERIOD_MS = 200
+DIGEST_AGE_MS = 100
+OUTAGE_MS = (20_000, 28_000)
+CONFIG_PERIOD_MS = 4_000
+TARGETS_PERIOD_MS = 1_500
+REJECTED_FRACTION = 0.35
+
+
+class VirtualClock:
+    """Advances to the next timer whenever all greenlets wait."""
+
+    def __init__(self):
+        self.ms = 1_000
+        self.timers = []
+        self.numbers = itertools.count()
+
+    def now(self):
+        return self.ms
+
+    boot = wall = now
+
+    def at(self, time_ms, action):
+        heapq.heappush(self.timers, (time_ms, next(self.numbers), action))
+
+    def sleep(self, duration_ms):
+        self.wait(Event(), duration_ms)
+
+    def wait(self, event, duration_ms):
+        done = Event()
+        wake = lambda _: done.set()  # noqa: E731 - the same object is unlinked
+        event.rawlink(wake)
+        self.at(self.ms + max(1, round(duration_ms)), done.set)
+        done.wait()
+        event.unlink(wake)
+        return event.is_set()
+
+    def run(self, until_ms):
+        gevent.idle()
+        while self.timers and self.timers[0][0] <= until_ms:
+            self.ms = self.timers[0][0]
+            while self.timers and self.timers[0][0] == self.ms:
+                heapq.heappop(self.timers)[2]()
+            gevent.idle()
+        self.ms = max(self.ms, until_ms)
+
+
+class CountingStore:
+    """All kinds of a store; `fault(router)` returns how it fails for a router at present."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.number, self.era = 1, 1
+        self.objects = {}
+        self.history = []
+        self.changed = Event()
+        self.calls = Counter()
+        self.calls_by_router = Counter()
+        self.fault = lambda router: None
+
+    def put(self, kind, name, spec, deleted=False):
+        self.number += 1
+        item = KindObject(name, self.number, spec)
+        if deleted:
+            del self.objects[kind, name]
+        else:
+            self.objects[kind, name] = item
+        self.history.append((self.number, kind, Change(item, deleted)))
+        self.wake()
+        return item
+
+    def wake(self):
+        event, self.changed = self.changed, Event()
+        event.set()
+
+    def listed(self, kind):
+        found = tuple(item for (k, _), item in self.objects.items() if k == kind)
+        return Listing(found, StoreRevision(self.era, self.number))
+
+
+class View:
+    """One router's access to the store, with the calls of `PlatformStoreClient`."""
+
+    def __init__(self, store, router):
+        self.store, self.clock, self.router = store, store.clock, router
+
+    def list_all(self, kind):
+        self._call(kind, "list")
+        return self.store.listed(kind)
+
+    def get(self, kind, name):
+        self._call(kind, "get")
+        return self.store.objects.get((kind, name))
+
+    def ensure(self, kind, name, spec):
+        self._call(kind, "create")
+        if (kind, name) not in self.store.objects:
+            self.store.put(kind, name, spec)
+            return KindObject(name, 0, spec)
+        return self.get(kind, name)
+
+    def create(self, kind, name, spec):
+        self._call(kind, "create")
+        if (kind, name) in self.store.objects:
+            return False
+        self.store.put(kind, name, spec)
+        return True
+
+    def watch(self, kind, revision, wait_ms):
+        self._call(kind, "watch", wait_ms + WATCH_SLACK_MS)
+        ends_at = self.clock.ms + wait_ms
+        while not self._since(kind, revision) and self.clock.ms < ends_at:
+            if self.store.fault(self.router) == "reset":
+                raise StoreUnavailable("connection reset")
+            if revision.era != self.store.era:
+                break
+            self.clock.wait(self.store.changed, min(50, ends_at - self.clock.ms))
+        if self.store.fault(self.router) == "silent":
+            self.clock.sleep(ends_at + WATCH_SLACK_MS - self.clock.ms)
+            raise StoreUnavailable("silent")
+        if revision.era != self.store.era:
+            raise HistoryGone("another copy")
+        changes = self._since(kind, revision)
+        current = StoreRevision(self.store.era, self.store.number)
+        return Result(changes, current, 0 if changes else wait_ms)
+
+    def _since(self, kind, revision):
+        return [c for at, k, c in self.store.history if at > revision.number and k == kind]
+
+    def _call(self, kind, call, timeout_ms=CALL_TIMEOUT_MS):
+        self.store.calls[kind, call] += 1
+        self.store.calls_by_router[self.router] += 1
+        fault = self.store.fault(self.router)
+        self.clock.sleep(timeout_ms if fault == "silent" else STORE_MS)
+        if fault is not None:
+            raise StoreUnavailable(fault)
+
+
+class Links:
+    """Calls between the routers of a fleet; routers in `silent` do not reply."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.handlers = {}
+        self.silent = set()
+        self.calls = 0
+
+    def peers(self, id):
+        return RouterLinks(self, id)
+
+
+class RouterLinks:
+    def __init__(self, links, id):
+        self.links, self.id = links, id
+
+    def register(self, kind, handler):
+        self.links.handlers[self.id, kind] = handler
+
+    def call(self, member_id, kind, message, timeout_ms):
+        self.links.calls += 1
+        handler = self.links.handlers.get((member_id, kind))
+        if handler is None or {member_id, self.id} & self.links.silent:
+            self.links.clock.sleep(timeout_ms)
+            raise PeerUnavailable(f"{member_id} is silent")
+        self.links.clock.sleep(LINK_MS)
+        return handler(self.id, message)
+
+
+class Table:
+    """The members that a router knows: all that have joined."""
+
+    def __init__(self, fleet, id):
+        self.fleet = fleet
+        self.me = member(id)
+
+    def alive(self):
+        return self.fleet.alive
+
+
+def member(id):
+    return Member(id, f"{id}:1", "", id.partition("-")[0])
+
+
+class SimulatedRouter:
+    def __init__(self, fleet, id):
+        self.id, self.fleet, self.clock = id, fleet, fleet.clock
+        self.view = View(fleet.store, id)
+        logs = {kind: ChangeLog(self.clock) for kind in KINDS}
+        self.source = RelayedSource(
+            self.clock, self.view, logs, BOUNDS.apply_ms, frozenset((CONFIG_KIND,))
+        )
+        waits = watch_waits(BOUNDS)
+        self.followers = {kind: Follower() for kind in KINDS}
+        self.watches = [
+            KindWatch(self.source, self.clock, kind, waits[kind], self.followers[kind], logs[kind])
+            for kind in KINDS
+        ]
+        self.registration = Registration(self.view, member(id))
+
+    def start(self):
+        for watch in self.watches:
+            watch.start()
+        gevent.spawn(self._join)
+
+    def close(self):
+        for watch in self.watches:
+            watch.close()
+
+    def _join(self):
+        while not all(watch.listed for watch in self.watches):
+            self.clock.sleep(20)
+        for step in (self.registration.load_key, self.registration.register):
+            self._retry(step)
+        self.clock.sleep(JOIN_MS)
+        self.fleet.add(self.id)
+        self.source.join(Table(self.fleet, self.id), self.fleet.links.peers(self.id))
+
+    def _retry(self, step):
+        while True:
+            try:
+                return step()
+            except StoreUnavailable:
+                self.clock.sleep(500 * random.uniform(0.5, 1.0))
+
+
+class SimulatedFleet:
+    """`domains` failure domains of `size` routers each, and what changes in the store."""
+
+    def __init__(self, domains=3, size=20):
+        self.clock = VirtualClock()
+        self.store = CountingStore(self.clock)
+        self.links = Links(self.clock)
+        self.alive = ()
+        self.ids = [f"{'abcdefgh'[d]}-{n}" for d in range(domains) for n in range(size)]
+        self.routers = {id: SimulatedRouter(self, id) for id in self.ids}
+        self.greenlets = []
+        self.store.put(CONFIG_KIND, "main", 0)
+        for number in range(40):
+            self.store.put(TARGETS_KIND, f"target-{number}", number)
+
+    def add(self, id):
+        if id not in {item.id for item in self.alive}:
+            self.alive += (member(id),)
+
+    def remove(self, id):
+        """End a router at once; the others notice at the next look at their tables."""
+        self.routers[id].close()
+        self.links.silent.add(id)
+        self.alive = tuple(item for item in self.alive if item.id != id)
+
+    def start(self):
+        started_at = self.clock.ms
+        for router in self.routers.values():
+            self.clock.at(started_at + random.randrange(START_SPREAD_MS), router.start)
+        for loop in (self._send_digests, self._change_config, self._change_targets):
+            self.greenlets.append(gevent.spawn(loop))
+
+    def run(self, duration_ms):
+        self.clock.run(self.clock.ms + duration_ms)
+
+    def close(self):
+        for router in self.routers.values():
+            router.close()
+        gevent.killall(self.greenlets, block=False)
+
+    def relay_ids(self):
+        found = (router.source.relay_router() for router in self.routers.values())
+        return {id for id in found if id is not None}
+
+    def _send_digests(self):
+        while True:
+            self.clock.sleep(DIGEST_PERIOD_MS)
+            for relay in self.relay_ids() - self.links.silent:
+                news = list(self.routers[relay].source.kind_news())
+                for router in self.routers.values():
+                    if router.id != relay and router.source.relay_router() == relay:
+                        asked_at = self.clock.ms - DIGEST_AGE_MS
+                        router.source.record_news(relay, news, asked_at)
+
+    def _change_config(self):
+        for number in itertools.count(1):
+            self.clock.sleep(CONFIG_PERIOD_MS)
+            self.store.put(CONFIG_KIND, "main", number)
+
+    def _change_targets(self):
+        for number in itertools.count(1):
+            self.clock.sleep(TARGETS_PERIOD_MS)
+            self.store.put(TARGETS_KIND, f"target-{number % 40}", number)
+
+
+def all_fail(kind):
+    return lambda fleet: lambda router: kind
+
+
+def some_are_rejected(fleet):
+    chosen = random.Random(4).sample(fleet.ids, int(len(fleet.ids) * REJECTED_FRACTION))
+    # A relay router among them is the harder case.
+    rejected = {*chosen, *sorted(fleet.relay_ids())[:1]}
+    return lambda router: "rejected" if router in rejected else None
+
+
+FAULTS = {
+    "calm": None,
+    "silent": all_fail("silent"),
+    "resets": all_fail("reset"),
+    "answers 503": all_fail("answers 503"),
+    "rejects some": some_are_rejected,
+}
+
+
+def play_day(monkeypatch, fault, domains, size, day_ms=DAY_MS):
+    """Play one day and return its fleet, which is closed."""
+    random.seed(7)
+    fleet = SimulatedFleet(domains, size)
+    pause = SimpleNamespace(sleep=lambda duration_s: fleet.clock.sleep(duration_s * 1000))
+    monkeypatch.setattr(kindwatch, "gevent", pause)
+    fleet.start()
+    begin, end = OUTAGE_MS
+    fleet.run(begin)
+    before = fleet.store.calls.copy()
+    if FAULTS[fault] is not None:
+        fleet.store.fault = FAULTS[fault](fleet)
+    fleet.run(end - begin)
+    fleet.outage_calls = fleet.store.calls - before
+    fleet.store.fault = lambda router: None
+    fleet.run(day_ms - end)
+    fleet.close()
+    return fleet
+
+
+def rows(fleet):
+    """Return the lines of a table of calls by kind and call."""
+    total = fleet.store.calls
+    return [
+        f"{kind:>22} {call:>7} {count:6} {fleet.outage_calls[kind, call]:6}"
+        for (kind, call), count in sorted(total.items())
+    ] + [f"{'all':>30} {total.total():6} {fleet.outage_calls.total():6}"]
+
+
+__all__ = ["FAULTS", "KINDS", "SECRETS_KIND", "play_day", "rows"]
