List and watch the store at one router per failure domain, also at starts and in outages

Every router listed each kind itself at its start and after each gap, and all of them retried while the store was away. A starting router joins the mesh before its first lists. A router whose relay router has no recent word asks three deputies and the relay routers of other failure domains; of these only the relay router and the deputies call the store at once, after growing pauses and with one call at a time (store/storegate.py). What a relay router waits for changes follows from the bound of each kind, not from the configuration's for all of them.

--- a/src/jacinthcove/errors.py
+++ b/src/jacinthcove/errors.py
@@ -34,6 +34,10 @@
     """The store did not answer a call; whether a write took effect is unknown."""
 
 
+class NoRouterKnows(StoreUnavailable):
+    """No router that was asked has recent word of the store."""
+
+
 class PeerUnavailable(JacinthcoveError):  # noqa: N818
     """A peer did not answer a call in time."""
 
--- a/src/jacinthcove/gateway/digests.py
+++ b/src/jacinthcove/gateway/digests.py
@@ -29,6 +29,9 @@
     def record_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
         """Record what `router` knew at boot ms `asked_at` or later."""
 
+    def record_start(self, is_first: bool, known_routers: int) -> None:
+        """Record how this router starts: for the first time or not, and who is known."""
+
 
 class NoStoreNews:
     """Used where routers do not watch the store for each other; sends and records nothing."""
@@ -40,6 +43,9 @@
     def record_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
         """Ignore `news`."""
 
+    def record_start(self, is_first: bool, known_routers: int) -> None:
+        """Do nothing."""
+
 
 @dataclass(frozen=True)
 class OwnContribution:
--- a/src/jacinthcove/mesh/kinds.py
+++ b/src/jacinthcove/mesh/kinds.py
@@ -21,6 +21,7 @@
 LOAD_SHARE = "load_share"
 LOAD_BUNDLE = "load_bundle"
 STORE_PULL = "store_pull"
+STORE_LIST_PULL = "store_list_pull"
 PARTS_PULL = "parts_pull"
 CRASH_REPORT = "crash_report"
 BEGUN_QUERY = "begun_query"
@@ -53,6 +54,7 @@
     LOAD_SHARE: MessageTypes(pb.LoadShare, pb.Empty),
     LOAD_BUNDLE: MessageTypes(pb.LoadBundle, pb.Empty),
     STORE_PULL: MessageTypes(pb.StorePull, pb.StoreNews),
+    STORE_LIST_PULL: MessageTypes(pb.StoreListPull, pb.StoreListPage),
     PARTS_PULL: MessageTypes(pb.PartsPull, pb.PartsTable),
     CRASH_REPORT: MessageTypes(pb.CrashReport, pb.Empty),
     BEGUN_QUERY: MessageTypes(pb.BegunQuery, pb.BegunReply),
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -62,7 +62,7 @@
 from jacinthcove.platform.quarantinestore import QuarantineFollower, StoredQuarantine
 from jacinthcove.platform.settings import Bounds, PlatformSettings
 from jacinthcove.platform.storeclient import PlatformStoreClient
-from jacinthcove.platform.watchwaits import watch_waits
+from jacinthcove.platform.watchwaits import apply_times, watch_waits
 from jacinthcove.store.changelog import ChangeLog
 from jacinthcove.store.kindwatch import Follower, KindWatch
 from jacinthcove.store.relay import RelayedSource
@@ -218,9 +218,11 @@
         self.relief = CallerRelief(clock)
         self.admission.is_late = self.loop_delay.is_late
         self.changelogs: dict[str, ChangeLog] = {}
+        dated = frozenset((CONFIG_KIND,))
         self.source = RelayedSource(
-            clock, self.store_client, self.changelogs, bounds.apply_ms, frozenset((CONFIG_KIND,))
+            clock, self.store_client, self.changelogs, bounds.apply_ms, dated, self.metrics
         )
+        self.source.apply_ms_by_kind = apply_times(bounds)
         followers: dict[str, Follower] = {
             CONFIG_KIND: ConfigFollower(self.active_config),
             TARGETS_KIND: TargetFollower(self.registry),
@@ -275,9 +277,9 @@
             self.settings.directory_listen,
             f"{host}:{self.metrics_port}",
         )
+        self.fleet.start()
         while not self._has_initial_state():
             gevent.sleep(INITIAL_STATE_POLL_S)
-        self.fleet.start()
         log.info("router_serving", configuration_age_ms=self.active_config.age_ms())
 
     def close(self) -> None:
@@ -328,6 +330,7 @@
         for watch in self.watches:
             watch.wait_ms = waits[watch.kind]
         self.source.apply_ms = self.active_config.apply_ms = settings.bounds.apply_ms
+        self.source.apply_ms_by_kind = apply_times(settings.bounds)
         self.active_config.max_age_ms = settings.bounds.revoke_ms - REVOKE_MARGIN_MS
         self.admission.rates.cold.rate_limit = _cold_rate_limit(settings.bounds)
         self.budget.window_ms = settings.bounds.retry_window_ms
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -238,7 +238,9 @@
         self.registered_ids = frozenset(item.name for item in registered)
         others = [item for item in registered if item.name != self.members.me.id]
         found = [address for item in others if (address := mesh_address(item))]
-        return list(dict.fromkeys([*self.settings.seeds, *found]))
+        seeds = list(dict.fromkeys([*self.settings.seeds, *found]))
+        self.news.record_start(first_start, len({*seeds, self.members.me.mesh_address}))
+        return seeds
 
     def _restore_registration(self) -> None:
         gevent.sleep(random.uniform(0, RESTORE_SPREAD_S))
--- a/src/jacinthcove/platform/watchwaits.py
+++ b/src/jacinthcove/platform/watchwaits.py
@@ -21,6 +21,8 @@
 MIN_WAIT_MS = 600
 # No bound depends on the quarantine, which routers also tell each other.
 QUARANTINE_WAIT_MS = 8_000
+# A relay router waits a third of it.
+QUARANTINE_APPLY_MS = 3 * QUARANTINE_WAIT_MS
 
 
 def watch_waits(bounds: Bounds) -> Mapping[str, int]:
@@ -34,5 +36,17 @@
     }
 
 
+def apply_times(bounds: Bounds) -> Mapping[str, int]:
+    """Return in which time a change of a kind has to be in force, for kinds with time to spare.
+
+    The waits of a relay router follow from it.
+    """
+    return {
+        DRAINED_DOMAINS_KIND: bounds.evacuate_ms,
+        ROLLOUTS_KIND: bounds.rollback_ms,
+        QUARANTINE_KIND: QUARANTINE_APPLY_MS,
+    }
+
+
 def _wait_within(bound_ms: int) -> int:
     return max(MIN_WAIT_MS, bound_ms - WATCH_SLACK_MS - RELIST_MS)
--- a/src/jacinthcove/store/changelog.py
+++ b/src/jacinthcove/store/changelog.py
@@ -3,14 +3,13 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from typing import Any
 
 from gevent.event import Event
 
 from jacinthcove.clock import Clock
 from jacinthcove.errors import StoreUnavailable
-from jacinthcove.store.encodedjson import EncodedJson, encode_json
 from jacinthcove.store.kinds import Change, StoreRevision, WatchResult
+from jacinthcove.store.snapshot import Snapshot, encode_object, size_bytes
 
 # Readers ask at least every few seconds; one that is further behind asks the store.
 MAX_BATCHES = 256
@@ -18,8 +17,6 @@
 MAX_BYTES = 4 * 1024 * 1024
 # A reply to another router has more only if its first batch is larger.
 MAX_REPLY_BYTES = 1024 * 1024
-# What a change takes beside its text.
-CHANGE_OVERHEAD_BYTES = 500
 
 
 @dataclass(frozen=True)
@@ -35,30 +32,17 @@
     size_bytes: int
 
 
-def _encode(change: Change) -> Change:
-    item = change.object
-    return replace(change, object=replace(item, spec=_kept(item.spec), status=_kept(item.status)))
-
-
-def _kept(value: Any) -> EncodedJson:
-    # The encoder returns bytes with much room to spare, which a copy has not.
-    return EncodedJson(bytes(memoryview(encode_json(value))))
-
-
-def _size_bytes(change: Change) -> int:
-    item = change.object
-    return len(item.spec.data) + len(item.status.data) + len(item.name) + CHANGE_OVERHEAD_BYTES
-
-
 def _encode_batch(result: WatchResult, known_at: int) -> ChangeBatch:
-    encoded = [_encode(change) for change in result.changes]
-    return ChangeBatch(result.revision, known_at, encoded, sum(map(_size_bytes, encoded)))
+    encoded = [replace(change, object=encode_object(change.object)) for change in result.changes]
+    size = sum(size_bytes(change.object) for change in encoded)
+    return ChangeBatch(result.revision, known_at, encoded, size)
 
 
 class ChangeLog:
     """Changes after `base_revision`, kept while this router watches the store itself.
 
-    They take `MAX_BYTES` at most. All times are boot milliseconds.
+    They take `MAX_BYTES` at most. `snapshot` has all objects, also while another router watches the
+    store. All times are boot milliseconds.
     """
 
     def __init__(self, clock: Clock):
@@ -71,6 +55,7 @@
         self.batches: deque[ChangeBatch] = deque()
         self.kept_bytes = 0
         self.changed = Event()
+        self.snapshot = Snapshot()
 
     def restart(self, revision: StoreRevision, known_at: int) -> None:
         """Drop all batches and start at `revision`, from which the store gave a full list."""
--- a/src/jacinthcove/store/kinds.py
+++ b/src/jacinthcove/store/kinds.py
@@ -40,10 +40,15 @@
 
 @dataclass(frozen=True)
 class Listing:
-    """All objects of a kind, as of store revision `revision` or later."""
+    """All objects of a kind, as of store revision `revision` or later.
+
+    `known_at` is the boot time at which a list from another router was complete; None if the store
+    itself gave it.
+    """
 
     objects: tuple[KindObject, ...]
     revision: StoreRevision
+    known_at: int | None = None
 
 
 class Gap(Enum):
--- a/src/jacinthcove/store/kindwatch.py
+++ b/src/jacinthcove/store/kindwatch.py
@@ -8,7 +8,7 @@
 
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
-from jacinthcove.errors import StoreUnavailable
+from jacinthcove.errors import NoRouterKnows, StoreUnavailable
 from jacinthcove.store.changelog import ChangeLog
 from jacinthcove.store.kinds import (
     Change,
@@ -75,7 +75,11 @@
         self.delay_next_watch = False
         self.lost_at: int | None = None
         self.outage_ended_at: int | None = None
+        # When the last word of the store was current.
+        self.last_known_at: int | None = None
         self.failures = 0
+        # How often in a row the changes since a list were gone.
+        self.history_losses = 0
         self.task = BackgroundTask(self._run)
 
     def start(self) -> None:
@@ -101,6 +105,10 @@
             except HistoryGone:
                 log.info("store_history_gone", kind=self.kind, **self._position())
                 self.revision = None
+                # A router may give a list from which another one has no changes.
+                if self.history_losses:
+                    gevent.sleep((MIN_RETRY_MS << min(self.history_losses, 4)) / 1000)
+                self.history_losses += 1
             except StoreUnavailable as error:
                 self._on_failure(error)
             except Exception:
@@ -115,13 +123,20 @@
             self.follower.on_list(listing, self._gap_before(listing))
             self.revision = listing.revision
             self.listed = True
-            self.changes.restart(listing.revision, known_at)
+            if listing.known_at is None:
+                self.changes.restart(listing.revision, known_at)
+            else:
+                known_at = listing.known_at
+                self.changes.stop()
+            self.changes.snapshot.replace(listing, known_at)
         else:
             if self.delay_next_watch:
                 gevent.sleep(BATCH_DELAY_MS / 1000)
                 known_at = self.clock.boot()
             result = self.source.watch(self.kind, self.revision, self.wait_ms)
             known_at = self._apply(result, self.revision, known_at)
+            self.history_losses = 0
+        self.last_known_at = max(known_at, self.last_known_at or 0)
         self.follower.on_confirmed(known_at)
         self._on_success()
 
@@ -134,10 +149,11 @@
             # The other router replied after `sent_at`, so its data is no older than this.
             known_at = sent_at - result.relay_age_ms
             self.changes.stop()
-            return known_at
-        self.delay_next_watch = bool(result.changes)
-        known_at = min(self.clock.boot(), sent_at + result.waited_ms)
-        self.changes.add(since, result, known_at)
+        else:
+            self.delay_next_watch = bool(result.changes)
+            known_at = min(self.clock.boot(), sent_at + result.waited_ms)
+            self.changes.add(since, result, known_at)
+        self.changes.snapshot.apply(result.changes, result.revision, known_at)
         return known_at
 
     def _gap_before(self, listing: Listing) -> Gap:
@@ -147,6 +163,11 @@
             self.outage_ended_at = self.clock.boot()
             log.warning("older_copy_listed", kind=self.kind, revision=listing.revision.number)
             return Gap.OLDER_COPY
+        now = self.clock.boot()
+        known_at = self.last_known_at
+        if listing.known_at is not None and known_at is not None and now - known_at >= OUTAGE_MS:
+            # The router that gave the list may have had an outage that this one did not notice.
+            self.outage_ended_at = now
         return Gap.OUTAGE if self._entries_may_expire() else Gap.NONE
 
     def _entries_may_expire(self) -> bool:
@@ -170,6 +191,9 @@
         self.changes.stop()
         if self.lost_at is None:
             self.lost_at = self.clock.boot()
+            if isinstance(error, NoRouterKnows) and self.last_known_at is not None:
+                # The outage began at another router, which passed on its last word.
+                self.lost_at = self.last_known_at
             log.warning("store_lost", kind=self.kind, **self._position(), reason=str(error))
         # A new list after the outage shows which entries expired meanwhile.
         self.revision = None
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -1,63 +1,54 @@
-"""Watches the store through one relay router per failure domain.
+"""Reads the store through one relay router per failure domain.
 
 The store charges every call, and each change would wake a watch of every router. So one relay
-router of each failure domain watches the store, and the others ask it. A router asks the store
-itself as soon as its relay router does not reply, has lost the store, or has had no word from it
-for too long, so no router's state depends on a single other router. While load digests say which
-revision the relay router knows, it is asked only when that revision is newer.
+router of each failure domain lists and watches the store, and the others ask it. While load digests
+say which revision the relay router knows, it is asked only when that revision is newer.
 
-A change has to be in force after `apply_ms`. A relay router waits for a third of that time at most,
-so its state is seldom older than half of it; above two thirds the store is asked, and the last
-third is left for its reply.
+A change has to be in force after a time that depends on its kind. A relay router waits for a third
+of that time at most, so its state is seldom older than half of it; above two thirds its deputies
+and the relay routers of other failure domains are asked, and the last third is left for their
+replies. If none of them has recent word, the deputies ask the store at once, and the other routers
+only after a random time. A router that reaches no other router asks the store as if it were alone.
 
 A router that the store rejects asks the relay routers of other failure domains. So it keeps its
 state current, and serves its callers, as long as any router reaches the store.
 """
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+import random
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol, TypeVar
 
-import orjson
 import structlog
 from gevent.event import Event
 
 from jacinthcove.clock import Clock
-from jacinthcove.errors import PeerUnavailable, StoreUnavailable
+from jacinthcove.errors import NoRouterKnows, PeerUnavailable, StoreUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
-from jacinthcove.mesh.kinds import STORE_PULL
 from jacinthcove.mesh.peers import Members, Peers
-from jacinthcove.scheduling import rendezvous
+from jacinthcove.observe.metrics import Metrics
 from jacinthcove.store.changelog import ChangeLog
-from jacinthcove.store.encodedjson import encode_json
-from jacinthcove.store.kinds import (
-    Change,
-    HistoryGone,
-    KindObject,
-    KindSource,
-    Listing,
-    StoreRevision,
-    WatchResult,
-)
+from jacinthcove.store.digestboard import DigestBoard, PendingWatch
+from jacinthcove.store.kinds import KindSource, Listing, StoreRevision, WatchResult
+from jacinthcove.store.otherrouters import PULL_MARGIN_MS, OtherRouters
+from jacinthcove.store.relayroles import RelayRoles
+from jacinthcove.store.relayservice import PULL_WAIT_MS, RelayService
+from jacinthcove.store.startwait import StartWait
+from jacinthcove.store.storegate import StoreGate
 
 log = structlog.get_logger()
 
-# In a smaller failure domain, the calls saved are too few for the added delay of changes.
-MIN_ROUTERS = 6
-PULL_WAIT_MS = 1_000
 # Short watches limit the age of a router's state, so their pulls use only this fraction of the
 # wait.
 PULL_WAIT_FRACTION = 1 / 4
 # The state of a relay router is used up to this fraction of the time in which a change applies.
 MAX_AGE_FRACTION = 2 / 3
-# Above that age of a digest the relay router is asked with this wait, before the store is.
+# Above that age of a digest the relay router is asked with this wait, before others are.
 LAST_PULL_WAIT_MS = 200
-# A reply may arrive this much later than the wait.
-PULL_MARGIN_MS = 400
+# A deputy gives up earlier, so that it has word of the store when the other routers ask it.
+DEPUTY_MARGIN_MS = 200
 # How long a router keeps to the alternative (the store itself, or fallback routers) after a
 # failure.
 FALLBACK_MS = 3_000
-# How many routers of other failure domains are asked when the store does not reply.
-MAX_FALLBACK_ROUTERS = 3
 # What fallback routers know is older than this only if they have lost the store, too.
 MAX_FALLBACK_AGE_MS = 3_000
 # A relay router waits only this fraction of the time in which a change applies, because while its
@@ -66,65 +57,31 @@
 MIN_WAIT_MS = 300
 # The first watch of the store after word of other routers, as the store may not reply to this one.
 FIRST_WAIT_MS = 600
+# How long other routers are asked again before a watch or a list fails.
+ASK_MS = 1_500
+MIN_ASK_PAUSE_MS = 50
+MAX_ASK_PAUSE_MS = 1_000
+# How many others than the relay router are asked again for a list.
+REPEATED_ALTERNATIVES = 2
+# A relay router that starts together with its deputies lists the store in this time.
+DEPUTY_LIST_DELAY_MS = 200
+# Longest pauses between the calls of a router to a store that fails. A relay router is back within
+# its pause and a time-out, so its pause is far below the shortest bound.
+RELAY_PAUSE_MS = 600
+DEPUTY_PAUSE_MS = 1_500
+# The routers of a failure domain that are neither call a store that no router knows this often
+# together.
+OTHERS_PERIOD_MS = 500
 
+NOTHING = StoreRevision(0, 0)
 
-def encode_result(result: WatchResult) -> pb.StoreNews:
-    """Encode a watch result for another router."""
-    message = pb.StoreNews(
-        revision=result.revision.number, era=result.revision.era, age_ms=result.relay_age_ms
-    )
-    for change in result.changes:
-        item = change.object
-        message.changes.add(
-            name=item.name,
-            revision=item.revision,
-            created_revision=item.created_revision,
-            spec=encode_json(item.spec),
-            status=encode_json(item.status),
-            deleted=change.deleted,
-        )
-    return message
-
-
-def decode_result(message: pb.StoreNews) -> WatchResult:
-    """Decode another router's watch result; raises `StoreUnavailable` if there is no usable one."""
-    if message.unknown:
-        raise StoreUnavailable("the other router does not watch the store at present")
-    try:
-        changes = [
-            Change(
-                KindObject(
-                    item.name,
-                    item.revision,
-                    orjson.loads(item.spec),
-                    orjson.loads(item.status),
-                    item.created_revision,
-                ),
-                item.deleted,
-            )
-            for item in message.changes
-        ]
-    except orjson.JSONDecodeError as error:
-        raise StoreUnavailable(f"the changes from another router are malformed: {error}") from error
-    revision = StoreRevision(message.era, message.revision)
-    return WatchResult(changes, revision, relay_age_ms=message.age_ms)
-
-
-@dataclass(frozen=True)
-class DigestRevision:
-    """The revision of a kind that a router reported, current at boot time `known_at`."""
+T = TypeVar("T")
 
-    router: str
-    revision: StoreRevision
-    known_at: int
 
+class StoreSource(KindSource, Protocol):
+    """The store itself; `era` is that of its last response, None before the first."""
 
-@dataclass(frozen=True)
-class PendingWatch:
-    """A watch that waits for a digest with a revision above `revision`."""
-
-    revision: StoreRevision
-    newer: Event
+    era: int | None
 
 
 class RelayedSource:
@@ -137,66 +94,224 @@
     def __init__(
         self,
         clock: Clock,
-        direct: KindSource,
+        direct: StoreSource,
         logs: Mapping[str, ChangeLog],
         apply_ms: int,
         dated_kinds: frozenset[str] = frozenset(),
+        metrics: Metrics | None = None,
     ):
         self.clock = clock
         self.apply_ms = apply_ms
+        # Kinds of which a change may take longer than `apply_ms`.
+        self.apply_ms_by_kind: Mapping[str, int] = {}
         self.dated_kinds = dated_kinds
         self.direct = direct
         self.logs = logs
-        self.members: Members | None = None
-        self.peers: Peers | None = None
+        self.metrics = metrics or Metrics()
+        self.roles = RelayRoles()
+        self.gate = StoreGate(clock)
+        self.start_wait = StartWait(clock, self.roles)
+        self.digests = DigestBoard(clock)
+        self.service = RelayService(clock, logs)
+        self.others = OtherRouters(clock)
         self.direct_until = 0
         # Until then fallback routers are asked first, because the store rejected this router.
         self.fallback_until = 0
-        # By kind: the revision in the last digest, and the watch that waits for a higher one.
-        self.digest_revisions: dict[str, DigestRevision] = {}
-        self.pending_watches: dict[str, PendingWatch] = {}
+        # When this router, if it is neither relay router nor deputy, may call a store of which no
+        # router has recent word; None while one has.
+        self.last_resort_at: int | None = None
+        # By kind: the next pause before other routers are asked again.
+        self.ask_pauses_ms: dict[str, int] = {}
+        # The highest revision of each kind that this router has had.
+        self.reached: dict[str, StoreRevision] = {}
 
     def join(self, members: Members, peers: Peers) -> None:
         """Start to use other routers and to serve them."""
-        self.members, self.peers = members, peers
-        peers.register(STORE_PULL, self.serve_pull)
+        self.roles.members, self.others.peers = members, peers
+        self.service.join(peers)
+
+    def relay_router(self) -> str | None:
+        """Return the relay router of this failure domain, None if every router asks the store."""
+        return self.roles.relay_router()
 
     def list_all(self, kind: str) -> Listing:
-        """Return all objects of `kind` from the store."""
-        return self.direct.list_all(kind)
+        """Return all objects of `kind` from another router, or from the store if none has them."""
+        self.start_wait.wait()
+        relay = self.roles.relay_router()
+        if relay is None:
+            self._count(kind, "list", "alone")
+            listing = self.direct.list_all(kind)
+        elif relay == self.roles.own_id():
+            listing = self._list_as_relay(kind)
+        else:
+            listing = self._list_around(kind)
+        self.reached[kind] = max(listing.revision, self.reached.get(kind, NOTHING))
+        return listing
 
     def watch(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
         """Wait for changes after `revision`; may raise `HistoryGone` or `StoreUnavailable`."""
-        relay = self.relay_router()
-        if relay is not None and relay == self._own_id():
-            relay_wait_ms = int(self.apply_ms * RELAY_WAIT_FRACTION)
-            wait_ms = self._wait_within(kind, min(wait_ms, relay_wait_ms), relay_wait_ms)
-            return self._watch_directly(kind, revision, wait_ms)
-        if relay is not None and self.clock.now() >= self.direct_until:
+        result = self._watch(kind, revision, wait_ms)
+        self.reached[kind] = max(result.revision, self.reached.get(kind, NOTHING))
+        return result
+
+    def _watch(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
+        relay = self.roles.relay_router()
+        if relay is None:
+            if kind in self.dated_kinds:
+                wait_ms = self._wait_within(kind, wait_ms, max(wait_ms, self.apply_ms))
+            return self._watch_directly(kind, revision, wait_ms, "alone")
+        if relay == self.roles.own_id():
+            return self._watch_directly(kind, revision, self._relay_wait_ms(kind, wait_ms), "relay")
+        if self.clock.now() >= self.direct_until:
             try:
                 return self._watch_through(relay, kind, revision, wait_ms)
             except (PeerUnavailable, StoreUnavailable) as error:
                 self.direct_until = self.clock.now() + FALLBACK_MS
-                log.info("store_asked_directly", kind=kind, router=relay, reason=str(error))
-        if kind in self.dated_kinds:
-            wait_ms = self._wait_within(kind, wait_ms, max(wait_ms, self.apply_ms))
-        return self._watch_directly(kind, revision, wait_ms)
+                log.info("store_relay_avoided", kind=kind, router=relay, reason=str(error))
+        return self._watch_around(kind, revision, wait_ms)
+
+    def _relay_wait_ms(self, kind: str, wait_ms: int) -> int:
+        limit_ms = int(self._bound_ms(kind) * RELAY_WAIT_FRACTION)
+        return self._wait_within(kind, min(wait_ms, limit_ms), limit_ms)
 
     def _watch_through(
         self, relay: str, kind: str, revision: StoreRevision, wait_ms: int
     ) -> WatchResult:
         """Watch through the relay router; raises `StoreUnavailable` if what it knows is too old."""
         pull_wait_ms = self._pull_wait_ms(wait_ms)
-        if self._forget_old_digest(relay, kind):
+        margin_ms = PULL_MARGIN_MS
+        if self.digests.forget_old(relay, kind, self._max_age_ms(kind)):
             pull_wait_ms = min(pull_wait_ms, LAST_PULL_WAIT_MS)
+            if self.roles.own_id() in self.roles.deputies():
+                margin_ms = DEPUTY_MARGIN_MS
         unchanged = self._wait_for_digest(relay, kind, revision, wait_ms)
         if unchanged is not None:
             return unchanged
-        result = self._pull(relay, kind, revision, pull_wait_ms)
-        age_ms = result.relay_age_ms or 0
-        if not result.changes and age_ms >= self._max_age_ms():
-            raise StoreUnavailable(f"the relay router has had no word for {age_ms} ms")
-        return result
+        return self.others.pull_recent(
+            relay, kind, revision, pull_wait_ms, self._max_age_ms(kind), margin_ms
+        )
+
+    def _watch_around(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
+        """Watch through other routers than the relay router, or in the store."""
+
+        def ask() -> WatchResult | None:
+            return self.others.first_reply(
+                self.roles.alternatives(),
+                lambda router: self.others.pull_recent(
+                    router, kind, revision, self._pull_wait_ms(wait_ms), self._max_age_ms(kind)
+                ),
+            )
+
+        def ask_store(reason: str) -> WatchResult:
+            return self._watch_directly(kind, revision, self._relay_wait_ms(kind, wait_ms), reason)
+
+        return self._ask_others_first(kind, ask, ask_store, 0)
+
+    def _list_around(self, kind: str) -> Listing:
+        """List at other routers, or in the store."""
+        rounds = 0
+
+        def ask() -> Listing | None:
+            nonlocal rounds
+            others = self.roles.alternatives()
+            if rounds:
+                others = random.sample(others, min(len(others), REPEATED_ALTERNATIVES))
+            rounds += 1
+            relay = self.roles.relay_router()
+            if relay is not None and relay != self.roles.own_id():
+                others = [relay, *others]
+            return self._list_from(kind, others)
+
+        def ask_store(reason: str) -> Listing:
+            return self._call_store(kind, "list", reason, lambda: self.direct.list_all(kind))
+
+        return self._ask_others_first(kind, ask, ask_store, DEPUTY_LIST_DELAY_MS)
+
+    def _ask_others_first(
+        self,
+        kind: str,
+        ask: Callable[[], T | None],
+        ask_store: Callable[[str], T],
+        deputy_delay_ms: int,
+    ) -> T:
+        """Return what `ask` finds at other routers, or what the store replies.
+
+        `ask` returns None if no router knows, and raises `PeerUnavailable` if none replied. Raises
+        `NoRouterKnows` if the store is not to be called yet.
+        """
+        began_at = self.clock.now()
+        while True:
+            try:
+                found = ask()
+                reason = self._reason_to_call(self.clock.now() - began_at >= deputy_delay_ms)
+            except PeerUnavailable:
+                found, reason = None, "no_router_replies"
+            if found is None and reason is not None:
+                found = ask_store(reason)
+            if found is not None:
+                self.last_resort_at = None
+                self.ask_pauses_ms.pop(kind, None)
+                return found
+            if self.clock.now() - began_at >= ASK_MS:
+                raise NoRouterKnows(f"no router has recent word of {kind}")
+            pause_ms = self.ask_pauses_ms.get(kind, MIN_ASK_PAUSE_MS)
+            self.ask_pauses_ms[kind] = min(2 * pause_ms, MAX_ASK_PAUSE_MS)
+            again = self.digests.followed_again.setdefault(kind, Event())
+            if self.clock.wait(again, pause_ms * random.uniform(0.5, 1.0)):
+                again.clear()
+                # All routers of the failure domain heard it at the same moment.
+                self.clock.sleep(random.uniform(1, self.roles.domain_size()))
+
+    def _reason_to_call(self, deputies_may: bool) -> str | None:
+        """Return why this router may call a store of which no router has word, None if not yet."""
+        if self.roles.own_id() in self.roles.deputies():
+            return "deputy" if deputies_may else None
+        now, period_ms = self.clock.now(), OTHERS_PERIOD_MS * self.roles.domain_size()
+        if self.last_resort_at is None:
+            self.last_resort_at = now + round(random.uniform(0.05, 1.0) * period_ms)
+        if now < self.last_resort_at:
+            return None
+        self.last_resort_at = now + round(random.uniform(0.5, 1.0) * period_ms)
+        return "no_router_knows"
+
+    def _list_as_relay(self, kind: str) -> Listing:
+        try:
+            return self._call_store(kind, "list", "relay", lambda: self.direct.list_all(kind))
+        except StoreUnavailable as error:
+            try:
+                found = self._list_from(kind, self.roles.fallback_routers())
+            except PeerUnavailable:
+                found = None
+            if found is None:
+                raise
+            log.warning("store_listed_through_others", kind=kind, reason=str(error))
+            return found
+
+    def _list_from(self, kind: str, routers: list[str]) -> Listing | None:
+        """List at other routers; raises `PeerUnavailable` if none replied."""
+        least = max(self.reached.get(kind, NOTHING), StoreRevision(self.direct.era or 0, 0))
+        found = self.others.list_at_first(kind, routers, least, self._max_age_ms(kind))
+        if found is None:
+            return None
+        router, listing = found
+        if router == self.roles.relay_router():
+            # It has recent word again.
+            self.direct_until = 0
+        self.metrics.counter("store_lists_from_routers_total", kind=kind).add()
+        return listing
+
+    def _call_store(self, kind: str, call: str, reason: str, operation: Callable[[], T]) -> T:
+        pauses = {"relay": RELAY_PAUSE_MS, "deputy": DEPUTY_PAUSE_MS}
+        others_ms = max(RELAY_PAUSE_MS, OTHERS_PERIOD_MS * self.roles.domain_size())
+
+        def counted() -> T:
+            self._count(kind, call, reason)
+            return operation()
+
+        return self.gate.call(counted, pauses.get(reason, others_ms))
+
+    def _count(self, kind: str, call: str, reason: str) -> None:
+        self.metrics.counter("store_reads_total", kind=kind, call=call, reason=reason).add()
 
     def _wait_within(self, kind: str, wait_ms: int, max_age_ms: int) -> int:
         """Return a wait after which the last word of the store is no older than `max_age_ms`.
@@ -208,17 +323,30 @@
             return min(wait_ms, FIRST_WAIT_MS)
         return max(MIN_WAIT_MS, min(wait_ms, max_age_ms - (self.clock.boot() - known.known_at)))
 
-    def _max_age_ms(self) -> int:
-        return int(self.apply_ms * MAX_AGE_FRACTION)
+    def _bound_ms(self, kind: str) -> int:
+        return max(self.apply_ms, self.apply_ms_by_kind.get(kind, 0))
 
-    def _watch_directly(self, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
+    def _max_age_ms(self, kind: str) -> int:
+        return int(self._bound_ms(kind) * MAX_AGE_FRACTION)
+
+    def _watch_directly(
+        self, kind: str, revision: StoreRevision, wait_ms: int, reason: str
+    ) -> WatchResult:
         """Watch the store, or pull from fallback routers while it rejects this router."""
         if self.clock.now() < self.fallback_until:
             found = self._pull_from_fallback(kind, revision, wait_ms)
             if found is not None and (found.relay_age_ms or 0) <= MAX_FALLBACK_AGE_MS:
                 return found
         try:
-            return self.direct.watch(kind, revision, wait_ms)
+            if reason == "alone":
+                self._count(kind, "watch", reason)
+                return self.direct.watch(kind, revision, wait_ms)
+            if not self.gate.is_open() or self.gate.failures:
+                # It shows whether the store is back, and other calls wait for it.
+                wait_ms = min(wait_ms, MIN_WAIT_MS)
+            return self._call_store(
+                kind, "watch", reason, lambda: self.direct.watch(kind, revision, wait_ms)
+            )
         except StoreUnavailable as error:
             found = self._pull_from_fallback(kind, revision, wait_ms)
             if found is None:
@@ -230,76 +358,24 @@
     def _pull_from_fallback(
         self, kind: str, revision: StoreRevision, wait_ms: int
     ) -> WatchResult | None:
-        for router in self.fallback_routers():
+        for router in self.roles.fallback_routers():
             try:
-                return self._pull(router, kind, revision, self._pull_wait_ms(wait_ms))
+                return self.others.pull(router, kind, revision, self._pull_wait_ms(wait_ms))
             except (PeerUnavailable, StoreUnavailable) as error:
                 log.debug("store_helper_failed", kind=kind, router=router, reason=str(error))
         return None
 
-    def fallback_routers(self) -> list[str]:
-        """Return the routers to ask while the store rejects this one.
-
-        They are relay routers of other failure domains or, if there are none, any other routers.
-        """
-        if self.members is None:
-            return []
-        me = self.members.me
-        others = [m for m in self.members.alive() if m.id != me.id]
-        domains = sorted({m.failure_domain for m in others} - {me.failure_domain})
-        relays = [relay for domain in domains if (relay := self.relay_router_of(domain))]
-        # The ranking depends on this router's id, so that not all routers ask the same one.
-        ids = relays or [m.id for m in others]
-        return rendezvous.ranked(me.id, ids)[:MAX_FALLBACK_ROUTERS]
-
     def kind_news(self) -> Iterable[pb.KindNews]:
         """Return the revisions to send in load digests, for kinds watched in the store itself."""
-        now = self.clock.boot()
-        return [
-            pb.KindNews(
-                kind=kind,
-                revision=log.changed_revision.number,
-                era=log.changed_revision.era,
-                age_ms=max(0, now - log.known_at),
-            )
-            for kind, log in self.logs.items()
-            if log.watches_store
-        ]
+        return self.service.kind_news()
 
     def record_news(self, router: str, news: Iterable[pb.KindNews], asked_at: int) -> None:
-        """Record the revisions in a router's digest, taken at boot time `asked_at` or later.
-
-        A kind that the digest leaves out is not watched there any more.
-        """
-        items = list(news)
-        for kind in self.digest_revisions.keys() - {item.kind for item in items}:
-            if self._digest_of(router, kind) is not None:
-                del self.digest_revisions[kind]
-                if (pending := self.pending_watches.get(kind)) is not None:
-                    pending.newer.set()
-        for item in items:
-            revision = StoreRevision(item.era, item.revision)
-            self.digest_revisions[item.kind] = DigestRevision(
-                router, revision, asked_at - item.age_ms
-            )
-            pending = self.pending_watches.get(item.kind)
-            if pending is not None and revision > pending.revision:
-                pending.newer.set()
+        """Record the revisions in a router's digest, taken at boot time `asked_at` or later."""
+        self.digests.record(router, news, asked_at)
 
-    def _forget_old_digest(self, relay: str, kind: str) -> bool:
-        """Forget the last digest if it is too old, and return whether it was.
-
-        Digests of a fleet at rest count as older than they are, as routers report less often.
-        """
-        latest = self._digest_of(relay, kind)
-        if latest is None or self.clock.boot() - latest.known_at < self._max_age_ms():
-            return False
-        del self.digest_revisions[kind]
-        return True
-
-    def _digest_of(self, router: str, kind: str) -> DigestRevision | None:
-        latest = self.digest_revisions.get(kind)
-        return latest if latest is not None and latest.router == router else None
+    def record_start(self, is_first: bool, known_routers: int) -> None:
+        """Record whether other routers may start too, and how many are known."""
+        self.start_wait.record_start(is_first, known_routers)
 
     def _wait_for_digest(
         self, relay: str, kind: str, revision: StoreRevision, wait_ms: int
@@ -308,58 +384,17 @@
 
         Returns a result without changes if nothing is newer, None if a pull is needed.
         """
-        latest = self._digest_of(relay, kind)
+        latest = self.digests.latest_of(relay, kind)
         if latest is None or latest.revision > revision:
             return None
         asked_at = self.clock.boot()
-        usable_ms = max(0, latest.known_at + self._max_age_ms() - asked_at)
-        pending = self.pending_watches[kind] = PendingWatch(revision, Event())
+        usable_ms = max(0, latest.known_at + self._max_age_ms(kind) - asked_at)
+        pending = self.digests.pending_watches[kind] = PendingWatch(revision, Event())
         newer = self.clock.wait(pending.newer, min(self._pull_wait_ms(wait_ms), usable_ms))
-        current = self._digest_of(relay, kind)
+        current = self.digests.latest_of(relay, kind)
         if newer or current is None:
             return None
         return WatchResult((), revision, relay_age_ms=max(0, asked_at - current.known_at))
 
-    def relay_router(self) -> str | None:
-        """Return the relay router of this failure domain, None if every router asks the store."""
-        if self.members is None:
-            return None
-        return self.relay_router_of(self.members.me.failure_domain)
-
-    def relay_router_of(self, domain: str) -> str | None:
-        """Return the relay router of a failure domain, None if its routers all ask the store."""
-        assert self.members is not None
-        ids = [m.id for m in self.members.alive() if m.failure_domain == domain]
-        return rendezvous.owner(domain, ids) if len(ids) >= MIN_ROUTERS else None
-
-    def serve_pull(self, sender: str, message: pb.StorePull) -> pb.StoreNews:
-        """Serve the changes of a kind to another router; `unknown` tells it to ask the store."""
-        del sender
-        changes = self.logs.get(message.kind)
-        if changes is None:
-            return pb.StoreNews(unknown=True)
-        try:
-            revision = StoreRevision(message.era, message.revision)
-            result = changes.since(revision, min(message.wait_ms, PULL_WAIT_MS))
-        except StoreUnavailable:
-            return pb.StoreNews(unknown=True, era=changes.revision.era)
-        return encode_result(result)
-
     def _pull_wait_ms(self, wait_ms: int) -> int:
         return min(PULL_WAIT_MS, int(wait_ms * PULL_WAIT_FRACTION))
-
-    def _pull(self, router: str, kind: str, revision: StoreRevision, wait_ms: int) -> WatchResult:
-        assert self.peers is not None
-        message = pb.StorePull(
-            kind=kind, revision=revision.number, era=revision.era, wait_ms=wait_ms
-        )
-        reply = self.peers.call(router, STORE_PULL, message, wait_ms + PULL_MARGIN_MS)
-        if reply.era > revision.era:
-            raise HistoryGone(f"{router} knows that the store came back from an older copy")
-        result = decode_result(reply)
-        if result.revision.era < revision.era:
-            raise StoreUnavailable(f"{router} does not know that the store was restored")
-        return result
-
-    def _own_id(self) -> str:
-        return self.members.me.id if self.members is not None else ""
--- /dev/null
+++ b/src/jacinthcove/store/startwait.py
@@ -0,0 +1,49 @@
+"""How long a starting router waits for other routers before it lists the store itself.
+
+Answers the load of a start: the calls of a router that knows no other one yet. A restarted router
+learns the members in one exchange, and has to serve within about a second. Routers that start for
+the first time often start together, long before their first request, and learn of each other only
+after several exchanges.
+"""
+
+from jacinthcove.clock import Clock
+from jacinthcove.store.relayroles import MIN_ROUTERS, RelayRoles
+
+RESTART_LIMIT_MS = 400
+FIRST_START_LIMIT_MS = 2_000
+# In a first start the members count as known when none was added for this time.
+SETTLED_MS = 400
+POLL_MS = 20
+
+
+class StartWait:
+    """Holds back the first lists of a router."""
+
+    def __init__(self, clock: Clock, roles: RelayRoles):
+        self.clock = clock
+        self.roles = roles
+        self.started_at = clock.now()
+        self.is_first_start = False
+        self.is_over = False
+
+    def record_start(self, is_first: bool, known_routers: int) -> None:
+        """Record whether other routers may start too, and how many were found so far."""
+        self.is_first_start = is_first
+        if known_routers < MIN_ROUTERS:
+            self.is_over = True
+
+    def wait(self) -> None:
+        """Block until the members are known, or the limit has passed."""
+        count, changed_at = 0, self.clock.now()
+        while not self.is_over:
+            now = self.clock.now()
+            limit_ms = FIRST_START_LIMIT_MS if self.is_first_start else RESTART_LIMIT_MS
+            members = self.roles.members
+            if members is not None and len(members.alive()) != count:
+                count, changed_at = len(members.alive()), now
+            settled_ms = SETTLED_MS if self.is_first_start else 0
+            settled = members is not None and now - changed_at >= settled_ms
+            if settled or now - self.started_at >= limit_ms:
+                self.is_over = True
+                return
+            self.clock.sleep(POLL_MS)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -13,7 +13,7 @@
 from jacinthcove.store.changelog import ChangeLog
 from jacinthcove.store.kinds import Change, KindObject, StoreRevision, WatchResult
 from jacinthcove.store.kindwatch import KindWatch
-from jacinthcove.store.relay import decode_result, encode_result
+from jacinthcove.store.relaycodec import decode_result, encode_result
 
 ODD_VALUE_MARK = "odd value"
 ODD_VALUES = {
--- a/tests/store/calls_bed.py
+++ b/tests/store/calls_bed.py
@@ -24,7 +24,7 @@
     TARGETS_KIND,
 )
 from jacinthcove.platform.registration import Registration
-from jacinthcove.platform.watchwaits import watch_waits
+from jacinthcove.platform.watchwaits import apply_times, watch_waits
 from jacinthcove.store import kindwatch
 from jacinthcove.store.changelog import ChangeLog
 from jacinthcove.store.kinds import Change, HistoryGone, KindObject, Listing, StoreRevision
@@ -48,6 +48,8 @@
 CONFIG_PERIOD_MS = 4_000
 TARGETS_PERIOD_MS = 1_500
 REJECTED_FRACTION = 0.35
+# How many other routers the settings name.
+SEEDS = 8
 
 
 class VirtualClock:
@@ -126,6 +128,7 @@
 
     def __init__(self, store, router):
         self.store, self.clock, self.router = store, store.clock, router
+        self.era = store.era
 
     def list_all(self, kind):
         self._call(kind, "list")
@@ -232,6 +235,7 @@
         self.source = RelayedSource(
             self.clock, self.view, logs, BOUNDS.apply_ms, frozenset((CONFIG_KIND,))
         )
+        self.source.apply_ms_by_kind = apply_times(BOUNDS)
         waits = watch_waits(BOUNDS)
         self.followers = {kind: Follower() for kind in KINDS}
         self.watches = [
@@ -241,6 +245,7 @@
         self.registration = Registration(self.view, member(id))
 
     def start(self):
+        self.source.start_wait.started_at = self.clock.ms
         for watch in self.watches:
             watch.start()
         gevent.spawn(self._join)
@@ -250,10 +255,10 @@
             watch.close()
 
     def _join(self):
-        while not all(watch.listed for watch in self.watches):
-            self.clock.sleep(20)
-        for step in (self.registration.load_key, self.registration.register):
-            self._retry(step)
+        self._retry(self.registration.load_key)
+        registered = self._retry(self.registration.register)
+        is_first = self.registration.may_be_first_start
+        self.source.start_wait.record_start(is_first, max(SEEDS, len(registered)))
         self.clock.sleep(JOIN_MS)
         self.fleet.add(self.id)
         self.source.join(Table(self.fleet, self.id), self.fleet.links.peers(self.id))
--- a/tests/store/relay_bed.py
+++ b/tests/store/relay_bed.py
@@ -15,7 +15,8 @@
     WatchResult,
 )
 from jacinthcove.store.kindwatch import KindWatch
-from jacinthcove.store.relay import MIN_ROUTERS, RelayedSource
+from jacinthcove.store.relay import RelayedSource
+from jacinthcove.store.relayroles import MIN_ROUTERS
 
 KIND = "things"
 # A change has to be in force after this time.
@@ -36,6 +37,7 @@
         self.objects = {}
         self.history = []
         self.calls = 0
+        self.era = None
         self.available = True
         self.changed = gevent.event.Event()
 
@@ -93,6 +95,7 @@
 
     def __init__(self, store):
         self.store = store
+        self.era = None
         self.rejects = False
 
     def list_all(self, kind):
@@ -127,13 +130,13 @@
         self.id = id
 
     def register(self, kind, handler):
-        self.mesh.handlers[self.id] = handler
+        self.mesh.handlers[self.id, kind] = handler
 
     def call(self, member_id, kind, message, timeout_ms):
-        if member_id in self.mesh.silent or member_id not in self.mesh.handlers:
+        if member_id in self.mesh.silent or (member_id, kind) not in self.mesh.handlers:
             gevent.sleep(timeout_ms / 1000)
             raise PeerUnavailable(f"{member_id} is silent")
-        return self.mesh.handlers[member_id](self.id, message)
+        return self.mesh.handlers[member_id, kind](self.id, message)
 
 
 class Members:
--- a/tests/store/test_changelog_bytes.py
+++ b/tests/store/test_changelog_bytes.py
@@ -11,7 +11,7 @@
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.store.changelog import MAX_BATCHES, ChangeLog
 from jacinthcove.store.kinds import Change, KindObject, WatchResult
-from jacinthcove.store.relay import decode_result, encode_result
+from jacinthcove.store.relaycodec import decode_result, encode_result
 
 MIB = 1024 * 1024
 # A list of empty records takes about 30 times its length when it is decoded.
--- a/tests/store/test_store_relay.py
+++ b/tests/store/test_store_relay.py
@@ -9,7 +9,8 @@
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.store.changelog import MAX_BATCHES, ChangeLog
 from jacinthcove.store.kinds import Change, HistoryGone, KindObject, WatchResult
-from jacinthcove.store.relay import MAX_AGE_FRACTION, MIN_ROUTERS, RelayedSource
+from jacinthcove.store.relay import MAX_AGE_FRACTION, RelayedSource
+from jacinthcove.store.relayroles import MIN_ROUTERS
 
 
 @pytest.fixture
@@ -102,10 +103,10 @@
         router.watch.close()
     newer = at(1, era=store.revision.era + 1)
     with pytest.raises(StoreUnavailable):
-        reader.source._pull(relay.id, KIND, newer, 100)
+        reader.source.others.pull(relay.id, KIND, newer, 100)
     relay.watch.changes.restart(newer, 0)
     with pytest.raises(HistoryGone):
-        reader.source._pull(relay.id, KIND, store.revision, 100)
+        reader.source.others.pull(relay.id, KIND, store.revision, 100)
 
 
 def test_small_failure_domain_has_no_relay_router(store, mesh):
@@ -245,7 +246,7 @@
     """A fleet at rest reports so seldom that a digest looks older than it is."""
     receive_digest(one.source, one.watch.revision, OLD_DIGEST_MS)
     assert one.source.watch(KIND, one.watch.revision, 400).relay_age_ms < APPLY_MS / 2
-    assert not one.source.digest_revisions
+    assert not one.source.digests.revisions
 
 
 def test_word_of_a_relay_router_that_is_too_old_is_not_used(fleet, one):
