Derive the share level from measured engine capacity while engines have room

The level was what began in the window, and what began was what the level admitted. After a burst of callers the late responses cut the headroom, less was admitted, less began, and the level fell while the engines ran empty.

Each router now learns what one engine begins per second. The rate rises fast, and falls only while half of the engines have a backlog. It is scaled by the engines that take work now. While fewer have a backlog, the level is at least this capacity, and late responses do not cut the headroom.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -10,6 +10,7 @@
 import gevent
 import structlog
 
+from jacinthcove.capacity.engineload import RegistryEngineLoad
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
@@ -83,6 +84,9 @@
         self.rng = rng or random.Random()
         self.min_goals_ms: dict[str, int] = {}
         self.services: dict[str, GatewayService] = {}
+        ledger.engine_loads = RegistryEngineLoad(
+            clock, registry, lambda: self.services, lambda: self.min_goals_ms
+        )
         # Returns whether this router has more work than it can keep up with.
         self.is_late: Callable[[], bool] = lambda: False
         # Called for each request within its workspace's share that finds no target.
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -8,8 +8,12 @@
 
 import structlog
 
+from jacinthcove.capacity.engineload import EngineLoadSource
+from jacinthcove.capacity.measured import MIN_BACKLOGGED_FRACTION, MeasuredCapacity
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.workspaceusage import (
+    RECENT_TICKS,
+    TICK_MS,
     OwnUsage,
     PeerUsage,
     UsageByWorkspace,
@@ -74,6 +78,9 @@
         self.given_tokens_per_s = float("inf")
         self.headroom = MAX_HEADROOM
         self.window_usage: UsageByWorkspace = {}
+        # Without a source, what begins in the window counts as the capacity.
+        self.engine_loads: EngineLoadSource | None = None
+        self.capacity = MeasuredCapacity()
 
     def record_demand(self, workspace: str, tokens: int) -> None:
         """Count the tokens of a request that a workspace sends."""
@@ -107,15 +114,38 @@
         given = sum(usage.given for usage in totals.values())
         if self.clock.now() - self.started_at >= self.window_ms // 2:
             self.given_tokens_per_s = 1_000 * given / self.window_ms
+        self._measure_capacity()
         self._adjust_headroom()
-        # If more was asked for than started, what started is the capacity of the engines.
         begun = sum(usage.begun for usage in totals.values())
         asked = [float(usage.asked) for usage in totals.values()]
         contended = sum(asked) * CONTENDED_FRACTION > begun
-        self.fair_share = max_min_share(asked, float(begun)) if contended else float("inf")
+        self.fair_share = float("inf")
         if contended:
+            self.fair_share = max_min_share(asked, self._window_capacity(begun))
+        if self.fair_share != float("inf"):
             self._log_contended(given, begun)
 
+    def _measure_capacity(self) -> None:
+        if self.engine_loads is not None:
+            begun = sum(usage.begun_lately for usage in self.window_usage.values())
+            begun_per_s = 1_000 * begun / (RECENT_TICKS * TICK_MS)
+            self.capacity.update(begun_per_s, self.engine_loads.engine_load())
+
+    def _window_capacity(self, begun: int) -> float:
+        """Return the tokens that the engines can begin in the window.
+
+        That is what begins, if more was asked for and the engines have a backlog. Otherwise what
+        begins is only what was let through.
+        """
+        if not self.engines_have_room():
+            return float(begun)
+        return max(float(begun), self.capacity.tokens_per_s * self.window_ms / 1_000)
+
+    def engines_have_room(self) -> bool:
+        """Return whether less than half of the engines have a backlog; False if unknown."""
+        load = self.capacity.load
+        return load.ready > 0 and load.backlogged < MIN_BACKLOGGED_FRACTION
+
     def _log_contended(self, given: int, begun: int) -> None:
         largest = sorted(self.window_usage.items(), key=lambda item: -item[1].asked)[:6]
         log.info(
@@ -124,6 +154,9 @@
             given=given,
             begun=begun,
             headroom=round(self.headroom, 2),
+            engine_tokens_per_s=round(self.capacity.engine_tokens_per_s),
+            ready_engines=self.capacity.load.ready,
+            backlogged=round(self.capacity.load.backlogged, 2),
             workspaces={
                 name: (usage.asked, usage.given, usage.begun, self.standing(name).value)
                 for name, usage in largest
@@ -131,10 +164,13 @@
         )
 
     def _adjust_headroom(self) -> None:
-        """Let workspaces exceed their share further while responses start in time."""
+        """Let workspaces exceed their share further while responses start in time.
+
+        Late responses that began while engines have room waited before, and say nothing of now.
+        """
         begun = sum(usage.begun_lately for usage in self.window_usage.values())
         late = sum(usage.late_lately for usage in self.window_usage.values())
-        if late > LATE_FRACTION * begun:
+        if late > LATE_FRACTION * begun and not self.engines_have_room():
             self.headroom = max(MIN_HEADROOM, self.headroom * HEADROOM_CUT_FACTOR)
         else:
             self.headroom = min(MAX_HEADROOM, self.headroom + HEADROOM_STEP)
