Order engines by the demand of all routers, under the lease of the duties

Change: a decision over observations gives the number of engines per service and failure domain. The holder of the lease sends the numbers. Not measured on a fleet.

--- a/src/jacinthcove/gateway/model.py
+++ b/src/jacinthcove/gateway/model.py
@@ -60,17 +60,27 @@
     memory_tokens: int
 
 
+@dataclass(frozen=True)
+class ScalingBounds:
+    """Bounds of the number of engines per failure domain; new ones serve after `boot_ms`."""
+
+    min_engines: int
+    max_engines: int
+    boot_ms: int
+
+
 @dataclass(frozen=True)
 class GatewayService:
     """A service behind the gateway.
 
     `engine` is None for a plain service, one without model engines. A `cold_requests_per_s` of 0
-    means that cold targets have no rate limit.
+    means that cold targets have no rate limit. `scaling` is None if its targets are not ordered.
     """
 
     name: str
     cold_requests_per_s: float = 0.0
     engine: EngineCapacity | None = None
+    scaling: ScalingBounds | None = None
 
 
 @dataclass(frozen=True)
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -180,7 +180,7 @@
             ),
             self.answer_bytes,
         )
-        self.duties = Duties(settings, clock, self.metrics, self.store_client)
+        self.duties = Duties(settings, clock, self.metrics, self.store_client, self.admission)
         forwarder.on_answer_begun = self.duties.record_begun
         self.loop_delay = LoopDelay(clock, self._on_loop_delay)
         self.loop_work = LoopWork()
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -4,6 +4,8 @@
 from ipaddress import IPv4Address
 from typing import Any
 
+import structlog
+
 from jacinthcove.gateway.model import (
     CallerLimits,
     EngineCapacity,
@@ -11,12 +13,15 @@
     HttpRoute,
     RetrySafety,
     RoutingConfig,
+    ScalingBounds,
     ServiceShare,
 )
 from jacinthcove.gateway.rollouts import Rollout, RolloutState
 from jacinthcove.gateway.targetrecord import TargetRecord
 from jacinthcove.store.kinds import KindObject
 
+log = structlog.get_logger()
+
 # Larger numbers are not exact in JSON and do not fit into messages between routers.
 MAX_NUMBER = 2**53
 MAX_DESCRIBED_CHARS = 40
@@ -134,9 +139,29 @@
         name=item["name"],
         cold_requests_per_s=float(item.get("cold_per_s") or 0),
         engine=capacity,
+        scaling=_scaling(item.get("scaling")),
     )
 
 
+def _scaling(item: Any) -> ScalingBounds | None:
+    """Return the bounds of the engines per failure domain, or None if they are not ordered.
+
+    Malformed bounds order nothing; the routes of the configuration do not depend on them.
+    """
+    if not item:
+        return None
+    try:
+        bounds = ScalingBounds(
+            int(item["min"]), int(item["max"]), round(float(item["boot_time_s"]) * 1_000)
+        )
+        if not 0 <= bounds.min_engines <= bounds.max_engines <= MAX_NUMBER or bounds.boot_ms < 0:
+            raise ValueError("the bounds contradict each other")
+    except (KeyError, OverflowError, TypeError, ValueError) as error:
+        log.warning("scaling_malformed", reason=repr(error)[:200])
+        return None
+    return bounds
+
+
 def _limits(item: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
--- a/src/jacinthcove/platform/dutywiring.py
+++ b/src/jacinthcove/platform/dutywiring.py
@@ -13,6 +13,7 @@
 from jacinthcove.duties.lease import DutyLease, StoredValue
 from jacinthcove.duties.usagereport import USAGE_DUTY, ReportSettings, UsageReporter
 from jacinthcove.duties.windowcounts import WindowCounts
+from jacinthcove.gateway.admission import Admission
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import DUTY_LEASE
 from jacinthcove.mesh.peers import Members, Peers
@@ -21,6 +22,8 @@
 from jacinthcove.platform.dutystore import LEASE_OBJECT, REPORTS_OBJECT, DutyObject
 from jacinthcove.platform.settings import DutySettings, PlatformSettings
 from jacinthcove.platform.storeclient import PlatformStoreClient
+from jacinthcove.scaling.observations import Observer
+from jacinthcove.scaling.orders import SCALE_DUTY, EngineOrders
 
 log = structlog.get_logger()
 
@@ -39,11 +42,13 @@
         clock: Clock,
         metrics: Metrics,
         store_client: PlatformStoreClient,
+        admission: Admission,
     ):
         self.settings: DutySettings = settings.duties
         self.clock = clock
         self.metrics = metrics
         self.store_client = store_client
+        self.admission = admission
         self.router = settings.id
         self.calls = HttpDutyCalls(self.settings.address, clock) if self.settings.address else None
         self.budget = CallBudget(clock, self.settings.calls_per_s)
@@ -52,6 +57,7 @@
         self.lease: DutyLease | None = None
         self.exchange: CountExchange | None = None
         self.reporter: UsageReporter | None = None
+        self.orders: EngineOrders | None = None
         self.tasks: list[BackgroundTask] = []
 
     def record_begun(self, workspace: str) -> None:
@@ -61,11 +67,17 @@
 
     def join(self, members: Members, peers: Peers) -> None:
         """Start the duties that the settings name."""
-        if self.calls is None or not self.settings.performs(USAGE_DUTY):
+        reports, orders = (self.settings.performs(duty) for duty in (USAGE_DUTY, SCALE_DUTY))
+        if self.calls is None or not (reports or orders):
             return
         self.lease = self._make_lease(members, peers)
-        self._start_reports(members, peers, self.lease, self.calls)
-        self.tasks += [BackgroundTask(self._run_lease), BackgroundTask(self._run_duties)]
+        self.tasks.append(BackgroundTask(self._run_lease))
+        if reports:
+            self._start_reports(members, peers, self.lease, self.calls)
+            self.tasks.append(BackgroundTask(self._run_reports))
+        if orders:
+            self._make_orders(members, self.lease, self.calls)
+            self.tasks.append(BackgroundTask(self._run_orders))
         for task in self.tasks:
             task.start()
         log.info("duties_started", duties=sorted(self.settings.duties))
@@ -142,8 +154,22 @@
             run_step(self.lease.step)
             gevent.sleep(self.lease.period_ms() / 1_000)
 
-    def _run_duties(self) -> None:
-        while True:
+    def _make_orders(self, members: Members, lease: DutyLease, calls: HttpDutyCalls) -> None:
+        observer = Observer(
+            self.clock,
+            self.admission.registry,
+            self.admission.ledger,
+            lambda: self.admission.services.values(),
+            lambda: len(members.alive()),
+        )
+        self.orders = EngineOrders(self.clock, lease, observer, calls, self.budget, self.metrics)
+
+    def _run_reports(self) -> None:
+        while self.reporter is not None:
+            run_step(self.reporter.step)
             gevent.sleep(STEP_S)
-            if self.reporter is not None:
-                run_step(self.reporter.step)
+
+    def _run_orders(self) -> None:
+        while self.orders is not None:
+            run_step(self.orders.step)
+            gevent.sleep(self.orders.period_ms() / 1_000)
--- a/tests/platform/test_duty_calls.py
+++ b/tests/platform/test_duty_calls.py
@@ -93,6 +93,27 @@
     assert "jacinthcove_duty_holder 1" in holder.metrics.render()
 
 
+def test_orders_alone_need_no_counts(run, cloud):
+    """Guards against a duty that runs only together with the other one."""
+    lines = duty_lines(cloud).replace("usage_report", "scale")
+    router = run("front-1", lines)
+    eventually(lambda: router.duties.lease.grant() is not None)
+    assert http(router.settings.caller_listen)[0] == 200
+    assert router.duties.exchange is None
+    assert not router.duties.counts.pending
+    eventually(lambda: router.duties.orders.token == router.duties.lease.token)
+    assert not cloud.calls
+
+
+def test_order_on_the_wire(cloud):
+    """Guards against other names than those of the platform."""
+    clock = ManualClock()
+    calls = HttpDutyCalls(cloud.address, clock)
+    calls.order_engines(lambda: Grant("front-1", 7, clock.boot() + 500), "models", "a", 6)
+    content = {"service": "models", "zone": "a", "desired": 6}
+    assert cloud.calls == [("/scale", "front-1", 7, content)]
+
+
 @pytest.mark.parametrize("more", ["", "cloud.address=127.0.0.1:9\n", "cloud.duties=usage_report\n"])
 def test_without_an_address_and_a_duty_nothing_runs(run, store, more):
     """Guards against store calls and tasks of a deployment that has no duties."""
