Harden the usage counts against restarted candidates and wrong first clocks

Cause: a candidate that restarted under its name got only the windows that changed since, and a fleet kept the time of the router that started first. A duplicated response of the store could pass for the confirmation of a later write. Change: an answer names the process that gives it, and a new one gets everything. What most clocks agree on for 5 s corrects the agreed time. A write counts as confirmed only if the response has the object as written.

--- a/src/jacinthcove/duties/agreedtime.py
+++ b/src/jacinthcove/duties/agreedtime.py
@@ -18,7 +18,13 @@
 # The agreed time follows the median of the clocks at this rate, many times the drift of a clock.
 FOLLOW_MS_PER_S = 2.0
 # Two candidates that agree to this and differ by more from this router's time correct it at once.
+# So do most clocks of the fleet, if they differ for longer than a frozen router may take messages
+# from before for new ones.
 AGREEMENT_MS = 250.0
+CLOCKS_AGREE_MS = 5_000
+MIN_CLOCKS = 3
+# An answer that took longer tells the time too badly, unless it is not known at all.
+MAX_ROUND_TRIP_MS = 100
 
 
 class AgreedTime:
@@ -36,6 +42,8 @@
         # True ms at which the fleet first agreed on the time, as far as this router knows.
         self.founded_at: int | None = None
         self.followed_at = clock.boot()
+        # Boot ms since when most clocks agree on another time.
+        self.off_since: int | None = None
 
     @property
     def settled(self) -> bool:
@@ -59,11 +67,12 @@
         """Record the agreed time that a candidate answered to a call sent at `sent_at`."""
         now = self.clock.boot()
         offset = true_ms - (sent_at + now) / 2
-        self.answers[router] = (offset, now)
         self.founded_at = min(founded_ms, self.founded_at or founded_ms)
         if self.offset_ms is None:
             self.offset_ms = offset
-        self._correct()
+        if now - sent_at <= MAX_ROUND_TRIP_MS:
+            self.answers[router] = (offset, now)
+            self._correct()
 
     def step(self) -> None:
         """Found the time if no other router knows it, and follow the clocks slowly."""
@@ -71,7 +80,8 @@
         for known in (self.readings, self.answers):
             for router in [key for key, (_, at) in known.items() if now - at > FORGET_MS]:
                 del known[router]
-        clocks = median([self.clock.wall() - now, *_recent(self.readings, now)])
+        offsets = [self.clock.wall() - now, *_recent(self.readings, now)]
+        clocks = median(offsets)
         if self.offset_ms is None:
             if now - self.started_at >= SETTLE_MS:
                 self.offset_ms = clocks
@@ -79,6 +89,7 @@
         else:
             limit = FOLLOW_MS_PER_S * max(0, now - self.followed_at) / 1_000
             self.offset_ms += max(-limit, min(limit, self._goal(clocks, now) - self.offset_ms))
+            self._correct_by_clocks(offsets, clocks, now)
         self.followed_at = now
 
     def _goal(self, clocks: float, now: int) -> float:
@@ -91,6 +102,17 @@
             answers.append(clocks)
         return median(answers)
 
+    def _correct_by_clocks(self, offsets: list[float], clocks: float, now: int) -> None:
+        """Adopt what most clocks agree on, as the first router may have had a wrong one."""
+        near = sum(abs(item - clocks) <= AGREEMENT_MS for item in offsets)
+        most = len(offsets) >= MIN_CLOCKS and 2 * near > len(offsets)
+        if not most or self.offset_ms is None or abs(clocks - self.offset_ms) <= AGREEMENT_MS:
+            self.off_since = None
+        elif self.off_since is None:
+            self.off_since = now
+        elif now - self.off_since >= CLOCKS_AGREE_MS:
+            self.offset_ms, self.off_since = clocks, None
+
     def _correct(self) -> None:
         """Adopt at once what two candidates agree on."""
         answers = list(_recent(self.answers, self.clock.boot()))
--- a/src/jacinthcove/duties/countexchange.py
+++ b/src/jacinthcove/duties/countexchange.py
@@ -6,6 +6,8 @@
 survive their routers.
 """
 
+from dataclasses import dataclass
+
 import gevent
 import structlog
 
@@ -25,12 +27,25 @@
 # Larger fleets send less often.
 CANDIDATE_CALLS_PER_S = 150
 CALL_TIMEOUT_MS = 400
-# Counts of a process that is silent for this long are passed on to the other candidates.
-SILENT_MS = 1_500
+# Counts of a process that is silent for this many periods, or that another one of its router has
+# followed, are passed on to the other candidates.
+SILENT_PERIODS = 4
 # A process without counts is forgotten after this time.
 IDLE_MS = 120_000
 
 
+@dataclass(frozen=True)
+class _Answered:
+    """The process of a candidate that answered, and the snapshot that it has then."""
+
+    incarnation: int
+    sequence: int
+    through_ms: int
+
+
+NOTHING_ANSWERED = _Answered(0, 0, 0)
+
+
 class CountExchange:
     """The counts of this router and, at a candidate, of the fleet."""
 
@@ -50,8 +65,8 @@
         self.fleet = FleetCounts()
         # True ms since when this router is a candidate, so that it gets all counts; None if not.
         self.receiving_since: int | None = None
-        # By candidate, the snapshot that it answered last, and the end of those counts.
-        self.answered: dict[str, tuple[int, int]] = {}
+        # By candidate, what it answered last.
+        self.answered: dict[str, _Answered] = {}
         # By candidate, the sequence of each ended process that it has answered.
         self.passed_on: dict[str, dict[tuple[str, int], int]] = {}
         self.task = BackgroundTask(self._run)
@@ -74,10 +89,16 @@
         self.time.record_reading(sender, message.wall_ms)
         for totals in message.totals:
             self.fleet.merge(_decode(totals))
+        incarnation = self.own.totals.incarnation
         now = self.time.now()
         if now is None:
-            return pb.BegunCountsReply()
-        return pb.BegunCountsReply(settled=True, true_ms=now, founded_ms=self.time.founded_at or 0)
+            return pb.BegunCountsReply(incarnation=incarnation)
+        return pb.BegunCountsReply(
+            settled=True,
+            true_ms=now,
+            founded_ms=self.time.founded_at or 0,
+            incarnation=incarnation,
+        )
 
     def missing_routers(self, window: int) -> list[str]:
         """Return the living routers whose counts of a window are not known in full."""
@@ -122,10 +143,23 @@
             self.fleet.forget_idle(now - IDLE_MS)
 
     def _send(self, candidate: str) -> None:
-        sequence, through = self.answered.get(candidate, (0, 0))
-        ended = self._ended_processes(candidate)
-        if not ended and not self._is_due(sequence, through):
+        before = self.answered.get(candidate, NOTHING_ANSWERED)
+        if not self._send_changes(candidate, before):
             return
+        if self.answered[candidate].incarnation != before.incarnation != 0:
+            # The candidate started again, and lacks what only its former process has.
+            self.passed_on.pop(candidate, None)
+            self.answered[candidate] = NOTHING_ANSWERED
+            # A receiver ignores what has the sequence number of an earlier message.
+            self.own.snapshot()
+            self._send_changes(candidate, NOTHING_ANSWERED)
+
+    def _send_changes(self, candidate: str, before: "_Answered") -> bool:
+        """Send what a candidate lacks, if anything; return whether it answered."""
+        sequence = before.sequence
+        ended = self._ended_processes(candidate)
+        if not ended and not self._is_due(sequence, before.through_ms):
+            return False
         own = self.own.totals
         sent_sequence, sent_through = own.sequence, own.through_ms
         changed = self.own.changed_since(sequence)
@@ -139,11 +173,12 @@
             reply = self.peers.call(candidate, BEGUN_COUNTS, message, CALL_TIMEOUT_MS)
         except PeerUnavailable as error:
             log.debug("begun_counts_not_sent", router=candidate, reason=str(error))
-            return
-        self.answered[candidate] = (sent_sequence, sent_through)
+            return False
+        self.answered[candidate] = _Answered(reply.incarnation, sent_sequence, sent_through)
         self.passed_on.setdefault(candidate, {}).update(passed_on)
         if reply.settled:
             self.time.record_answer(candidate, reply.true_ms, reply.founded_ms, sent_at)
+        return True
 
     def _is_due(self, sequence: int, through: int) -> bool:
         """Return whether counts changed, or the candidate does not know the last window's end."""
@@ -159,12 +194,16 @@
             return []
         known = self.passed_on.get(candidate, {})
         own = (self.own.totals.router, self.own.totals.incarnation)
+        silent_since = now - SILENT_PERIODS * self.period_ms()
+        newest: dict[str, int] = {}
+        for (router, _), totals in self.fleet.by_process.items():
+            newest[router] = max(totals.through_ms, newest.get(router, 0))
         return [
             totals
             for key, totals in self.fleet.by_process.items()
             if key != own
             and totals.windows
-            and totals.through_ms < now - self.own.window_ms - SILENT_MS
+            and (totals.through_ms < silent_since or totals.through_ms < newest[key[0]])
             and known.get(key) != totals.sequence
         ]
 
--- a/src/jacinthcove/duties/lease.py
+++ b/src/jacinthcove/duties/lease.py
@@ -86,7 +86,7 @@
     def write(self, value: Any, replaced: StoredValue) -> int:
         """Replace a version of the object, revision 0 to create it; raises `Conflict`.
 
-        Returns the new revision, 0 if the store did not say it.
+        Returns the new revision, 0 if the store did not confirm it; then it has to be read.
         """
 
 
--- a/src/jacinthcove/duties/usagereport.py
+++ b/src/jacinthcove/duties/usagereport.py
@@ -164,8 +164,11 @@
         stored = StoredReports(self.stored.era, floor, reports)
         value = encode_reports(stored)
         revision = self.store.write(value, self.seen)
+        if not revision:
+            self.seen = None
+            return
         self.stored = stored
-        self.seen = StoredValue(stored.era, revision, value) if revision else None
+        self.seen = StoredValue(stored.era, revision, value)
         self._remember(reports)
         for window, counts in due.items():
             log.info("usage_report_stored", window=window, requests=sum(counts.values()))
--- a/src/jacinthcove/duties/windowcounts.py
+++ b/src/jacinthcove/duties/windowcounts.py
@@ -128,14 +128,10 @@
         for key in idle:
             del self.by_process[key]
 
-    def through_ms(self, router: str) -> int:
-        """Return the true time up to which the counts of a router's newest process are known."""
-        known = [totals.through_ms for key, totals in self.by_process.items() if key[0] == router]
-        return max(known, default=0)
-
     def missing(self, routers: Iterable[str], until_ms: int) -> list[str]:
         """Return the routers whose counts until a true time are not known."""
-        return [router for router in routers if self.through_ms(router) < until_ms]
+        known = {key[0] for key, item in self.by_process.items() if item.through_ms >= until_ms}
+        return [router for router in routers if router not in known]
 
     def counts(self, window: int) -> Mapping[str, int]:
         """Return the requests of a window by workspace."""
--- a/src/jacinthcove/platform/dutystore.py
+++ b/src/jacinthcove/platform/dutystore.py
@@ -34,7 +34,7 @@
     def write(self, value: Any, replaced: StoredValue) -> int:
         """Replace a version of the object, revision 0 to create it; raises `Conflict`.
 
-        Returns the new revision, 0 if the store did not say it.
+        Returns the new revision, 0 if the store did not confirm it; then it has to be read.
         """
         self._require_era(replaced.era)
         if replaced.revision:
--- a/src/jacinthcove/platform/dutywiring.py
+++ b/src/jacinthcove/platform/dutywiring.py
@@ -28,6 +28,7 @@
 log = structlog.get_logger()
 
 STEP_S = 0.25
+MIN_PAUSE_MS = 50
 
 
 class Duties:
@@ -151,8 +152,11 @@
 
     def _run_lease(self) -> None:
         while self.lease is not None:
+            started_at = self.clock.boot()
             run_step(self.lease.step)
-            gevent.sleep(self.lease.period_ms() / 1_000)
+            # Slow answers of the store must not make renewals rare.
+            left_ms = self.lease.period_ms() - (self.clock.boot() - started_at)
+            gevent.sleep(max(MIN_PAUSE_MS, left_ms) / 1_000)
 
     def _make_orders(self, members: Members, lease: DutyLease, calls: HttpDutyCalls) -> None:
         observer = Observer(
--- a/src/jacinthcove/platform/storeclient.py
+++ b/src/jacinthcove/platform/storeclient.py
@@ -144,14 +144,15 @@
     def replace(self, kind: str, name: str, spec: Any, revision: int) -> int:
         """Replace the spec of an object; raises `Conflict` unless it still has `revision`.
 
-        Returns the new revision, 0 if the response does not contain the object.
+        Returns the new revision, 0 if the response does not contain the object as written: it may
+        be the duplicate of an earlier one.
         """
         metadata = {"name": name, "revision": revision}
         body = orjson.dumps({"metadata": metadata, "spec": spec})
         path = f"{OBJECTS_PATH}{kind}/{quote(name, safe='')}"
         reply = self._call("replace", "PUT", path, body)
         self._check_written(reply, name)
-        return _written_revision(reply, name)
+        return _written_revision(reply, name, spec)
 
     def delete(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
@@ -222,13 +223,13 @@
             raise StoreUnavailable(f"the store returned status {reply.status}")
 
 
-def _written_revision(reply: Reply, name: str) -> int:
-    """Return the revision that the response to a write names, 0 if it names none."""
+def _written_revision(reply: Reply, name: str, spec: Any) -> int:
+    """Return the revision that the response to a write of `spec` names, 0 if it names none."""
     try:
         written = _decode_object(orjson.loads(reply.body))
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
         return 0
-    return written.revision if written.name == name else 0
+    return written.revision if (written.name, written.spec) == (name, spec) else 0
 
 
 def decode_era(reply: Reply) -> int:
--- a/tests/duties/test_usagereport.py
+++ b/tests/duties/test_usagereport.py
@@ -185,6 +185,28 @@
     assert wrong_windows(world) == []
 
 
+def test_wrong_clock_of_the_first_router_is_outvoted():
+    """Guards against a fleet that keeps the time of the router that happened to start first."""
+    world = World(1)
+    world.routers["r0"].clock.wall_ms += 40_000
+    world.run(5_000)
+    for name in ("r1", "r2", "r3"):
+        world.start(name)
+    world.run(15_000)
+    assert all(abs(router.time.now() - world.now) < 100 for router in world.routers.values())
+
+
+def test_restarted_candidate_gets_the_counts_of_ended_windows(world):
+    """Guards against senders that take a new process of a candidate for the one before."""
+    window = world.now // WINDOW_MS
+    work(world, WINDOW_MS + 500)
+    true = world.begun[window, "large"]
+    for name in ("r0", "r1"):
+        world.start(name)
+        work(world, 3_000)
+        assert world.routers[name].exchange.fleet.counts(window)["large"] == true
+
+
 def test_takeover_is_fast_enough_for_each_report(world):
     """Guards against a change of the holder that takes longer than a report may wait."""
     for _ in range(3):
--- a/tests/platform/test_duty_calls.py
+++ b/tests/platform/test_duty_calls.py
@@ -93,6 +93,24 @@
     assert "jacinthcove_duty_holder 1" in holder.metrics.render()
 
 
+def test_another_router_takes_the_duties_over(run, cloud):
+    """Guards against a lease object that only the router that created it can replace."""
+    routers = [run(name, duty_lines(cloud)) for name in ("front-1", "front-2")]
+    with gevent.Timeout(SECOND_CALL_S):
+        while not cloud.calls:
+            gevent.sleep(0.05)
+    holder, other = sorted(routers, key=lambda router: router.duties.lease.grant() is None)
+    holder.stop_now()
+    before = cloud.calls[-1]
+    with gevent.Timeout(SECOND_CALL_S):
+        while cloud.calls[-1][1] != other.settings.id:
+            gevent.sleep(0.05)
+    assert cloud.calls[-1][2] > before[2]
+    windows = {}
+    for _, _, _, content in cloud.calls:
+        assert windows.setdefault(content["window_id"], content["counts"]) == content["counts"]
+
+
 def test_orders_alone_need_no_counts(run, cloud):
     """Guards against a duty that runs only together with the other one."""
     lines = duty_lines(cloud).replace("usage_report", "scale")
