Let a holder that the platform does not answer leave the duties to others

Cause: a holder cut off from the platform alone kept the lease, and all reports of that time were missing. Change: after a TTL without any answer it lets the lease run out and stays out of it for five TTLs, if there are other candidates.

--- a/src/jacinthcove/duties/calls.py
+++ b/src/jacinthcove/duties/calls.py
@@ -18,11 +18,15 @@
 
 
 class DutyCallFailed(JacinthcoveError):  # noqa: N818 - names an outcome
-    """A call was not answered with success; unless it was `not_sent` it may have taken effect."""
+    """A call was not answered with success; unless it was `not_sent` it may have taken effect.
 
-    def __init__(self, message: str, not_sent: bool = False):
+    `answered` means that the platform was reached and answered something else.
+    """
+
+    def __init__(self, message: str, not_sent: bool = False, answered: bool = False):
         super().__init__(message)
         self.not_sent = not_sent
+        self.answered = answered
 
 
 class DutyCalls(Protocol):
@@ -63,16 +67,28 @@
         self.clock = clock
         self.pause_ms = 0
         self.until = 0
+        # Boot ms since when no call has been answered at all, None if the last one was.
+        self.silent_since: int | None = None
 
     def is_over(self) -> bool:
         """Return whether a call may be made."""
         return self.clock.boot() >= self.until
 
-    def record_failure(self) -> None:
+    def silent_ms(self) -> int:
+        """Return for how long no call has been answered."""
+        return 0 if self.silent_since is None else self.clock.boot() - self.silent_since
+
+    def record_failure(self, answered: bool) -> None:
         """Begin the next pause."""
+        now = self.clock.boot()
         self.pause_ms = min(MAX_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self.pause_ms))
-        self.until = self.clock.boot() + self.pause_ms
+        self.until = now + self.pause_ms
+        if answered:
+            self.silent_since = None
+        elif self.silent_since is None:
+            self.silent_since = now
 
     def record_success(self) -> None:
         """Make no pause after this call."""
         self.pause_ms = self.until = 0
+        self.silent_since = None
--- a/src/jacinthcove/duties/lease.py
+++ b/src/jacinthcove/duties/lease.py
@@ -26,6 +26,8 @@
 MARGIN_FRACTION = 0.1
 # An observer that hears of no renewal reads the store after this fraction of the TTL.
 SILENCE_FRACTION = 0.5
+# A router that the platform does not answer leaves the lease to others for this many TTLs.
+RESIGNED_TTLS = 5
 # The era is in the bits above these; a token is an exact number in JSON.
 NUMBER_BITS = 32
 MAX_TOKEN = 2**53 - 1
@@ -144,6 +146,7 @@
         # Whether the lease was held at the last step.
         self.acting = False
         self.stopped = False
+        self.resigned_until = 0
 
     def grant(self) -> Grant | None:
         """Return the grant, or None once less than the safety margin is left."""
@@ -156,6 +159,13 @@
         """Stop acting for good; the lease is not released, so others wait for its end."""
         self.stopped = True
 
+    def resign(self) -> None:
+        """Let the lease run out and leave it to others for a while."""
+        now = self.clock.boot()
+        if now >= self.resigned_until:
+            log.warning("duty_lease_resigned", token=self.token)
+            self.resigned_until = now + RESIGNED_TTLS * self.ttl_ms
+
     def period_ms(self) -> int:
         """Return the time between two calls of `step`."""
         return max(1, self.ttl_ms // RENEWALS_PER_TTL)
@@ -163,7 +173,8 @@
     def step(self) -> None:
         """Renew, read or acquire the lease, as far as this router is a candidate."""
         rank = self.rank()
-        if rank is not None and not self.stopped:
+        resigned = self.clock.boot() < self.resigned_until
+        if rank is not None and not self.stopped and not resigned:
             self._step(rank)
         if self.acting and not self._held():
             self.acting = False
--- a/src/jacinthcove/duties/usagereport.py
+++ b/src/jacinthcove/duties/usagereport.py
@@ -111,6 +111,7 @@
         now = self.exchange.time.now()
         if grant is None or now is None:
             self.token = None
+            self.backoff.record_success()
             return
         try:
             if grant.token != self.token:
@@ -216,7 +217,7 @@
             try:
                 self.calls.report_usage(self.grants.grant, window, self.remembered[window])
             except DutyCallFailed as error:
-                self.backoff.record_failure()
+                self.backoff.record_failure(error.answered)
                 outcome = "not_sent" if error.not_sent else "failed"
                 log.info("usage_report_not_answered", window=window, reason=str(error))
             else:
--- a/src/jacinthcove/platform/dutycalls.py
+++ b/src/jacinthcove/platform/dutycalls.py
@@ -69,7 +69,7 @@
         finally:
             sock.close()
         if status != OK:
-            raise DutyCallFailed(f"{path}: status {status}")
+            raise DutyCallFailed(f"{path}: status {status}", answered=True)
 
 
 def _read_status(sock: Any) -> int:
--- a/src/jacinthcove/platform/dutywiring.py
+++ b/src/jacinthcove/platform/dutywiring.py
@@ -55,6 +55,7 @@
         self.budget = CallBudget(clock, self.settings.calls_per_s)
         self.time = AgreedTime(clock)
         self.counts = WindowCounts(self.time, settings.id, self.settings.usage_window_ms)
+        self.members: Members | None = None
         self.lease: DutyLease | None = None
         self.exchange: CountExchange | None = None
         self.reporter: UsageReporter | None = None
@@ -71,6 +72,7 @@
         reports, orders = (self.settings.performs(duty) for duty in (USAGE_DUTY, SCALE_DUTY))
         if self.calls is None or not (reports or orders):
             return
+        self.members = members
         self.lease = self._make_lease(members, peers)
         self.tasks.append(BackgroundTask(self._run_lease))
         if reports:
@@ -168,12 +170,21 @@
         )
         self.orders = EngineOrders(self.clock, lease, observer, calls, self.budget, self.metrics)
 
+    def _resign_after(self, silent_ms: int) -> None:
+        """Leave the duties to another router if the platform does not answer this one."""
+        if self.lease is None or self.members is None or silent_ms < self.lease.ttl_ms:
+            return
+        if len(candidates(self.members)) > 1:
+            self.lease.resign()
+
     def _run_reports(self) -> None:
         while self.reporter is not None:
             run_step(self.reporter.step)
+            self._resign_after(self.reporter.backoff.silent_ms())
             gevent.sleep(STEP_S)
 
     def _run_orders(self) -> None:
         while self.orders is not None:
             run_step(self.orders.step)
+            self._resign_after(self.orders.silent_ms())
             gevent.sleep(self.orders.period_ms() / 1_000)
--- a/src/jacinthcove/scaling/orders.py
+++ b/src/jacinthcove/scaling/orders.py
@@ -52,6 +52,7 @@
         grant = self.grants.grant()
         if grant is None:
             self.token = None
+            self.backoffs.clear()
             return
         if grant.token != self.token:
             self.token = grant.token
@@ -64,6 +65,10 @@
         for service in services:
             self._order(service)
 
+    def silent_ms(self) -> int:
+        """Return for how long the platform has answered no order."""
+        return min((item.silent_ms() for item in self.backoffs.values()), default=0)
+
     def _order(self, service: GatewayService) -> None:
         assert service.scaling is not None
         decision = self.decisions.get(service.name)
@@ -86,7 +91,7 @@
         try:
             self.calls.order_engines(self.grants.grant, service, domain, desired)
         except DutyCallFailed as error:
-            backoff.record_failure()
+            backoff.record_failure(error.answered)
             outcome = "not_sent" if error.not_sent else "failed"
             log.info("engines_not_ordered", service=service, domain=domain, reason=str(error))
         else:
