Keep the counts of six windows, and send them at least every 4 s

Cause: in a fleet of more than 400 routers counts were sent too seldom for a report that is due after 10 s, and twelve windows of all routers would take too much memory there. Change: the period is at most 4 s, six windows are kept, and workspace names are shared. The load on the candidates of 3,000 routers is not measured.

--- a/src/jacinthcove/duties/countexchange.py
+++ b/src/jacinthcove/duties/countexchange.py
@@ -1,11 +1,12 @@
 """Sends each router's counts of begun requests to the candidates, and agrees on the time.
 
 Load: about two messages a second from each router to each candidate, and no more than
-`CANDIDATE_CALLS_PER_S` at a candidate. Totals are repeated until the candidate has answered, so a
-lost message costs one period. Candidates pass on the totals of processes that have ended, so these
-survive their routers.
+`CANDIDATE_CALLS_PER_S` at a candidate up to 400 routers. Totals are repeated until the candidate
+has answered, so a lost message costs one period. Candidates pass on the totals of processes that
+have ended, so these survive their routers.
 """
 
+import sys
 from dataclasses import dataclass
 
 import gevent
@@ -24,8 +25,9 @@
 log = structlog.get_logger()
 
 PERIOD_MS = 500
-# Larger fleets send less often.
+# Larger fleets send less often, but in time for a report that waits for all routers.
 CANDIDATE_CALLS_PER_S = 100
+MAX_PERIOD_MS = 4_000
 CALL_TIMEOUT_MS = 400
 # Counts of a process that is silent for this many periods, or that another one of its router has
 # followed, are passed on to the other candidates.
@@ -83,7 +85,8 @@
 
     def period_ms(self) -> float:
         """Return the time between two rounds."""
-        return max(PERIOD_MS, 1_000 * len(self.members.alive()) / CANDIDATE_CALLS_PER_S)
+        spread_ms = 1_000 * len(self.members.alive()) / CANDIDATE_CALLS_PER_S
+        return min(MAX_PERIOD_MS, max(PERIOD_MS, spread_ms))
 
     def serve_counts(self, sender: str, message: pb.BegunCounts) -> pb.BegunCountsReply:
         """Merge the counts of another router; handles `BEGUN_COUNTS`."""
@@ -225,7 +228,11 @@
 
 
 def _decode(message: pb.BegunTotals) -> RouterTotals:
-    windows = {item.window: dict(item.counts) for item in message.windows}
+    # Interned, as each workspace is named in the counts of many routers and windows.
+    windows = {
+        item.window: {sys.intern(name): count for name, count in item.counts.items()}
+        for item in message.windows
+    }
     return RouterTotals(
         message.router, message.incarnation, message.sequence, message.through_ms, windows
     )
--- a/src/jacinthcove/duties/windowcounts.py
+++ b/src/jacinthcove/duties/windowcounts.py
@@ -11,8 +11,8 @@
 
 from jacinthcove.duties.agreedtime import AgreedTime
 
-# Windows for which counts are kept.
-KEPT_WINDOWS = 12
+# Windows for which counts are kept; a report is due two windows after its own.
+KEPT_WINDOWS = 6
 # While the time is not agreed, begun requests are kept by this step of the boot clock, for as many.
 PENDING_STEP_MS = 50
 MAX_PENDING = 2_400
