--- a/src/jacinthcove/duties/usagereport.py
+++ b/src/jacinthcove/duties/usagereport.py
@@ -111,6 +111,7 @@
         now = self.exchange.time.now()
         if grant is None or now is None:
             self.token = None
+            self.backoff.record_success()
             return
         try:
             if grant.token != self.token:
@@ -164,8 +165,11 @@
         stored = StoredReports(self.stored.era, floor, reports)
         value = encode_reports(stored)
         revision = self.store.write(value, self.seen)
+        if not revision:
+            self.seen = None
+            return
         self.stored = stored
-        self.seen = StoredValue(stored.era, revision, value) if revision else None
+        self.seen = StoredValue(stored.era, revision, value)
         self._remember(reports)
         for window, counts in due.items():
             log.info("usage_report_stored", window=window, requests=sum(counts.values()))
@@ -213,7 +217,7 @@
             try:
                 self.calls.report_usage(self.grants.grant, window, self.remembered[window])
             except DutyCallFailed as error:
-                self.backoff.record_failure()
+                self.backoff.record_failure(error.answered)
                 outcome = "not_sent" if error.not_sent else "failed"
                 log.info("usage_report_not_answered", window=window, reason=str(error))
             else:
--- a/src/jacinthcove/platform/dutywiring.py
+++ b/src/jacinthcove/platform/dutywiring.py
@@ -13,6 +13,7 @@
 from jacinthcove.duties.lease import DutyLease, StoredValue
 from jacinthcove.duties.usagereport import USAGE_DUTY, ReportSettings, UsageReporter
 from jacinthcove.duties.windowcounts import WindowCounts
+from jacinthcove.gateway.admission import Admission
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import DUTY_LEASE
 from jacinthcove.mesh.peers import Members, Peers
@@ -21,10 +22,13 @@
 from jacinthcove.platform.dutystore import LEASE_OBJECT, REPORTS_OBJECT, DutyObject
 from jacinthcove.platform.settings import DutySettings, PlatformSettings
 from jacinthcove.platform.storeclient import PlatformStoreClient
+from jacinthcove.scaling.observations import Observer
+from jacinthcove.scaling.orders import SCALE_DUTY, EngineOrders
 
 log = structlog.get_logger()
 
 STEP_S = 0.25
+MIN_PAUSE_MS = 50
 
 
 class Duties:
@@ -39,19 +43,23 @@
         clock: Clock,
         metrics: Metrics,
         store_client: PlatformStoreClient,
+        admission: Admission,
     ):
         self.settings: DutySettings = settings.duties
         self.clock = clock
         self.metrics = metrics
         self.store_client = store_client
+        self.admission = admission
         self.router = settings.id
         self.calls = HttpDutyCalls(self.settings.address, clock) if self.settings.address else None
         self.budget = CallBudget(clock, self.settings.calls_per_s)
         self.time = AgreedTime(clock)
         self.counts = WindowCounts(self.time, settings.id, self.settings.usage_window_ms)
+        self.members: Members | None = None
         self.lease: DutyLease | None = None
         self.exchange: CountExchange | None = None
         self.reporter: UsageReporter | None = None
+        self.orders: EngineOrders | None = None
         self.tasks: list[BackgroundTask] = []
 
     def record_begun(self, workspace: str) -> None:
@@ -61,11 +69,18 @@
 
     def join(self, members: Members, peers: Peers) -> None:
         """Start the duties that the settings name."""
-        if self.calls is None or not self.settings.performs(USAGE_DUTY):
+        reports, orders = (self.settings.performs(duty) for duty in (USAGE_DUTY, SCALE_DUTY))
+        if self.calls is None or not (reports or orders):
             return
+        self.members = members
         self.lease = self._make_lease(members, peers)
-        self._start_reports(members, peers, self.lease, self.calls)
-        self.tasks += [BackgroundTask(self._run_lease), BackgroundTask(self._run_duties)]
+        self.tasks.append(BackgroundTask(self._run_lease))
+        if reports:
+            self._start_reports(members, peers, self.lease, self.calls)
+            self.tasks.append(BackgroundTask(self._run_reports))
+        if orders:
+            self._make_orders(members, self.lease, self.calls)
+            self.tasks.append(BackgroundTask(self._run_orders))
         for task in self.tasks:
             task.start()
         log.info("duties_started", duties=sorted(self.settings.duties))
@@ -139,11 +154,37 @@
 
     def _run_lease(self) -> None:
         while self.lease is not None:
+            started_at = self.clock.boot()
             run_step(self.lease.step)
-            gevent.sleep(self.lease.period_ms() / 1_000)
+            # Slow answers of the store must not make renewals rare.
+            left_ms = self.lease.period_ms() - (self.clock.boot() - started_at)
+            gevent.sleep(max(MIN_PAUSE_MS, left_ms) / 1_000)
 
-    def _run_duties(self) -> None:
-        while True:
+    def _make_orders(self, members: Members, lease: DutyLease, calls: HttpDutyCalls) -> None:
+        observer = Observer(
+            self.clock,
+            self.admission.registry,
+            self.admission.ledger,
+            lambda: self.admission.services.values(),
+            lambda: len(members.alive()),
+        )
+        self.orders = EngineOrders(self.clock, lease, observer, calls, self.budget, self.metrics)
+
+    def _resign_after(self, silent_ms: int) -> None:
+        """Leave the duties to another router if the platform does not answer this one."""
+        if self.lease is None or self.members is None or silent_ms < self.lease.ttl_ms:
+            return
+        if len(candidates(self.members)) > 1:
+            self.lease.resign()
+
+    def _run_reports(self) -> None:
+        while self.reporter is not None:
+            run_step(self.reporter.step)
+            self._resign_after(self.reporter.backoff.silent_ms())
             gevent.sleep(STEP_S)
-            if self.reporter is not None:
-                run_step(self.reporter.step)
+
+    def _run_orders(self) -> None:
+        while self.orders is not None:
+            run_step(self.orders.step)
+            self._resign_after(self.orders.silent_ms())
+            gevent.sleep(self.orders.period_ms() / 1_000)
--- a/tests/platform/test_duty_calls.py
+++ b/tests/platform/test_duty_calls.py
@@ -12,10 +12,8 @@
 from jacinthcove.duties.calls import DutyCallFailed
 from jacinthcove.duties.lease import Grant
 from jacinthcove.platform import names
-from jacinthcove.platform.daemon import PlatformRouter
 from jacinthcove.platform.dutycalls import HttpDutyCalls
 from jacinthcove.platform.settings import decode_settings
-from testbed.ports import free_addresses
 
 SECOND_CALL_S = 12
 
@@ -51,22 +49,16 @@
 
 
 @pytest.fixture
-def run(store, operator, ledger):
-    """Return a function that starts a router with more settings."""
-    routers = []
-
-    def start(name, more):
-        operator(7)
-        mesh = free_addresses(1)[0].rpartition(":")[2]
-        router = PlatformRouter(settings_for(store, name, f"{mesh},{mesh}", more), metrics_port=0)
-        routers.append(router)
-        gevent.spawn(router.start)
+def run(start, operator, ledger):
+    """Return a function that starts a router with more settings and waits until it has joined."""
+    operator(7)
+
+    def start_joined(name, more):
+        router = start(name, more)
         eventually(lambda: router.ready() and router.fleet.joined)
         return router
 
-    yield start
-    for router in routers:
-        router.stop_now()
+    return start_joined
 
 
 def duty_lines(cloud):
@@ -76,10 +68,9 @@
     )
 
 
-def test_usage_of_two_routers_is_reported_under_one_token(run, cloud):
-    """Guards against wiring that reports nothing, twice, or without the other routers."""
+def test_usage_of_two_routers_is_reported_and_taken_over(run, cloud):
+    """Guards against wiring that reports nothing, twice, or from one router only."""
     routers = [run(name, duty_lines(cloud)) for name in ("front-1", "front-2")]
-    eventually(lambda: all(router.duties.time.settled for router in routers))
     for router in routers:
         assert http(router.settings.caller_listen)[0] == 200
     with gevent.Timeout(SECOND_CALL_S):
@@ -87,10 +78,37 @@
             gevent.sleep(0.05)
     assert {call[0] for call in cloud.calls} == {"/usage"}
     assert len({call[1:3] for call in cloud.calls}) == 1
-    windows = [call[3]["window_id"] for call in cloud.calls]
-    assert len(windows) == len(set(windows))
-    holder = next(router for router in routers if router.duties.lease.grant() is not None)
+    holder, other = sorted(routers, key=lambda router: router.duties.lease.grant() is None)
     assert "jacinthcove_duty_holder 1" in holder.metrics.render()
+    holder.stop_now()
+    before = cloud.calls[-1]
+    with gevent.Timeout(SECOND_CALL_S):
+        while cloud.calls[-1][1] != other.settings.id:
+            gevent.sleep(0.05)
+    assert cloud.calls[-1][2] > before[2]
+    reports = {orjson.dumps(call[3]) for call in cloud.calls}
+    assert len(reports) == len({call[3]["window_id"] for call in cloud.calls})
+
+
+def test_orders_alone_need_no_counts(run, cloud):
+    """Guards against a duty that runs only together with the other one."""
+    lines = duty_lines(cloud).replace("usage_report", "scale")
+    router = run("front-1", lines)
+    eventually(lambda: router.duties.lease.grant() is not None)
+    assert http(router.settings.caller_listen)[0] == 200
+    assert router.duties.exchange is None
+    assert not router.duties.counts.pending
+    eventually(lambda: router.duties.orders.token == router.duties.lease.token)
+    assert not cloud.calls
+
+
+def test_order_on_the_wire(cloud):
+    """Guards against other names than those of the platform."""
+    clock = ManualClock()
+    grant = Grant("front-1", 7, clock.boot() + 500)
+    HttpDutyCalls(cloud.address, clock).order_engines(lambda: grant, "models", "a", 6)
+    content = {"service": "models", "zone": "a", "desired": 6}
+    assert cloud.calls == [("/scale", "front-1", 7, content)]
 
 
 @pytest.mark.parametrize("more", ["", "cloud.address=127.0.0.1:9\n", "cloud.duties=usage_report\n"])
@@ -124,14 +142,10 @@
     """Guards against a send without a grant, and a call that outlasts it."""
     clock = ManualClock()
     grants = [Grant("front-1", 7, clock.boot() + 200)] * 2
-    if fault == "ended before":
-        grants = [None]
-    elif fault == "ended while connecting":
-        grants[1] = None
-    elif fault == "slow":
-        cloud.delay_s = 1.0
-    else:
-        cloud.status = 429
+    if fault.startswith("ended"):
+        grants[fault == "ended while connecting"] = None
+    cloud.delay_s = 1.0 if fault == "slow" else 0
+    cloud.status = 429 if fault == "status" else 200
     calls = HttpDutyCalls(cloud.address, clock)
     with gevent.Timeout(0.8), pytest.raises(DutyCallFailed) as failure:
         calls.report_usage(lambda: grants.pop(0), 3, {"a": 1})
