Add laboratory loads with returning engines and several hot workspaces

The laboratory had no load in which engines return, in which several hot workspaces compete, or in which callers of a workspace use one failure domain. New: engines-return, two-hot, two-hot-domains, three-hot, three-hot-many, crowd, full-start. New columns: refused tries, those refused while an engine was idle, and the worst ratio of the tokens that two competing workspaces began over the same six seconds.

The draws of existing loads are unchanged. Only a lost engine is replaced by a new one, so the results of engines-lost are the same as before.

--- a/src/jacinthcove/commands/lab.py
+++ b/src/jacinthcove/commands/lab.py
@@ -9,8 +9,9 @@
 
 EXIT_BAD_OPTIONS = 2
 HEADER = (
-    f"{'load':<14}{'seed':>5}{'asked':>7}{'in goal':>9}{'late':>7}{'refused':>9}"
+    f"{'load':<16}{'seed':>5}{'asked':>7}{'in goal':>9}{'late':>7}{'refused':>9}"
     f"{'read again':>12}{'copied':>9}{'crossed MB':>12}{'worst workspaces':>18}"
+    f"{'tries refused':>15}{'while idle':>12}{'share ratio':>13}"
 )
 MAX_WORST_WORKSPACES = 2
 
@@ -22,11 +23,13 @@
         f"{fraction:.2f}" for fraction in results.workspace_goal_fractions()[:MAX_WORST_WORKSPACES]
     )
     return (
-        f"{name:<14}{seed:>5}{total.call_count:>7}{total.goal_fraction:>9.3f}"
+        f"{name:<16}{seed:>5}{total.call_count:>7}{total.goal_fraction:>9.3f}"
         f"{total.late / max(1, total.call_count):>7.3f}"
         f"{total.refused / max(1, total.call_count):>9.3f}"
         f"{results.prefilled_again_tokens / 1e6:>12.2f}{results.copied_tokens / 1e6:>9.2f}"
         f"{results.cross_domain_bytes / 1e6:>12.1f}{worst_workspaces:>18}"
+        f"{results.refused_tries:>15}{results.refused_tries_while_idle:>12}"
+        f"{results.worst_share_ratio():>13.2f}"
     )
 
 
--- a/src/jacinthcove/lab/engine.py
+++ b/src/jacinthcove/lab/engine.py
@@ -7,6 +7,8 @@
 
 # Limit of the prompt tokens that one batch prefills.
 PREFILL_CHUNK_TOKENS = 2_048
+# An engine counts as idle while less than this fraction of its slots is in use.
+IDLE_SLOTS_FRACTION = 0.3
 
 
 @dataclass(frozen=True)
@@ -77,6 +79,11 @@
         """Return whether any request is waiting or running."""
         return bool(self.waiting or self.running)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request waits and most slots are free."""
+        return not self.waiting and len(self.running) < IDLE_SLOTS_FRACTION * self.capacity.slots
+
     def run_batch(self, now: float) -> tuple[float, list[EngineRequest], list[EngineRequest]]:
         """Run one batch from `now`.
 
--- a/src/jacinthcove/lab/results.py
+++ b/src/jacinthcove/lab/results.py
@@ -1,6 +1,6 @@
 """Results of a simulation: outcomes of calls, prefilled and copied tokens, bytes sent."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from jacinthcove.lab.engine import EngineTokenCounts
@@ -8,6 +8,8 @@
 
 # Workspaces with fewer calls are left out of `workspace_goal_fractions` as too noisy.
 MIN_CALLS = 20
+# The shares of workspaces are compared over this number of seconds.
+FAIR_SECONDS = 6
 
 
 @dataclass
@@ -45,6 +47,12 @@
     prefilled_again_tokens: float = 0.0
     copied_tokens: float = 0.0
     cross_domain_bytes: int = 0
+    # Tries that were refused, and those that were refused while an engine was idle.
+    refused_tries: int = 0
+    refused_tries_while_idle: int = 0
+    # Share cost tokens that began, and tries refused or answered late, by workspace and second.
+    begun_tokens: Counter[tuple[str, int]] = field(default_factory=Counter)
+    shortages: Counter[tuple[str, int]] = field(default_factory=Counter)
 
     def add_answered(self, call: Call, first_token_ms: float) -> None:
         """Count a call whose first token arrived `first_token_ms` after the call."""
@@ -54,6 +62,37 @@
             else:
                 outcome.late += 1
 
+    def add_begun(self, call: Call, at_ms: float, first_token_ms: float) -> None:
+        """Count the tokens of a response that begins at `at_ms` of the simulation."""
+        key = (call.workspace, int(at_ms // 1_000))
+        self.begun_tokens[key] += call.prompt.share_cost_tokens
+        if first_token_ms > call.kind.goal_ms:
+            self.shortages[key] += 1
+
+    def add_refused_try(self, workspace: str, at_ms: float, engine_is_idle: bool) -> None:
+        """Count a refusal, which the caller may follow by another try."""
+        self.refused_tries += 1
+        self.refused_tries_while_idle += engine_is_idle
+        self.shortages[workspace, int(at_ms // 1_000)] += 1
+
+    def worst_share_ratio(self) -> float:
+        """Return the worst ratio of tokens that two competing workspaces began in the same seconds.
+
+        Workspaces compete over `FAIR_SECONDS` if each second had a shortage for them.
+        """
+        worst = 1.0
+        for first in {second for _, second in self.shortages}:
+            seconds = range(first, first + FAIR_SECONDS)
+            competing = [
+                name
+                for name in self.by_workspace
+                if all(self.shortages[name, second] for second in seconds)
+            ]
+            got = [sum(self.begun_tokens[name, item] for item in seconds) for name in competing]
+            if len(got) >= 2 and max(got):
+                worst = min(worst, min(got) / max(got))
+        return worst
+
     def add_refused(self, call: Call) -> None:
         """Count a call that got no response."""
         for outcome in self._outcomes_of(call):
--- a/src/jacinthcove/lab/scenarios.py
+++ b/src/jacinthcove/lab/scenarios.py
@@ -45,6 +45,18 @@
     return replace(load, **overrides)  # type: ignore[arg-type]
 
 
+def hot_workspaces(count: int, domains: tuple[int | None, ...]) -> tuple[HotWorkspace, ...]:
+    """Return the first `count` workspaces, each with the same rate, 4 times that of the largest.
+
+    They begin one second after each other; `domains` are those of their callers, None for all.
+    """
+    skew = Load(()).skew
+    return tuple(
+        HotWorkspace(rank, 4.0 * (rank + 1) ** skew, 5_000 + 1_000 * rank, 17_000, domains[rank])
+        for rank in range(count)
+    )
+
+
 SCENARIOS: dict[str, Scenario] = {
     "calm": Scenario(scaled(KINDS, 0.7)),
     "busy": Scenario(scaled(KINDS, 0.95)),
@@ -71,5 +83,18 @@
         scaled(MANY_KINDS, 0.8, workspaces=30, hot=(HotWorkspace(0, 6.0, 6_000, 14_000),)),
         MANY_ENGINES_FLEET,
     ),
+    "engines-return": Scenario(
+        scaled(KINDS, 0.9),
+        LabFleet(lost_engines=tuple((n, 8_000) for n in range(4)), return_after_ms=3_000),
+    ),
+    "two-hot": Scenario(scaled(KINDS, 0.8, hot=hot_workspaces(2, (None, None)))),
+    "two-hot-domains": Scenario(scaled(KINDS, 0.8, hot=hot_workspaces(2, (0, None)))),
+    "three-hot": Scenario(scaled(KINDS, 0.8, hot=hot_workspaces(3, (0, None, 1)))),
+    "three-hot-many": Scenario(
+        scaled(MANY_KINDS, 0.8, workspaces=30, hot=hot_workspaces(3, (0, None, 1))),
+        MANY_ENGINES_FLEET,
+    ),
+    "crowd": Scenario(scaled(KINDS, 0.7, hot=(HotWorkspace(0, 12.0, 6_000, 10_000),))),
+    "full-start": Scenario(scaled(KINDS, 0.8, hot=(HotWorkspace(0, 5.0, 0, 8_000),))),
     "large": Scenario(scaled(KINDS, 2.4), LabFleet(routers=24, engines=15)),
 }
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -41,6 +41,8 @@
 SERVICE = "models"
 CALLER_LATENCY_MS = 3.0
 SHARE_WINDOW_MS = 4_000
+# A returned engine registers itself as cold for this time.
+COLD_MS = 2_000
 # A refused caller waits no longer than this fraction of its remaining time before it retries.
 MAX_RETRY_DELAY_FRACTION = 1 / 3
 
@@ -65,6 +67,8 @@
     speed: EngineSpeed = EngineSpeed()
     # Pairs of an engine's index and the ms of the simulation at which it fails.
     lost_engines: tuple[tuple[int, int], ...] = ()
+    # Lost engines register again after this time, cold and with an empty cache; 0 means never.
+    return_after_ms: int = 0
     limited: LimitedEngines | None = None
     # Interval of load reports to routers in the same failure domain, and to those in others.
     same_domain_period_ms: int = PERIOD_MS
@@ -182,12 +186,10 @@
         self.sequence = itertools.count()
         self.in_flight: dict[str, SimulatedCall] = {}
         self.results = Results()
-        ever_prefilled: set[str] = set()
+        self.ever_prefilled: set[str] = set()
         domains = [f"d{number}" for number in range(fleet.domains)]
         self.engines = {
-            f"e{n}": LabEngine(
-                f"e{n}", domains[n % fleet.domains], fleet.capacity, fleet.speed, ever_prefilled
-            )
+            f"e{n}": self._new_engine(f"e{n}", domains[n % fleet.domains])
             for n in range(fleet.engines)
         }
         self.engines_in_batch: set[str] = set()
@@ -199,6 +201,10 @@
             for engine in self.engines.values():
                 router.registry.put(target_record(engine), 1)
 
+    def _new_engine(self, id: str, domain: str) -> LabEngine:
+        capacity, speed = self.fleet.capacity, self.fleet.speed
+        return LabEngine(id, domain, capacity, speed, self.ever_prefilled)
+
     def run(self) -> Results:
         """Process all events and return the results."""
         for call in self.traffic.calls(self.duration_ms):
@@ -259,6 +265,8 @@
         self._send(now, sim_call, choice)
 
     def _on_refused(self, now: float, sim_call: SimulatedCall, refusal: RequestRefused) -> None:
+        engine_is_idle = any(engine.is_idle for engine in self.engines.values())
+        self.results.add_refused_try(sim_call.call.workspace, now, engine_is_idle)
         remaining_ms = sim_call.call.kind.timeout_ms - (now - sim_call.call.at_ms)
         retry_delay_ms = min(refusal.retry_after_ms or 0, remaining_ms * MAX_RETRY_DELAY_FRACTION)
         if sim_call.attempts >= 2 or now + retry_delay_ms > self.duration_ms:
@@ -291,7 +299,9 @@
             self._run_batch(now, engine)
 
     def _run_batch(self, now: float, engine: LabEngine) -> None:
-        if engine.id not in self.engines or not engine.has_work:
+        if self.engines.get(engine.id) is not engine:
+            return
+        if not engine.has_work:
             self.engines_in_batch.discard(engine.id)
             return
         duration, started, finished = engine.run_batch(now)
@@ -310,6 +320,7 @@
         sim_call.choice.target.load.on_first_event(id)
         assert sim_call.router is not None and sim_call.request is not None
         sim_call.router.admission.record_response_start(sim_call.request)
+        self.results.add_begun(sim_call.call, now, sim_call.first_token_at - sim_call.call.at_ms)
         per_s = self._stated_limit(now, sim_call.choice.target.record.id)
         limits = sim_call.router.registry.stated_limits
         limits.record_response(sim_call.choice.target.record.id, 0, per_s, sim_call.sent_at)
@@ -338,13 +349,21 @@
         self.results.add_answered(sim_call.call, sim_call.first_token_at - sim_call.call.at_ms)
 
     def _lose_engine(self, now: float, id: str) -> None:
-        del now
-        del self.engines[id]
+        lost = self.engines.pop(id)
+        self.engines_in_batch.discard(id)
         for router in self.routers:
             router.registry.delete(id, False)
         lost_ids = [key for key, item in self.in_flight.items() if _target_id(item) == id]
         for key in lost_ids:
             self.results.add_refused(self.in_flight.pop(key).call)
+        if self.fleet.return_after_ms:
+            self._schedule(now + self.fleet.return_after_ms, self._return_engine, id, lost.domain)
+
+    def _return_engine(self, now: float, id: str, domain: str) -> None:
+        self.engines[id] = engine = self._new_engine(id, domain)
+        record = replace(target_record(engine), started_at=int(now), cold_for_ms=COLD_MS)
+        for router in self.routers:
+            router.registry.put(record, 2)
 
     def _send_report(
         self, now: float, router: LabRouter, period_ms: int, same_domain: bool
--- a/src/jacinthcove/lab/traffic.py
+++ b/src/jacinthcove/lab/traffic.py
@@ -30,12 +30,16 @@
 
 @dataclass(frozen=True)
 class HotWorkspace:
-    """A workspace that sends `factor` times its usual rate from `from_ms` until `to_ms`."""
+    """A workspace that sends `factor` times its usual rate from `from_ms` until `to_ms`.
+
+    With `domain`, all its callers use the routers of that failure domain.
+    """
 
     workspace: int
     factor: float
     from_ms: int
     to_ms: int
+    domain: int | None = None
 
 
 @dataclass(frozen=True)
@@ -105,6 +109,9 @@
         workspace = self.rng.choices(range(len(weights)), weights)[0]
         domains = self.load.domain_weights
         domain = self.rng.choices(range(len(domains)), domains)[0]
+        for hot in self.load.hot:
+            if hot.workspace == workspace and hot.domain is not None:
+                domain = hot.domain
         return Call(at_ms, kind, f"w{workspace}", domain, self._prompt(kind))
 
     def _prompt(self, kind: RequestKind) -> PromptShape:
