Compare the share of a laboratory workspace with what it was due

The share ratio compared tokens only between workspaces, so a workspace that asked for little and got all of it lowered the ratio. What a workspace is due is now what it asked for, or what the best served workspace began if that is less, as the rule over six seconds has it.

--- a/src/jacinthcove/lab/results.py
+++ b/src/jacinthcove/lab/results.py
@@ -50,7 +50,9 @@
     # Tries that were refused, and those that were refused while an engine was idle.
     refused_tries: int = 0
     refused_tries_while_idle: int = 0
-    # Share cost tokens that began, and tries refused or answered late, by workspace and second.
+    # By workspace and second: share cost tokens asked for, each call once, and begun, and the tries
+    # that were refused or answered late.
+    asked_tokens: Counter[tuple[str, int]] = field(default_factory=Counter)
     begun_tokens: Counter[tuple[str, int]] = field(default_factory=Counter)
     shortages: Counter[tuple[str, int]] = field(default_factory=Counter)
 
@@ -62,6 +64,10 @@
             else:
                 outcome.late += 1
 
+    def add_asked(self, call: Call) -> None:
+        """Count the tokens of a call that is sent for the first time."""
+        self.asked_tokens[call.workspace, int(call.at_ms // 1_000)] += call.prompt.share_cost_tokens
+
     def add_begun(self, call: Call, at_ms: float, first_token_ms: float) -> None:
         """Count the tokens of a response that begins at `at_ms` of the simulation."""
         key = (call.workspace, int(at_ms // 1_000))
@@ -76,9 +82,10 @@
         self.shortages[workspace, int(at_ms // 1_000)] += 1
 
     def worst_share_ratio(self) -> float:
-        """Return the worst ratio of tokens that two competing workspaces began in the same seconds.
+        """Return the worst ratio of what a competing workspace began to what it was due.
 
-        Workspaces compete over `FAIR_SECONDS` if each second had a shortage for them.
+        Workspaces compete over `FAIR_SECONDS` if each second had a shortage for them. Due is what
+        it asked for, or what the best served of them began if that is less.
         """
         worst = 1.0
         for first in {second for _, second in self.shortages}:
@@ -88,9 +95,10 @@
                 for name in self.by_workspace
                 if all(self.shortages[name, second] for second in seconds)
             ]
-            got = [sum(self.begun_tokens[name, item] for item in seconds) for name in competing]
-            if len(got) >= 2 and max(got):
-                worst = min(worst, min(got) / max(got))
+            begun = [sum(self.begun_tokens[name, item] for item in seconds) for name in competing]
+            for name, got in zip(competing, begun, strict=True):
+                asked = sum(self.asked_tokens[name, item] for item in seconds)
+                worst = min(worst, got / max(1, min(asked, max(begun))))
         return worst
 
     def add_refused(self, call: Call) -> None:
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -235,6 +235,8 @@
         same_domain = [r for r in self.routers if r.domain == f"d{call.domain}"]
         sim_call.router = router = self.rng.choice(same_domain or self.routers)
         sim_call.attempts += 1
+        if sim_call.attempts == 1:
+            self.results.add_asked(call)
         id = f"q{next(self.sequence)}"
         remaining_ms = call.kind.timeout_ms - (now - call.at_ms)
         sim_call.request = request = GatewayRequest(
