Tell callers refused for a share when their workspace has capacity

Retry-After of such a refusal was 1,300 ms for all, so callers refused together returned together, whatever their workspace's excess.

The delay now follows the share level, what the workspace asked for, and the window. The part of the callers that the share serves at any time returns within 0.05 to 0.25 of its goal. The others return after the excess has left the window: window x excess fraction, spread over 0.5 to 1.5 times that.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -355,7 +355,9 @@
             return RequestRefused(ResultCode.NO_CAPACITY, message, TOO_SLOW_RETRY_AFTER_MS)
         if reason is RejectReason.OVER_SHARE:
             message = "the workspace is over its share"
-            return RequestRefused(ResultCode.NO_CAPACITY, message, TOO_SLOW_RETRY_AFTER_MS)
+            goal_ms = request.route.latency_goal_ms
+            retry_after_ms = self.ledger.return_after_ms(request.workspace, goal_ms, self.rng)
+            return RequestRefused(ResultCode.NO_CAPACITY, message, retry_after_ms)
         message = "no target can start the request in time"
         if reason is RejectReason.RATE_LIMITED:
             message = "the limits of the targets allow no more requests at present"
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -5,11 +5,13 @@
 """
 
 from enum import Enum
+from random import Random
 
 import structlog
 
 from jacinthcove.capacity.engineload import EngineLoadSource
 from jacinthcove.capacity.measured import MIN_BACKLOGGED_FRACTION, MeasuredCapacity
+from jacinthcove.capacity.returntime import return_after_ms
 from jacinthcove.clock import Clock
 from jacinthcove.gateway.workspaceusage import (
     RECENT_TICKS,
@@ -188,6 +190,11 @@
         least = MIN_MULTIPLES[self.standing(workspace)]
         return min(1.0, max(least, self.headroom) * self.fair_share / max(1, usage.asked))
 
+    def return_after_ms(self, workspace: str, goal_ms: int, rng: Random) -> int:
+        """Return the time after which a caller refused for its workspace's share should return."""
+        usage = self.window_usage.get(workspace, WorkspaceUsage())
+        return round(return_after_ms(self.fair_share, usage.asked, self.window_ms, goal_ms, rng))
+
     def standing(self, workspace: str) -> Standing:
         """Return what a workspace got in the window, compared with its max-min fair share."""
         usage = self.window_usage.get(workspace)
