--- a/src/jacinthcove/lab/results.py
+++ b/src/jacinthcove/lab/results.py
@@ -1,6 +1,6 @@
 """Results of a simulation: outcomes of calls, prefilled and copied tokens, bytes sent."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from jacinthcove.lab.engine import EngineTokenCounts
@@ -8,6 +8,8 @@
 
 # Workspaces with fewer calls are left out of `workspace_goal_fractions` as too noisy.
 MIN_CALLS = 20
+# The shares of workspaces are compared over this number of seconds.
+FAIR_SECONDS = 6
 
 
 @dataclass
@@ -45,6 +47,14 @@
     prefilled_again_tokens: float = 0.0
     copied_tokens: float = 0.0
     cross_domain_bytes: int = 0
+    # Tries that were refused, and those that were refused while an engine was idle.
+    refused_tries: int = 0
+    refused_tries_while_idle: int = 0
+    # By workspace and second: share cost tokens asked for, each call once, and begun, and the tries
+    # that were refused or answered late.
+    asked_tokens: Counter[tuple[str, int]] = field(default_factory=Counter)
+    begun_tokens: Counter[tuple[str, int]] = field(default_factory=Counter)
+    shortages: Counter[tuple[str, int]] = field(default_factory=Counter)
 
     def add_answered(self, call: Call, first_token_ms: float) -> None:
         """Count a call whose first token arrived `first_token_ms` after the call."""
@@ -54,6 +64,43 @@
             else:
                 outcome.late += 1
 
+    def add_asked(self, call: Call) -> None:
+        """Count the tokens of a call that is sent for the first time."""
+        self.asked_tokens[call.workspace, int(call.at_ms // 1_000)] += call.prompt.share_cost_tokens
+
+    def add_begun(self, call: Call, at_ms: float, first_token_ms: float) -> None:
+        """Count the tokens of a response that begins at `at_ms` of the simulation."""
+        key = (call.workspace, int(at_ms // 1_000))
+        self.begun_tokens[key] += call.prompt.share_cost_tokens
+        if first_token_ms > call.kind.goal_ms:
+            self.shortages[key] += 1
+
+    def add_refused_try(self, workspace: str, at_ms: float, engine_is_idle: bool) -> None:
+        """Count a refusal, which the caller may follow by another try."""
+        self.refused_tries += 1
+        self.refused_tries_while_idle += engine_is_idle
+        self.shortages[workspace, int(at_ms // 1_000)] += 1
+
+    def worst_share_ratio(self) -> float:
+        """Return the worst ratio of what a competing workspace began to what it was due.
+
+        Workspaces compete over `FAIR_SECONDS` if each second had a shortage for them. Due is what
+        it asked for, or what the best served of them began if that is less.
+        """
+        worst = 1.0
+        for first in {second for _, second in self.shortages}:
+            seconds = range(first, first + FAIR_SECONDS)
+            competing = [
+                name
+                for name in self.by_workspace
+                if all(self.shortages[name, second] for second in seconds)
+            ]
+            begun = [sum(self.begun_tokens[name, item] for item in seconds) for name in competing]
+            for name, got in zip(competing, begun, strict=True):
+                asked = sum(self.asked_tokens[name, item] for item in seconds)
+                worst = min(worst, got / max(1, min(asked, max(begun))))
+        return worst
+
     def add_refused(self, call: Call) -> None:
         """Count a call that got no response."""
         for outcome in self._outcomes_of(call):
