Keep a request that runs out of the table's reach, and log pressure on connections

The stage of a connection changed only when its reader asked for more after the last piece. A body that was complete in one piece stayed among those that may give way, so its running request ended without an answer. Two tests guard it; both got no answer before.

A byte that ends a chunk no longer ends the delays of a trickling sender. A body that breaks off on a listener with the plain handler leaves no traceback in the log. Connections that give way or are refused are logged at most once a second as connections_pressed.

--- a/src/jacinthcove/ingress/body.py
+++ b/src/jacinthcove/ingress/body.py
@@ -1,5 +1,6 @@
 """Reads the body of a request in large steps, with bounds on all that is not its content."""
 
+import errno
 import io
 import re
 
@@ -24,6 +25,10 @@
 class BodyBrokenError(OSError):
     """The connection ended before the body did."""
 
+    def __init__(self, message: str):
+        # The WSGI server logs the traceback of errors with other numbers.
+        super().__init__(errno.EPIPE, message)
+
 
 class RequestBody:
     """A body whose end is given by its length; `is_complete` once all of it was read."""
--- a/src/jacinthcove/ingress/gate.py
+++ b/src/jacinthcove/ingress/gate.py
@@ -5,7 +5,7 @@
 import structlog
 
 from jacinthcove.clock import Clock, SystemClock
-from jacinthcove.ingress.connections import ConnectionTable
+from jacinthcove.ingress.connections import CallerConnection, ConnectionTable
 from jacinthcove.ingress.limits import (
     DEFAULT_ADDRESS_FRACTION,
     DEFAULT_RECEIVE_BUFFER_BYTES,
@@ -18,7 +18,7 @@
 
 DEFAULT_CONNECTIONS = 256
 
-# At most one log line about refused connections in this time.
+# At most one log line about connections that give way or are refused in this time.
 LOG_PERIOD_MS = 1_000
 
 
@@ -63,17 +63,27 @@
         for name, read in gauges.items():
             metrics.gauge(name, listener=self.name).read = read
 
-    def log_refused_connection(self, address: str) -> None:
-        """Log that a connection found no room, at most once in `LOG_PERIOD_MS`."""
+    def admit(self, connection: CallerConnection) -> bool:
+        """Add a new connection, which may close another, and return whether there is room."""
+        evictions = self.connections.evictions
+        admitted = self.connections.admit(connection)
+        if not admitted or self.connections.evictions > evictions:
+            self._log_pressure(connection.address)
+        return admitted
+
+    def _log_pressure(self, address: str) -> None:
+        """Log that connections have to give way, at most once in `LOG_PERIOD_MS`."""
         now = self.clock.now()
         if self.logged_at is not None and now - self.logged_at < LOG_PERIOD_MS:
             return
         self.logged_at = now
         log.warning(
-            "connections_refused",
+            "connections_pressed",
             listener=self.name,
             address=address,
+            of_address=self.connections.by_address[address],
             open=len(self.connections),
+            evicted=self.connections.evictions,
             refused=self.connections.refusals,
         )
 
--- a/src/jacinthcove/ingress/handler.py
+++ b/src/jacinthcove/ingress/handler.py
@@ -12,11 +12,11 @@
 
 import gevent
 import structlog
-from gevent.pywsgi import WSGIHandler
+from gevent.pywsgi import WSGIHandler, _InvalidClientInput
 
 from jacinthcove.gateway.callererrors import MalformedRequest
 from jacinthcove.gateway.model import CallerLimits
-from jacinthcove.ingress.body import CONTINUE, ChunkedBody, RequestBody
+from jacinthcove.ingress.body import CONTINUE, BodyBrokenError, ChunkedBody, RequestBody
 from jacinthcove.ingress.connections import Stage
 from jacinthcove.ingress.gate import Gate
 from jacinthcove.ingress.limits import LARGE_RECEIVE_BUFFER_BYTES
@@ -76,7 +76,8 @@
             self.turn_bytes = 0
             gevent.sleep(0)
         piece = self.body.read_piece()
-        if not piece:
+        if self.body.is_complete:
+            # From here on the request may run, so it must not be refused for others.
             self.handler.connections.move(self.handler, Stage.BUSY)
         self.read_bytes += len(piece)
         self.turn_bytes += len(piece)
@@ -89,10 +90,14 @@
         """
         limits = self.handler.limits
         wanted = limits.max_body_bytes + 1 if size < 0 else size
-        with gevent.Timeout(limits.idle_timeout_ms / 1000, OSError("the body did not arrive")):
-            found = bytearray(self.rest)
-            while len(found) < wanted and (piece := self.read_piece()):
-                found += piece
+        timed_out = BodyBrokenError("the body did not arrive in time")
+        found = bytearray(self.rest)
+        try:
+            with gevent.Timeout(limits.idle_timeout_ms / 1000, timed_out):
+                while len(found) < wanted and (piece := self.read_piece()):
+                    found += piece
+        except MalformedRequest as error:
+            raise _InvalidClientInput(str(error)) from error
         self.rest = bytes(found[wanted:])
         return bytes(found[:wanted])
 
@@ -183,8 +188,7 @@
     def handle(self) -> None:
         """Serve the requests of the connection, unless there are too many connections."""
         self.greenlet = gevent.getcurrent()
-        if not self.connections.admit(self):
-            self.server.gate.log_refused_connection(self.address)
+        if not self.server.gate.admit(self):
             self.close_now()
             return
         try:
--- a/src/jacinthcove/ingress/pacing.py
+++ b/src/jacinthcove/ingress/pacing.py
@@ -52,8 +52,11 @@
         if self.free_receives <= 0:
             gevent.sleep(self.pause_s)
         count = int(self.sock.recv_into(buffer))
-        if count >= min(SMALL_BYTES, len(buffer)):
+        if count >= SMALL_BYTES:
             self.begin_message()
+        elif count >= len(buffer):
+            # The reader wanted no more, such as the end of a chunk.
+            pass
         elif self.free_receives > 0:
             self.free_receives -= 1
         else:
--- a/tests/ingress/test_decided_heads.py
+++ b/tests/ingress/test_decided_heads.py
@@ -5,6 +5,7 @@
 from wire_bed import GatewayTestBed, chunk, read_response, request, responds_with, response
 
 from jacinthcove.gateway.model import CallerLimits
+from jacinthcove.ingress.connections import Stage
 
 BODY = b"b" * 4_194_304
 CHUNKED = "Transfer-Encoding: chunked\r\n"
@@ -105,3 +106,27 @@
     assert (status, fields["connection"]) == (503, "close")
     assert "retry-after" in fields
     assert len(bed.target.seen) == 1
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["with a length", "chunked"])
+def test_a_request_that_runs_does_not_give_way(bed, chunked):
+    """A request whose body was complete ended without an answer when connections ran short."""
+
+    def answer_later(target, sock, head):
+        gevent.sleep(0.3)
+        sock.sendall(response(head))
+
+    bed.target.script = answer_later
+    connections = bed.server.server.gate.connections
+    connections.address_limit = 2
+    connections.order = ((Stage.READING, 0),)
+    sock = send_head(bed, extra=CHUNKED if chunked else "Content-Length: 5\r\n")
+    gevent.sleep(0.05)
+    sock.sendall(chunk(b"small") + chunk(b"") if chunked else b"small")
+    gevent.sleep(0.05)
+    others = [bed.connect() for _ in range(6)]
+    gevent.sleep(0.05)
+    assert connections.refusals > 0
+    assert read_response(sock)[0] == 200
+    for other in others:
+        other.close()
