--- a/src/jacinthcove/ingress/handler.py
+++ b/src/jacinthcove/ingress/handler.py
@@ -97,6 +97,8 @@
                 while len(found) < wanted and (piece := self.read_piece()):
                     found += piece
         except MalformedRequest as error:
+            # The server answers 400 and closes the connection.
+            self.abandoned = True
             raise _InvalidClientInput(str(error)) from error
         self.rest = bytes(found[wanted:])
         return bytes(found[:wanted])
