Drop a refused body as long as it goes on, within the idle timeout

A slow client that sends all of its body before it reads would lose its answer if the connection ended after five seconds.

--- a/src/jacinthcove/ingress/handler.py
+++ b/src/jacinthcove/ingress/handler.py
@@ -27,9 +27,9 @@
 BUFFER_BYTES = 8_192
 # Empty lines before a request line are skipped up to this number.
 MAX_EMPTY_LINES = 2
-# The rest of a refused body is dropped for this long in all and between two pieces.
-MAX_DROPPING_MS = 5_000
-DROPPING_STALL_MS = 1_000
+# The rest of a refused body is dropped until it has not gone on for this long. A client that sends
+# all before it reads would lose its answer if the connection ended earlier.
+DROPPING_STALL_MS = 3_000
 # A connection that is closed with an unread body is read without decoding for this long.
 DRAIN_MS = 500
 DRAIN_BYTES = 16_384
@@ -122,7 +122,7 @@
         Abandons it if it takes too long or costs too much.
         """
         try:
-            with gevent.Timeout(MAX_DROPPING_MS / 1000, False):
+            with gevent.Timeout(self.handler.limits.idle_timeout_ms / 1000, False):
                 while self._drop_piece():
                     pass
         except (OSError, MalformedRequest):
