Test the failures around relay routers, and describe who calls the store

Each failure is played in virtual time with a new configuration each 0.7 s; no router may be late with one. Objects that mostly exist (mesh key, registration after an older copy) are read before they are created.

--- a/src/jacinthcove/platform/quarantinestore.py
+++ b/src/jacinthcove/platform/quarantinestore.py
@@ -28,7 +28,7 @@
     def put(self, combination: Combination) -> None:
         """Add a combination unless it is kept already; raises `StoreUnavailable`."""
         spec = {"parts": sorted(combination)}
-        self.store_client.ensure(QUARANTINE_KIND, object_name(combination), spec)
+        self.store_client.create(QUARANTINE_KIND, object_name(combination), spec)
 
     def delete(self, combination: Combination) -> None:
         """Remove a combination if it is kept; raises `StoreUnavailable`."""
--- a/src/jacinthcove/platform/registration.py
+++ b/src/jacinthcove/platform/registration.py
@@ -35,15 +35,9 @@
         self.may_be_first_start = False
 
     def load_key(self) -> str:
-        """Return the mesh key of the fleet, which the first router creates.
-
-        It is read first, as one call is enough whenever another router has created it.
-        """
-        stored = self.store_client.get(SECRETS_KIND, MESH_SECRET)
-        if stored is None:
-            new = {"key": secrets.token_hex(16)}
-            stored = self.store_client.ensure(SECRETS_KIND, MESH_SECRET, new)
-        self.key = str(stored.spec["key"])
+        """Return the mesh key of the fleet, which the first router creates."""
+        new = {"key": secrets.token_hex(16)}
+        self.key = str(self._get_or_create(SECRETS_KIND, MESH_SECRET, new).spec["key"])
         return self.key
 
     def register(self) -> list[KindObject]:
@@ -69,11 +63,16 @@
         """Write again what an older copy of the store lacks."""
         if includes_key and self.key is not None:
             spec = {"key": self.key}
-            stored = self.store_client.ensure(SECRETS_KIND, MESH_SECRET, spec)
+            stored = self._get_or_create(SECRETS_KIND, MESH_SECRET, spec)
             self._correct(SECRETS_KIND, stored, spec)
-        stored = self.store_client.ensure(ROUTERS_KIND, self.me.id, self.spec)
+        stored = self._get_or_create(ROUTERS_KIND, self.me.id, self.spec)
         self._correct(ROUTERS_KIND, stored, self.spec)
 
+    def _get_or_create(self, kind: str, name: str, spec: dict[str, str]) -> KindObject:
+        """Read an object that mostly exists, which takes one call instead of two."""
+        stored = self.store_client.get(kind, name)
+        return stored if stored is not None else self.store_client.ensure(kind, name, spec)
+
     def _correct(self, kind: str, stored: KindObject, spec: dict[str, str]) -> None:
         if stored.spec == spec:
             return
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -46,13 +46,12 @@
 LAST_PULL_WAIT_MS = 200
 # A deputy gives up earlier, so that it has word of the store when the other routers ask it.
 DEPUTY_MARGIN_MS = 200
-# How long a router keeps to the alternative (the store itself, or fallback routers) after a
-# failure.
+# How long a router keeps to the alternative after a failure.
 FALLBACK_MS = 3_000
 # What fallback routers know is older than this only if they have lost the store, too.
 MAX_FALLBACK_AGE_MS = 3_000
-# A relay router waits only this fraction of the time in which a change applies, because while its
-# watch is silent the data of all routers that ask it gets older.
+# A relay router waits only this fraction of that time, because while its watch is silent the data
+# of all routers that ask it gets older.
 RELAY_WAIT_FRACTION = 1 / 3
 MIN_WAIT_MS = 300
 # The first watch of the store after word of other routers, as the store may not reply to this one.
@@ -63,10 +62,9 @@
 MAX_ASK_PAUSE_MS = 1_000
 # How many others than the relay router are asked again for a list.
 REPEATED_ALTERNATIVES = 2
-# A relay router that starts together with its deputies lists the store in this time.
+# In this time a relay router lists the store that starts together with its deputies.
 DEPUTY_LIST_DELAY_MS = 200
-# Longest pauses between the calls of a router to a store that fails. A relay router is back within
-# its pause and a time-out, so its pause is far below the shortest bound.
+# Longest pauses between calls to a store that fails. A relay router's is far below all bounds.
 RELAY_PAUSE_MS = 600
 DEPUTY_PAUSE_MS = 1_500
 # The routers of a failure domain that are neither call a store that no router knows this often
@@ -247,6 +245,7 @@
             except PeerUnavailable:
                 found, reason = None, "no_router_replies"
             if found is None and reason is not None:
+                log.info("store_asked_directly", kind=kind, reason=reason)
                 found = ask_store(reason)
             if found is not None:
                 self.last_resort_at = None
--- a/tests/store/calls_bed.py
+++ b/tests/store/calls_bed.py
@@ -20,7 +20,6 @@
     DRAINED_DOMAINS_KIND,
     QUARANTINE_KIND,
     ROLLOUTS_KIND,
-    SECRETS_KIND,
     TARGETS_KIND,
 )
 from jacinthcove.platform.registration import Registration
@@ -98,6 +97,7 @@
         self.number, self.era = 1, 1
         self.objects = {}
         self.history = []
+        self.forgotten = 0
         self.changed = Event()
         self.calls = Counter()
         self.calls_by_router = Counter()
@@ -114,6 +114,22 @@
         self.wake()
         return item
 
+    def copy(self):
+        return self.number, dict(self.objects)
+
+    def restore(self, copy):
+        """Come back from a copy: the revisions since are given out again in a new era."""
+        self.number, objects = copy
+        self.objects = dict(objects)
+        self.history = [entry for entry in self.history if entry[0] <= self.number]
+        self.era += 1
+        self.wake()
+
+    def forget(self):
+        """Drop the history, so that older watches end with `HistoryGone`."""
+        self.forgotten = self.number
+        self.wake()
+
     def wake(self):
         event, self.changed = self.changed, Event()
         event.set()
@@ -129,6 +145,7 @@
     def __init__(self, store, router):
         self.store, self.clock, self.router = store, store.clock, router
         self.era = store.era
+        self.on_restored = lambda era: None
 
     def list_all(self, kind):
         self._call(kind, "list")
@@ -158,14 +175,14 @@
         while not self._since(kind, revision) and self.clock.ms < ends_at:
             if self.store.fault(self.router) == "reset":
                 raise StoreUnavailable("connection reset")
-            if revision.era != self.store.era:
+            if revision.era != self.store.era or revision.number < self.store.forgotten:
                 break
             self.clock.wait(self.store.changed, min(50, ends_at - self.clock.ms))
         if self.store.fault(self.router) == "silent":
             self.clock.sleep(ends_at + WATCH_SLACK_MS - self.clock.ms)
             raise StoreUnavailable("silent")
-        if revision.era != self.store.era:
-            raise HistoryGone("another copy")
+        if revision.era != self.store.era or revision.number < self.store.forgotten:
+            raise HistoryGone("another copy, or no history")
         changes = self._since(kind, revision)
         current = StoreRevision(self.store.era, self.store.number)
         return Result(changes, current, 0 if changes else wait_ms)
@@ -180,6 +197,9 @@
         self.clock.sleep(timeout_ms if fault == "silent" else STORE_MS)
         if fault is not None:
             raise StoreUnavailable(fault)
+        if self.store.era > self.era:
+            self.era = self.store.era
+            gevent.spawn(self.on_restored, self.era)
 
 
 class Links:
@@ -243,6 +263,11 @@
             for kind in KINDS
         ]
         self.registration = Registration(self.view, member(id))
+        self.view.on_restored = self._list_again
+
+    def _list_again(self, era):
+        for watch in self.watches:
+            watch.restart(era)
 
     def start(self):
         self.source.start_wait.started_at = self.clock.ms
@@ -279,9 +304,15 @@
         self.store = CountingStore(self.clock)
         self.links = Links(self.clock)
         self.alive = ()
+        self.config_period_ms = CONFIG_PERIOD_MS
+        # Configurations and when they were written, and the routers that were late with one.
+        self.written = []
+        self.late = []
         self.ids = [f"{'abcdefgh'[d]}-{n}" for d in range(domains) for n in range(size)]
         self.routers = {id: SimulatedRouter(self, id) for id in self.ids}
         self.greenlets = []
+        # Routers that were killed or are cut off from everything.
+        self.gone = set()
         self.store.put(CONFIG_KIND, "main", 0)
         for number in range(40):
             self.store.put(TARGETS_KIND, f"target-{number}", number)
@@ -293,9 +324,18 @@
     def remove(self, id):
         """End a router at once; the others notice at the next look at their tables."""
         self.routers[id].close()
+        self.gone.add(id)
         self.links.silent.add(id)
         self.alive = tuple(item for item in self.alive if item.id != id)
 
+    def restart(self, id):
+        """Start a router anew whose mesh key is known, as the first call is not rejected yet."""
+        router = self.routers[id] = SimulatedRouter(self, id)
+        router.registration.key = ""
+        router.registration.load_key = lambda: ""
+        router.registration.register = lambda: list(self.store.listed("routers").objects)
+        router.start()
+
     def start(self):
         started_at = self.clock.ms
         for router in self.routers.values():
@@ -327,8 +367,18 @@
 
     def _change_config(self):
         for number in itertools.count(1):
-            self.clock.sleep(CONFIG_PERIOD_MS)
+            self.clock.sleep(self.config_period_ms)
             self.store.put(CONFIG_KIND, "main", number)
+            self.written.append((number, self.clock.ms))
+            self.clock.at(self.clock.ms + BOUNDS.apply_ms, lambda number=number: self.check(number))
+
+    def check(self, number):
+        """Note the routers that do not have a configuration that has to be in force."""
+        if number in {written for written, _ in self.written}:
+            for id, router in self.routers.items():
+                known = router.followers[CONFIG_KIND].specs.get("main", 0)
+                if id not in self.gone and known < number:
+                    self.late.append((id, number, known, self.clock.ms))
 
     def _change_targets(self):
         for number in itertools.count(1):
@@ -356,13 +406,19 @@
 }
 
 
-def play_day(monkeypatch, fault, domains, size, day_ms=DAY_MS):
-    """Play one day and return its fleet, which is closed."""
+def start_fleet(monkeypatch, domains, size):
+    """Start a fleet whose pauses pass in its virtual time."""
     random.seed(7)
     fleet = SimulatedFleet(domains, size)
     pause = SimpleNamespace(sleep=lambda duration_s: fleet.clock.sleep(duration_s * 1000))
     monkeypatch.setattr(kindwatch, "gevent", pause)
     fleet.start()
+    return fleet
+
+
+def play_day(monkeypatch, fault, domains, size, day_ms=DAY_MS):
+    """Play one day and return its fleet, which is closed."""
+    fleet = start_fleet(monkeypatch, domains, size)
     begin, end = OUTAGE_MS
     fleet.run(begin)
     before = fleet.store.calls.copy()
@@ -383,6 +439,3 @@
         f"{kind:>22} {call:>7} {count:6} {fleet.outage_calls[kind, call]:6}"
         for (kind, call), count in sorted(total.items())
     ] + [f"{'all':>30} {total.total():6} {fleet.outage_calls.total():6}"]
-
-
-__all__ = ["FAULTS", "KINDS", "SECRETS_KIND", "play_day", "rows"]
