--- a/src/jacinthcove/store/startwait.py
+++ b/src/jacinthcove/store/startwait.py
@@ -10,9 +10,10 @@
 from jacinthcove.store.relayroles import MIN_ROUTERS, RelayRoles
 
 RESTART_LIMIT_MS = 400
-FIRST_START_LIMIT_MS = 2_000
-# In a first start the members count as known when none was added for this time.
-SETTLED_MS = 400
+FIRST_START_LIMIT_MS = 2_500
+# In a first start the members count as known when none was added for this time. Routers that joined
+# later are heard of within about a second.
+SETTLED_MS = 1_200
 POLL_MS = 20
 # A router that reads the store itself may become the relay router soon after its start. Others do
 # not use its word while it waits long for its first changes, so these watches are short.
