--- a/tests/store/calls_bed.py
+++ b/tests/store/calls_bed.py
@@ -3,14 +3,12 @@
 It runs the real `KindWatch`, `RelayedSource` and `Registration` over a fake store and fake links.
 """
 
-import heapq
 import itertools
 import random
-from collections import Counter
 from types import SimpleNamespace
 
 import gevent
-from gevent.event import Event
+from counting_store import CountingStore, View, VirtualClock
 from relay_bed import Follower
 
 from jacinthcove.errors import PeerUnavailable, StoreUnavailable
@@ -20,15 +18,12 @@
     DRAINED_DOMAINS_KIND,
     QUARANTINE_KIND,
     ROLLOUTS_KIND,
-    SECRETS_KIND,
     TARGETS_KIND,
 )
 from jacinthcove.platform.registration import Registration
 from jacinthcove.platform.watchwaits import apply_times, watch_waits
 from jacinthcove.store import kindwatch
 from jacinthcove.store.changelog import ChangeLog
-from jacinthcove.store.kinds import Change, HistoryGone, KindObject, Listing, StoreRevision
-from jacinthcove.store.kinds import WatchResult as Result
 from jacinthcove.store.kindwatch import KindWatch
 from jacinthcove.store.relay import RelayedSource
 
@@ -38,10 +33,9 @@
 START_SPREAD_MS = 300
 # From the start of the exchange with other routers until their tables are known.
 JOIN_MS = 150
-STORE_MS = 2
+# Until a router that has joined is known to those that joined before it.
+GOSSIP_MS = 1_000
 LINK_MS = 1
-CALL_TIMEOUT_MS = 800
-WATCH_SLACK_MS = 600
 DIGEST_PERIOD_MS = 200
 DIGEST_AGE_MS = 100
 OUTAGE_MS = (20_000, 28_000)
@@ -52,136 +46,6 @@
 SEEDS = 8
 
 
-class VirtualClock:
-    """Advances to the next timer whenever all greenlets wait."""
-
-    def __init__(self):
-        self.ms = 1_000
-        self.timers = []
-        self.numbers = itertools.count()
-
-    def now(self):
-        return self.ms
-
-    boot = wall = now
-
-    def at(self, time_ms, action):
-        heapq.heappush(self.timers, (time_ms, next(self.numbers), action))
-
-    def sleep(self, duration_ms):
-        self.wait(Event(), duration_ms)
-
-    def wait(self, event, duration_ms):
-        done = Event()
-        wake = lambda _: done.set()  # noqa: E731 - the same object is unlinked
-        event.rawlink(wake)
-        self.at(self.ms + max(1, round(duration_ms)), done.set)
-        done.wait()
-        event.unlink(wake)
-        return event.is_set()
-
-    def run(self, until_ms):
-        gevent.idle()
-        while self.timers and self.timers[0][0] <= until_ms:
-            self.ms = self.timers[0][0]
-            while self.timers and self.timers[0][0] == self.ms:
-                heapq.heappop(self.timers)[2]()
-            gevent.idle()
-        self.ms = max(self.ms, until_ms)
-
-
-class CountingStore:
-    """All kinds of a store; `fault(router)` returns how it fails for a router at present."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.number, self.era = 1, 1
-        self.objects = {}
-        self.history = []
-        self.changed = Event()
-        self.calls = Counter()
-        self.calls_by_router = Counter()
-        self.fault = lambda router: None
-
-    def put(self, kind, name, spec, deleted=False):
-        self.number += 1
-        item = KindObject(name, self.number, spec)
-        if deleted:
-            del self.objects[kind, name]
-        else:
-            self.objects[kind, name] = item
-        self.history.append((self.number, kind, Change(item, deleted)))
-        self.wake()
-        return item
-
-    def wake(self):
-        event, self.changed = self.changed, Event()
-        event.set()
-
-    def listed(self, kind):
-        found = tuple(item for (k, _), item in self.objects.items() if k == kind)
-        return Listing(found, StoreRevision(self.era, self.number))
-
-
-class View:
-    """One router's access to the store, with the calls of `PlatformStoreClient`."""
-
-    def __init__(self, store, router):
-        self.store, self.clock, self.router = store, store.clock, router
-        self.era = store.era
-
-    def list_all(self, kind):
-        self._call(kind, "list")
-        return self.store.listed(kind)
-
-    def get(self, kind, name):
-        self._call(kind, "get")
-        return self.store.objects.get((kind, name))
-
-    def ensure(self, kind, name, spec):
-        self._call(kind, "create")
-        if (kind, name) not in self.store.objects:
-            self.store.put(kind, name, spec)
-            return KindObject(name, 0, spec)
-        return self.get(kind, name)
-
-    def create(self, kind, name, spec):
-        self._call(kind, "create")
-        if (kind, name) in self.store.objects:
-            return False
-        self.store.put(kind, name, spec)
-        return True
-
-    def watch(self, kind, revision, wait_ms):
-        self._call(kind, "watch", wait_ms + WATCH_SLACK_MS)
-        ends_at = self.clock.ms + wait_ms
-        while not self._since(kind, revision) and self.clock.ms < ends_at:
-            if self.store.fault(self.router) == "reset":
-                raise StoreUnavailable("connection reset")
-            if revision.era != self.store.era:
-                break
-            self.clock.wait(self.store.changed, min(50, ends_at - self.clock.ms))
-        if self.store.fault(self.router) == "silent":
-            self.clock.sleep(ends_at + WATCH_SLACK_MS - self.clock.ms)
-            raise StoreUnavailable("silent")
-        if revision.era != self.store.era:
-            raise HistoryGone("another copy")
-        changes = self._since(kind, revision)
-        current = StoreRevision(self.store.era, self.store.number)
-        return Result(changes, current, 0 if changes else wait_ms)
-
-    def _since(self, kind, revision):
-        return [c for at, k, c in self.store.history if at > revision.number and k == kind]
-
-    def _call(self, kind, call, timeout_ms=CALL_TIMEOUT_MS):
-        self.store.calls[kind, call] += 1
-        self.store.calls_by_router[self.router] += 1
-        fault = self.store.fault(self.router)
-        self.clock.sleep(timeout_ms if fault == "silent" else STORE_MS)
-        if fault is not None:
-            raise StoreUnavailable(fault)
-
-
 class Links:
     """Calls between the routers of a fleet; routers in `silent` do not reply."""
 
@@ -213,14 +77,22 @@
 
 
 class Table:
-    """The members that a router knows: all that have joined."""
+    """The members that a router knows: those that joined before it, later ones after a time."""
 
     def __init__(self, fleet, id):
         self.fleet = fleet
         self.me = member(id)
+        self.joined_at = fleet.clock.ms
 
     def alive(self):
-        return self.fleet.alive
+        now, joined_at = self.fleet.clock.ms, self.fleet.joined_at
+        if now - max(joined_at.values()) >= GOSSIP_MS:
+            return self.fleet.alive
+        return tuple(
+            item
+            for item in self.fleet.alive
+            if joined_at[item.id] <= self.joined_at or now - joined_at[item.id] >= GOSSIP_MS
+        )
 
 
 def member(id):
@@ -243,6 +115,11 @@
             for kind in KINDS
         ]
         self.registration = Registration(self.view, member(id))
+        self.view.on_restored = self._list_again
+
+    def _list_again(self, era):
+        for watch in self.watches:
+            watch.restart(era)
 
     def start(self):
         self.source.start_wait.started_at = self.clock.ms
@@ -259,6 +136,7 @@
         registered = self._retry(self.registration.register)
         is_first = self.registration.may_be_first_start
         self.source.start_wait.record_start(is_first, max(SEEDS, len(registered)))
+        self.source.serve(self.fleet.links.peers(self.id))
         self.clock.sleep(JOIN_MS)
         self.fleet.add(self.id)
         self.source.join(Table(self.fleet, self.id), self.fleet.links.peers(self.id))
@@ -279,9 +157,16 @@
         self.store = CountingStore(self.clock)
         self.links = Links(self.clock)
         self.alive = ()
+        self.joined_at = {}
+        self.config_period_ms = CONFIG_PERIOD_MS
+        # Configurations and when they were written, and the routers that were late with one.
+        self.written = []
+        self.late = []
         self.ids = [f"{'abcdefgh'[d]}-{n}" for d in range(domains) for n in range(size)]
         self.routers = {id: SimulatedRouter(self, id) for id in self.ids}
         self.greenlets = []
+        # Routers that were killed or are cut off from everything.
+        self.gone = set()
         self.store.put(CONFIG_KIND, "main", 0)
         for number in range(40):
             self.store.put(TARGETS_KIND, f"target-{number}", number)
@@ -289,13 +174,23 @@
     def add(self, id):
         if id not in {item.id for item in self.alive}:
             self.alive += (member(id),)
+            self.joined_at[id] = self.clock.ms
 
     def remove(self, id):
         """End a router at once; the others notice at the next look at their tables."""
         self.routers[id].close()
+        self.gone.add(id)
         self.links.silent.add(id)
         self.alive = tuple(item for item in self.alive if item.id != id)
 
+    def restart(self, id):
+        """Start a router anew whose mesh key is known, as the first call is not rejected yet."""
+        router = self.routers[id] = SimulatedRouter(self, id)
+        router.registration.key = ""
+        router.registration.load_key = lambda: ""
+        router.registration.register = lambda: list(self.store.listed("routers").objects)
+        router.start()
+
     def start(self):
         started_at = self.clock.ms
         for router in self.routers.values():
@@ -327,8 +222,22 @@
 
     def _change_config(self):
         for number in itertools.count(1):
-            self.clock.sleep(CONFIG_PERIOD_MS)
+            self.clock.sleep(self.config_period_ms)
             self.store.put(CONFIG_KIND, "main", number)
+            self.written.append((number, self.clock.ms))
+            self.clock.at(self.clock.ms + BOUNDS.apply_ms, lambda number=number: self.check(number))
+
+    def check(self, number):
+        """Note the routers that do not have a configuration that has to be in force.
+
+        A router without its first lists serves nothing yet.
+        """
+        if number in {written for written, _ in self.written}:
+            for id, router in self.routers.items():
+                known = router.followers[CONFIG_KIND].specs.get("main", 0)
+                serves = all(watch.listed for watch in router.watches)
+                if serves and id not in self.gone and known < number:
+                    self.late.append((id, number, known, self.clock.ms))
 
     def _change_targets(self):
         for number in itertools.count(1):
@@ -356,13 +265,19 @@
 }
 
 
-def play_day(monkeypatch, fault, domains, size, day_ms=DAY_MS):
-    """Play one day and return its fleet, which is closed."""
+def start_fleet(monkeypatch, domains, size):
+    """Start a fleet whose pauses pass in its virtual time."""
     random.seed(7)
     fleet = SimulatedFleet(domains, size)
     pause = SimpleNamespace(sleep=lambda duration_s: fleet.clock.sleep(duration_s * 1000))
     monkeypatch.setattr(kindwatch, "gevent", pause)
     fleet.start()
+    return fleet
+
+
+def play_day(monkeypatch, fault, domains, size, day_ms=DAY_MS):
+    """Play one day and return its fleet, which is closed."""
+    fleet = start_fleet(monkeypatch, domains, size)
     begin, end = OUTAGE_MS
     fleet.run(begin)
     before = fleet.store.calls.copy()
@@ -383,6 +298,3 @@
         f"{kind:>22} {call:>7} {count:6} {fleet.outage_calls[kind, call]:6}"
         for (kind, call), count in sorted(total.items())
     ] + [f"{'all':>30} {total.total():6} {fleet.outage_calls.total():6}"]
-
-
-__all__ = ["FAULTS", "KINDS", "SECRETS_KIND", "play_day", "rows"]
