Set no share level before the first answers are due

At a start every workspace was over its share: what was asked for was compared with what began, and nothing can have begun before the time to the first token has passed. The level is now unlimited until half of the first window has passed, as the rate of given tokens is; the limits of queues at the engines hold meanwhile.

--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -114,7 +114,7 @@
         add_usage(totals, self.others.sum())
         self.window_usage = totals
         given = sum(usage.given for usage in totals.values())
-        if self.clock.now() - self.started_at >= self.window_ms // 2:
+        if self._first_answers_were_due():
             self.given_tokens_per_s = 1_000 * given / self.window_ms
         self._measure_capacity()
         self._adjust_headroom()
@@ -122,11 +122,18 @@
         asked = [float(usage.asked) for usage in totals.values()]
         contended = sum(asked) * CONTENDED_FRACTION > begun
         self.fair_share = float("inf")
-        if contended:
+        if contended and self._first_answers_were_due():
             self.fair_share = max_min_share(asked, self._window_capacity(begun))
         if self.fair_share != float("inf"):
             self._log_contended(given, begun)
 
+    def _first_answers_were_due(self) -> bool:
+        """Return whether what began can be compared with what was asked for.
+
+        Before half of the first window has passed, most of what was asked for cannot have begun.
+        """
+        return self.clock.now() - self.started_at >= self.window_ms // 2
+
     def _measure_capacity(self) -> None:
         if self.engine_loads is not None:
             begun = sum(usage.begun_lately for usage in self.window_usage.values())
--- a/tests/capacity/test_capacity_shares.py
+++ b/tests/capacity/test_capacity_shares.py
@@ -4,7 +4,7 @@
 
 from jacinthcove.capacity.engineload import EngineLoad
 from jacinthcove.clock import ManualClock
-from jacinthcove.gateway.shares import MAX_HEADROOM, ShareLedger
+from jacinthcove.gateway.shares import MAX_HEADROOM, ShareLedger, Standing
 from jacinthcove.gateway.workspaceusage import TICK_MS
 
 WINDOW_MS = 4_000
@@ -78,3 +78,16 @@
     run(ledger, clock, 2 * WINDOW_TICKS, hot=(10_000, 2_000))
     run(ledger, clock, WINDOW_TICKS, hot=(10_000, 800))
     assert ledger.fair_share == 800 * WINDOW_TICKS
+
+
+def test_nobody_is_over_its_share_before_the_first_answers_are_due(ledger, clock):
+    """A start at full load: nothing has begun, which says nothing of what the engines can do."""
+    ticks = WINDOW_TICKS // 2 - 1
+    for _ in range(ticks):
+        ledger.record_demand("hot", 10_000)
+        ledger.record_admission("hot", 10_000)
+        run(ledger, clock, 1, small=(100, 0))
+        assert ledger.standing("hot") is Standing.WITHIN
+        assert ledger.admitted_fraction("hot") == 1.0
+    run(ledger, clock, 1, hot=(10_000, 500))
+    assert ledger.standing("hot") is Standing.OVER
