Count a request once in the demand when its caller retries at one router

Each try counted as demand, so a workspace whose requests were refused seemed to ask for up to three times what its callers did.

A router now remembers what it refused, by workspace and prompt shape, and does not count the next request of that shape again. A refusal is matched once: of a workspace whose prompts are all alike every request would match. Retries at other routers still count.

--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -12,6 +12,7 @@
 
 from jacinthcove.capacity.engineload import RegistryEngineLoad
 from jacinthcove.capacity.gauges import show_capacity
+from jacinthcove.capacity.retries import RefusedRequests
 from jacinthcove.clock import Clock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
@@ -53,7 +54,8 @@
 
     `avoid` are the ids of targets that earlier attempts used. `counted`: an earlier attempt was
     charged to the workspace already. `over_share`: part of what its workspace sends beyond its
-    share, to be served only by an engine with room, and to be rejected otherwise.
+    share, to be served only by an engine with room, and to be rejected otherwise. `returned`: this
+    router refused it before, and its demand is counted already.
     """
 
     request: GatewayRequest
@@ -63,6 +65,7 @@
     give_up_at: int
     counted: bool = False
     over_share: bool = False
+    returned: bool = False
 
 
 class Admission:
@@ -92,6 +95,7 @@
         ledger.engine_loads = RegistryEngineLoad(
             clock, registry, lambda: self.services, lambda: self.min_goals_ms
         )
+        self.refused = RefusedRequests(clock, ledger.window_ms)
         # Times (monotonic ms) until which excess requests of a service are rejected unexamined.
         self.no_room_until: dict[str, int] = {}
         show_capacity(decisions.metrics, ledger)
@@ -150,12 +154,15 @@
         first attempt, and its tokens count as demand of the workspace.
         """
         give_up_at = self.clock.now() + int(MAX_WAIT_FRACTION * request.route.latency_goal_ms)
+        returned = self.refused.take(request)
         if not avoid:
-            self.ledger.record_demand(request.workspace, request.prompt.share_cost_tokens)
+            ledger = self.ledger
+            record = ledger.record_retry if returned else ledger.record_demand
+            record(request.workspace, request.prompt.share_cost_tokens)
         plan = self.rollouts.plan(service, request.route.name)
         give_up_at = min(give_up_at, request.deadline)
         over = not avoid and self._is_over_share(request)
-        return PendingRequest(request, service, avoid, plan, give_up_at, counted, over)
+        return PendingRequest(request, service, avoid, plan, give_up_at, counted, over, returned)
 
     def _is_over_share(self, request: GatewayRequest) -> bool:
         """Return whether a request is beyond its workspace's share.
@@ -172,7 +179,12 @@
         Raises `RequestRefused` with a code that says that the request was not executed.
         """
         self.waiting.discard(pending.request.id)
-        choice = self._decide(pending)
+        try:
+            choice = self._decide(pending)
+        except RequestRefused:
+            if not pending.returned:
+                self.refused.record(pending.request)
+            raise
         if choice is None:
             self.waiting.add(pending.request.id)
         return choice
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -73,6 +73,7 @@
         self.window_ms = window_ms
         self.started_at = clock.now()
         self.own = OwnUsage(clock, window_ms)
+        self.own_retries = OwnUsage(clock, window_ms)
         self.others = PeerUsage(clock)
         self.fair_share = float("inf")
         # Tokens that all workspaces together were given per second over the window. Infinity means
@@ -88,6 +89,13 @@
         """Count the tokens of a request that a workspace sends."""
         self.own.current[workspace].asked += tokens
 
+    def record_retry(self, workspace: str, tokens: int) -> None:
+        """Count the tokens of a request that comes back to this router after a refusal.
+
+        They are no new demand, but one more try to which the admitted fraction applies.
+        """
+        self.own_retries.current[workspace].asked += tokens
+
     def record_admission(self, workspace: str, tokens: int) -> None:
         """Count the tokens of a request that is sent to a target."""
         self.own.current[workspace].given += tokens
@@ -110,6 +118,7 @@
     def tick(self) -> None:
         """End the current tick and recompute the fair share; called every `TICK_MS`."""
         self.own.tick()
+        self.own_retries.tick()
         totals = self.own.sum()
         add_usage(totals, self.others.sum())
         self.window_usage = totals
@@ -195,7 +204,16 @@
             return 1.0
         # All routers learn at the same time that a workspace is no longer over its share.
         least = MIN_MULTIPLES[self.standing(workspace)]
-        return min(1.0, max(least, self.headroom) * self.fair_share / max(1, usage.asked))
+        tried = usage.asked * self._tries_per_request(workspace)
+        return min(1.0, max(least, self.headroom) * self.fair_share / max(1, tried))
+
+    def _tries_per_request(self, workspace: str) -> float:
+        """Return how often callers send one request to this router, over the window."""
+        retried = self.own_retries.ended_total.get(workspace)
+        asked = self.own.ended_total.get(workspace)
+        if retried is None or asked is None:
+            return 1.0
+        return 1.0 + min(1.0, retried.asked / max(1, asked.asked))
 
     def return_after_ms(self, workspace: str, goal_ms: int, rng: Random) -> int:
         """Return the time after which a caller refused for its workspace's share should return."""
