--- a/src/jacinthcove/router/api.py
+++ b/src/jacinthcove/router/api.py
@@ -103,9 +103,8 @@
         self.metrics = metrics
         self.limits = limits
         self.max_requests = max_requests
-        gate = Gate("callers", _max_connections(max_requests))
-        gate.add_gauges(metrics)
-        self.server = BoundedServer(listen, self, gate, CallerHandler)
+        self.gate = Gate("callers", _max_connections(max_requests))
+        self.server = BoundedServer(listen, self, self.gate, CallerHandler)
         self.open_requests = 0
         self.last_request_at = clock.now()
         self.draining = False
--- a/src/jacinthcove/router/daemon.py
+++ b/src/jacinthcove/router/daemon.py
@@ -136,6 +136,7 @@
             RequestLimits(settings.max_deadline_ms, settings.max_body_bytes),
             settings.max_requests,
         )
+        self.api.gate.add_gauges(self.metrics)
 
     def config(self) -> FleetConfig:
         """Return the active configuration of this router."""
