Simulate engines of uneven speed and slow spells in the laboratory

The laboratory had equal engines only. Adds per-engine speed factors, spells, a fixed first-token time and the loads uneven and uneven-start.

--- a/src/jacinthcove/commands/lab.py
+++ b/src/jacinthcove/commands/lab.py
@@ -59,6 +59,7 @@
         for name in names:
             for seed in range(1, seeds + 1):
                 scenario = SCENARIOS[name]
-                results = Simulation(scenario.load, scenario.fleet, seed, seconds * 1_000).run()
+                duration_ms = min(seconds * 1_000, scenario.duration_ms or seconds * 1_000)
+                results = Simulation(scenario.load, scenario.fleet, seed, duration_ms).run()
                 self.line(format_results(name, seed, results))
         return 0
--- a/src/jacinthcove/lab/engine.py
+++ b/src/jacinthcove/lab/engine.py
@@ -1,7 +1,8 @@
 """A simulated model engine: batches, a prefix cache of prompt parts and a FIFO backlog."""
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from random import Random
 
 from jacinthcove.gateway.model import EngineCapacity, PromptShape
 
@@ -18,6 +19,34 @@
     prefill_tokens_per_ms: float = 112.0
     copy_tokens_per_ms: float = 2_500.0
     copy_setup_ms: float = 5.0
+    # Time between the batch that generates the first token and its arrival, whatever the prompt.
+    first_token_ms: float = 0.0
+
+    def scaled(self, factor: float) -> "EngineSpeed":
+        """Return the speed of an engine that is `factor` times as fast."""
+        return replace(
+            self,
+            batch_ms=self.batch_ms / factor,
+            batch_ms_per_slot=self.batch_ms_per_slot / factor,
+            prefill_tokens_per_ms=self.prefill_tokens_per_ms * factor,
+        )
+
+
+@dataclass(frozen=True)
+class SlowSpells:
+    """Spells in which an engine takes `slowdown` times as long.
+
+    Each spell covers a window of `window_ms`; the fraction `fraction` of all windows has one.
+    """
+
+    slowdown: float = 2.5
+    fraction: float = 0.15
+    window_ms: int = 600
+
+    def slowdown_at(self, now: float, engine_id: str, seed: int) -> float:
+        """Return how many times as long a batch takes that starts at `now`."""
+        drawn = Random(f"{seed} {engine_id} {int(now // self.window_ms)}").random()
+        return self.slowdown if drawn < self.fraction else 1.0
 
 
 @dataclass
@@ -58,6 +87,8 @@
     waiting: deque[EngineRequest] = field(default_factory=deque)
     running: dict[str, EngineRequest] = field(default_factory=dict)
     token_counts: EngineTokenCounts = field(default_factory=EngineTokenCounts)
+    spells: SlowSpells | None = None
+    spell_seed: int = 0
 
     def enqueue(self, id: str, prompt: PromptShape, source: "LabEngine | None") -> None:
         """Queue a request, and copy the shared parts that `source` has cached from there."""
@@ -85,6 +116,8 @@
         prefilled = self._prefill_chunk()
         duration = self.speed.batch_ms + self.speed.batch_ms_per_slot * len(self.running)
         duration += prefilled / self.speed.prefill_tokens_per_ms
+        if self.spells is not None:
+            duration *= self.spells.slowdown_at(now, self.id, self.spell_seed)
         started, ended = [], []
         for request in list(self.running.values()):
             if request.prefill_tokens_left > 0:
--- a/src/jacinthcove/lab/scenarios.py
+++ b/src/jacinthcove/lab/scenarios.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 
 from jacinthcove.gateway.model import EngineCapacity
+from jacinthcove.lab.engine import EngineSpeed, SlowSpells
 from jacinthcove.lab.simulation import LabFleet, LimitedEngines
 from jacinthcove.lab.traffic import HotWorkspace, Load, RequestKind
 
@@ -29,14 +30,22 @@
     same_domain_period_ms=250,
     cross_domain_period_ms=400,
 )
+# Engines of one service at 0.7, 0.7 and 1.7 of the nominal speed, each with slow spells.
+UNEVEN_FLEET = replace(
+    MANY_ENGINES_FLEET,
+    speed=EngineSpeed(prefill_tokens_per_ms=125.0, first_token_ms=60.0),
+    speed_factors=(0.7, 0.7, 1.7),
+    spells=SlowSpells(),
+)
 
 
 @dataclass(frozen=True)
 class Scenario:
-    """A load and the fleet that serves it."""
+    """A load and the fleet that serves it; `duration_ms` bounds the length of the play."""
 
     load: Load
     fleet: LabFleet = LabFleet()
+    duration_ms: int | None = None
 
 
 def scaled(kinds: tuple[RequestKind, ...], factor: float, **overrides: object) -> Load:
@@ -71,5 +80,10 @@
         scaled(MANY_KINDS, 0.8, workspaces=30, hot=(HotWorkspace(0, 6.0, 6_000, 14_000),)),
         MANY_ENGINES_FLEET,
     ),
+    "uneven": Scenario(scaled(MANY_KINDS, 0.9, workspaces=30), UNEVEN_FLEET),
+    # Routers and engines that know nothing yet.
+    "uneven-start": Scenario(
+        scaled(MANY_KINDS, 1.0, workspaces=30), replace(UNEVEN_FLEET, routers=60), 2_000
+    ),
     "large": Scenario(scaled(KINDS, 2.4), LabFleet(routers=24, engines=15)),
 }
--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -31,7 +31,7 @@
 from jacinthcove.gateway.targetrecord import TargetRecord
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.gateway.workspaceusage import TICK_MS
-from jacinthcove.lab.engine import EngineSpeed, LabEngine
+from jacinthcove.lab.engine import EngineSpeed, LabEngine, SlowSpells
 from jacinthcove.lab.results import Results
 from jacinthcove.lab.traffic import Call, Load, Traffic
 from jacinthcove.mesh.peers import Member
@@ -69,6 +69,9 @@
     # Interval of load reports to routers in the same failure domain, and to those in others.
     same_domain_period_ms: int = PERIOD_MS
     cross_domain_period_ms: int = CROSS_DOMAIN_PERIOD_MS
+    # Multiples of `speed`; in each failure domain, the engines get them in turn.
+    speed_factors: tuple[float, ...] = (1.0,)
+    spells: SlowSpells | None = None
 
 
 class IsolatedMesh:
@@ -186,7 +189,15 @@
         domains = [f"d{number}" for number in range(fleet.domains)]
         self.engines = {
             f"e{n}": LabEngine(
-                f"e{n}", domains[n % fleet.domains], fleet.capacity, fleet.speed, ever_prefilled
+                f"e{n}",
+                domains[n % fleet.domains],
+                fleet.capacity,
+                fleet.speed.scaled(
+                    fleet.speed_factors[n // fleet.domains % len(fleet.speed_factors)]
+                ),
+                ever_prefilled,
+                spells=fleet.spells,
+                spell_seed=seed,
             )
             for n in range(fleet.engines)
         }
@@ -295,10 +306,11 @@
             self.engines_in_batch.discard(engine.id)
             return
         duration, started, finished = engine.run_batch(now)
+        arrives_at = now + duration + engine.speed.first_token_ms
         for request in started:
-            self._schedule(now + duration, self._on_first_token, request.id)
+            self._schedule(arrives_at, self._on_first_token, request.id)
         for request in finished:
-            self._schedule(now + duration, self._on_response_end, request.id)
+            self._schedule(arrives_at, self._on_response_end, request.id)
         self._schedule(now + duration, self._run_batch, engine)
 
     def _on_first_token(self, now: float, id: str) -> None:
