--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -31,7 +31,7 @@
 from jacinthcove.gateway.targetrecord import TargetRecord
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.gateway.workspaceusage import TICK_MS
-from jacinthcove.lab.engine import EngineSpeed, LabEngine
+from jacinthcove.lab.engine import EngineSpeed, LabEngine, SlowSpells
 from jacinthcove.lab.results import Results
 from jacinthcove.lab.traffic import Call, Load, Traffic
 from jacinthcove.mesh.peers import Member
@@ -73,6 +73,9 @@
     # Interval of load reports to routers in the same failure domain, and to those in others.
     same_domain_period_ms: int = PERIOD_MS
     cross_domain_period_ms: int = CROSS_DOMAIN_PERIOD_MS
+    # Multiples of `speed`; in each failure domain, the engines get them in turn.
+    speed_factors: tuple[float, ...] = (1.0,)
+    spells: SlowSpells | None = None
 
 
 class IsolatedMesh:
@@ -178,6 +181,7 @@
         self.load = load
         self.fleet = fleet
         self.duration_ms = duration_ms
+        self.seed = seed
         self.rng = Random(seed)
         self.traffic = Traffic(load, seed)
         self.clock = ManualClock(now_ms=1_000_000)
@@ -188,10 +192,7 @@
         self.results = Results()
         self.ever_prefilled: set[str] = set()
         domains = [f"d{number}" for number in range(fleet.domains)]
-        self.engines = {
-            f"e{n}": self._new_engine(f"e{n}", domains[n % fleet.domains])
-            for n in range(fleet.engines)
-        }
+        self.engines = {f"e{n}": self._new_engine(n) for n in range(fleet.engines)}
         self.engines_in_batch: set[str] = set()
         self.routers = [
             LabRouter(f"r{n}", domains[n % fleet.domains], self.clock, load, fleet, self.rng)
@@ -201,9 +202,18 @@
             for engine in self.engines.values():
                 router.registry.put(target_record(engine), 1)
 
-    def _new_engine(self, id: str, domain: str) -> LabEngine:
-        capacity, speed = self.fleet.capacity, self.fleet.speed
-        return LabEngine(id, domain, capacity, speed, self.ever_prefilled)
+    def _new_engine(self, number: int) -> LabEngine:
+        fleet = self.fleet
+        factors = fleet.speed_factors
+        return LabEngine(
+            f"e{number}",
+            f"d{number % fleet.domains}",
+            fleet.capacity,
+            fleet.speed.scaled(factors[number // fleet.domains % len(factors)]),
+            self.ever_prefilled,
+            spells=fleet.spells,
+            spell_seed=self.seed,
+        )
 
     def run(self) -> Results:
         """Process all events and return the results."""
@@ -218,7 +228,7 @@
             )
             self._schedule(number * 5, self._tick, router)
         for engine, at in self.fleet.lost_engines:
-            self._schedule(at, self._lose_engine, f"e{engine}")
+            self._schedule(at, self._lose_engine, engine)
         while self.events:
             event = heapq.heappop(self.events)
             self.clock.now_ms = self.start + int(event.at_ms)
@@ -307,10 +317,11 @@
             self.engines_in_batch.discard(engine.id)
             return
         duration, started, finished = engine.run_batch(now)
+        arrives_at = now + duration + engine.speed.first_token_ms
         for request in started:
-            self._schedule(now + duration, self._on_first_token, request.id)
+            self._schedule(arrives_at, self._on_first_token, request.id)
         for request in finished:
-            self._schedule(now + duration, self._on_response_end, request.id)
+            self._schedule(arrives_at, self._on_response_end, request.id)
         self._schedule(now + duration, self._run_batch, engine)
 
     def _on_first_token(self, now: float, id: str) -> None:
@@ -350,8 +361,9 @@
         sim_call.router.admission.release(sim_call.request, sim_call.choice.target)
         self.results.add_answered(sim_call.call, sim_call.first_token_at - sim_call.call.at_ms)
 
-    def _lose_engine(self, now: float, id: str) -> None:
-        lost = self.engines.pop(id)
+    def _lose_engine(self, now: float, number: int) -> None:
+        id = f"e{number}"
+        del self.engines[id]
         self.engines_in_batch.discard(id)
         for router in self.routers:
             router.registry.delete(id, False)
@@ -359,10 +371,11 @@
         for key in lost_ids:
             self.results.add_refused(self.in_flight.pop(key).call)
         if self.fleet.return_after_ms:
-            self._schedule(now + self.fleet.return_after_ms, self._return_engine, id, lost.domain)
+            self._schedule(now + self.fleet.return_after_ms, self._return_engine, number)
 
-    def _return_engine(self, now: float, id: str, domain: str) -> None:
-        self.engines[id] = engine = self._new_engine(id, domain)
+    def _return_engine(self, now: float, number: int) -> None:
+        engine = self._new_engine(number)
+        self.engines[engine.id] = engine
         record = replace(target_record(engine), started_at=int(now), cold_for_ms=COLD_MS)
         for router in self.routers:
             router.registry.put(record, 2)
