--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -110,6 +110,8 @@
     raw_headers: Headers = ()
     # Whether it has been decided already that the next request is not refused for lateness.
     passed_early_check = False
+    # Whether the body of the request is in the buffer.
+    has_arrived = False
     # What another router says of the request that it passed on, None if none did.
     passed_on: PassedOn | None = None
     rfile: Any
@@ -209,15 +211,17 @@
 
     def has_whole_request(self) -> bool:
         """Return whether the body has arrived with the head, as that of most requests."""
+        self.has_arrived = False
         if self.wsgi_input.is_complete:
             return True
         if self.content_length is None:
             return False
         self.paced.offline = True
         try:
-            return len(self.rfile.peek(1)) >= self.content_length
+            self.has_arrived = len(self.rfile.peek(1)) >= self.content_length
         finally:
             self.paced.offline = False
+        return self.has_arrived
 
     def has_unread_body(self) -> bool:
         """Return whether some of the body was not read."""
@@ -233,6 +237,10 @@
             return b""
         if not kept.reserve(self.content_length or 0):
             raise BodyNotRead()
+        if self.has_arrived:
+            kept.finish()
+            self.wsgi_input.has_begun = True
+            return bytes(self.wsgi_input.read_piece())
         timed_out = MalformedRequest(408, "the body did not arrive in time")
         body = bytearray()
         kept.on_evicted = lambda: self._drop_received(body)
