--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -194,7 +194,7 @@
         standing = self.ledger.standing(request.workspace)
         if pending.over_share:
             standing = Standing.OVER
-            if self.clock.now() < self.no_room_until.get(service, 0):
+            if not self._may_examine_excess(service):
                 raise self._reject_over_share(pending)
         result = self._choose(request, service, pending.avoid, pending.plan, standing)
         if pending.over_share and isinstance(result, RejectReason):
@@ -216,6 +216,15 @@
             self.ledger.record_admission(request.workspace, request.prompt.share_cost_tokens)
         return result
 
+    def _may_examine_excess(self, service: str) -> bool:
+        """Return whether to look for an engine with room for a request beyond a share.
+
+        While many engines have a backlog, routers that take single places by reports some 0.2 s
+        old fill them with excess requests, and the answers of all workspaces come late.
+        """
+        searched_just_now = self.clock.now() < self.no_room_until.get(service, 0)
+        return not searched_just_now and not self.ledger.engines_have_backlog()
+
     def _reject_over_share(self, pending: PendingRequest) -> RequestRefused:
         reason, service = RejectReason.OVER_SHARE, pending.service
         self._log_rejection(pending.request, service, reason, pending.avoid)
--- a/src/jacinthcove/gateway/shares.py
+++ b/src/jacinthcove/gateway/shares.py
@@ -164,6 +164,11 @@
         load = self.capacity.load
         return load.ready > 0 and load.backlogged < MIN_BACKLOGGED_FRACTION
 
+    def engines_have_backlog(self) -> bool:
+        """Return whether at least half of the engines have a backlog; False if unknown."""
+        load = self.capacity.load
+        return load.ready > 0 and load.backlogged >= MIN_BACKLOGGED_FRACTION
+
     def _log_contended(self, given: int, begun: int) -> None:
         largest = sorted(self.window_usage.items(), key=lambda item: -item[1].asked)[:6]
         log.info(
--- a/tests/capacity/test_excess_requests.py
+++ b/tests/capacity/test_excess_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jacinthcove.capacity.engineload import EngineLoad
 from jacinthcove.clock import ManualClock
 from jacinthcove.codes import ResultCode
 from jacinthcove.errors import RequestRefused
@@ -71,3 +72,12 @@
         decide(router, "second")
     clock.advance(NO_ROOM_MS)
     assert decide(router, "third").target.record.id == "t1"
+
+
+def test_excess_requests_wait_until_less_than_half_of_the_engines_have_a_backlog(router):
+    """Many routers fill single places by old reports: answers of all workspaces come late."""
+    router.ledger.capacity.load = EngineLoad(2, 0.5)
+    with pytest.raises(RequestRefused):
+        decide(router)
+    router.ledger.capacity.load = EngineLoad(2, 0.4)
+    assert decide(router).target.record.id == "t1"
