--- a/src/jacinthcove/lab/simulation.py
+++ b/src/jacinthcove/lab/simulation.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from jacinthcove.clock import ManualClock
-from jacinthcove.errors import PeerUnavailable, RequestRefused
+from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.admission import Admission, PendingRequest
 from jacinthcove.gateway.choice import Choice
 from jacinthcove.gateway.fleetquota import FleetQuota
@@ -32,9 +32,9 @@
 from jacinthcove.gateway.targets import TargetRegistry
 from jacinthcove.gateway.workspaceusage import TICK_MS
 from jacinthcove.lab.engine import EngineSpeed, LabEngine, SlowSpells
+from jacinthcove.lab.mesh import IsolatedMesh
 from jacinthcove.lab.results import Results
 from jacinthcove.lab.traffic import Call, Load, Traffic
-from jacinthcove.mesh.peers import Member
 from jacinthcove.observe.decisions import DecisionLog
 from jacinthcove.observe.metrics import Metrics
 
@@ -78,34 +78,6 @@
     spells: SlowSpells | None = None
 
 
-class IsolatedMesh:
-    """Mesh without other members: the simulation itself delivers the routers' load reports."""
-
-    def __init__(self, id: str, domain: str):
-        self.me = Member(id, "", "", domain)
-
-    def alive(self) -> tuple[Member, ...]:
-        """Return this router only."""
-        return (self.me,)
-
-    def get(self, member_id: str) -> Member | None:
-        """Return this router, or None for any other id."""
-        return self.me if member_id == self.me.id else None
-
-    def subscribe(self, callback: Callable[[Member], None]) -> None:
-        """Do nothing: members never change."""
-
-    def register(self, kind: str, handler: Any) -> None:
-        """Do nothing: no messages arrive."""
-
-    def send(self, member_id: str, kind: str, message: Any) -> None:
-        """Discard the message."""
-
-    def call(self, member_id: str, kind: str, message: Any, timeout_ms: int) -> Any:
-        """Raise `PeerUnavailable`: there are no peers."""
-        raise PeerUnavailable("simulated routers have no mesh")
-
-
 class LabRouter:
     """One router with the real admission and its own view of targets and loads."""
 
