gateway: let no connection into the backlog while the listener is closed

Cause: the kernel completes connections between the last accept() and close(), and close() resets them. Fix: a socket filter drops the packets that begin a connection before the backlog is accepted for the last time. What has begun may end for 20 ms.

--- a/src/jacinthcove/gateway/server.py
+++ b/src/jacinthcove/gateway/server.py
@@ -28,12 +28,15 @@
 from jacinthcove.ingress.account import HeldBody
 from jacinthcove.ingress.connections import Stage
 from jacinthcove.ingress.gate import Gate
+from jacinthcove.ingress.listener import ignore_new_connections
 from jacinthcove.ingress.server import BoundedServer
 from jacinthcove.router.connection import CallerHandler
 
 log = structlog.get_logger()
 
 BACKLOG = 1_024
+# The longest time between the first two packets of a caller's new connection.
+HANDSHAKE_MS = 20
 # A body of which so much has found room may arrive faster.
 LARGE_BODY_BYTES = 256 * 1024
 _FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
@@ -335,10 +338,14 @@
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections stay open.
 
-        Closing the socket would reset the connections in its backlog, so they are accepted first.
+        Closing the socket would reset the connections in its backlog, so they are accepted first,
+        and no others are let into it.
         """
         if self.server.closed:
             return
+        ignore_new_connections(self.server.socket)
+        # Connections that callers have begun to open get into the backlog meanwhile.
+        gevent.sleep(HANDSHAKE_MS / 1000)
         for _ in range(BACKLOG):
             accepted = self.server.do_read()
             if accepted is None:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -92,6 +92,30 @@
     assert not [line for caller in callers for line in caller.unanswered]
 
 
+def test_connection_that_comes_while_the_listener_is_closed_is_not_reset(start, operator):
+    """Between the last accept and close() a caller could connect, and was reset unread."""
+    operator(7)
+    router = start()
+    eventually(router.ready)
+    host, _, port = router.settings.caller_listen.rpartition(":")
+    late = socket.socket()
+    late.setblocking(False)
+    server = router.server.server
+    close = server.close
+
+    def connect_and_close():
+        late.connect_ex((host, int(port)))
+        close()
+
+    server.close = connect_and_close
+    router.server.stop_accepting()
+    gevent.sleep(0.1)
+    with pytest.raises(OSError):
+        late.getpeername()
+    assert late.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    late.close()
+
+
 class Question:
     """One request that is sent on an open connection; `status` is 0 if it ends without answer."""
 
