store: read the objects of other writers in pieces, within limits

Cause: responses were read and decoded whole, a decoded value takes up to 25 times its text, and a list kept the decoded objects of all pages. Fix: a scanner reads pieces of 64 KB and skips values above the limit of their kind by brackets and texts alone. One screen decides what is kept, for lists, watches and what routers pass on; odd objects cost a counter and a bounded log line, and each kind has a part of the memory. A rollout whose state is a list no longer stops its kind, a combination that is replaced no longer stays, and the log line of drained domains is bounded. Before: tests/ingress/test_odd_entries_memory.py failed for objects written before the start and after it. Tests of entries, store, ingress and seven files of tests/platform held.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -3,7 +3,7 @@
 import sys
 from importlib import import_module
 
-NAMES = ("relay", "first_token", "idle", "configuration", "ingress")
+NAMES = ("relay", "first_token", "idle", "configuration", "ingress", "entries")
 
 
 def main(arguments: list[str]) -> int:
--- a/src/jacinthcove/gateway/drains.py
+++ b/src/jacinthcove/gateway/drains.py
@@ -1,5 +1,7 @@
 """The failure domains that operators have drained."""
 
+import heapq
+
 import structlog
 
 from jacinthcove.clock import Clock
@@ -9,6 +11,8 @@
 
 # An older copy of the store may lack a drain until the operator has written it again.
 KEPT_MS = 6_000
+# Maximum number of domains in a log line.
+MAX_LOGGED = 20
 
 
 class DrainedDomains:
@@ -24,7 +28,7 @@
         """Replace the drained domains by a complete list."""
         missing = self.listed - domains
         if gap is Gap.OLDER_COPY and missing:
-            log.info("drains_kept", domains=sorted(missing))
+            log.info("drains_kept", domains=heapq.nsmallest(MAX_LOGGED, missing))
             ends_at = self.clock.boot() + KEPT_MS
             self.kept_until.update(dict.fromkeys(missing, ends_at))
         self._set(domains)
@@ -45,5 +49,6 @@
 
     def _set(self, domains: frozenset[str]) -> None:
         if domains != self.listed:
-            log.info("failure_domains_drained", domains=sorted(domains))
+            shown = heapq.nsmallest(MAX_LOGGED, domains)
+            log.info("failure_domains_drained", count=len(domains), domains=shown)
         self.listed = domains
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -9,6 +9,7 @@
 from jacinthcove.bytebudget import ByteBudget
 from jacinthcove.clock import SystemClock
 from jacinthcove.codes import ResultCode
+from jacinthcove.entries.screen import ObjectScreen
 from jacinthcove.errors import RequestRefused
 from jacinthcove.gateway.activeconfig import RETRY_ELSEWHERE_MS, ActiveConfig
 from jacinthcove.gateway.admission import Admission
@@ -54,6 +55,7 @@
     RolloutFollower,
     TargetFollower,
 )
+from jacinthcove.platform.kindrules import kind_rules
 from jacinthcove.platform.names import (
     CONFIG_KIND,
     DRAINED_DOMAINS_KIND,
@@ -109,7 +111,8 @@
         self.decisions = DecisionLog(clock, self.metrics)
         self.arrivals = ArrivalLog(clock, lambda: engine_stats(self.admission))
         bounds = settings.bounds
-        self.store_client = PlatformStoreClient(settings.store, STORE_TIMEOUT_MS)
+        self.screen = ObjectScreen(kind_rules(settings.memory_mb), self.metrics, clock)
+        self.store_client = PlatformStoreClient(settings.store, STORE_TIMEOUT_MS, self.screen)
         self.active_config = ActiveConfig(
             clock, bounds.revoke_ms - REVOKE_MARGIN_MS, bounds.apply_ms
         )
@@ -219,7 +222,13 @@
         self.changelogs: dict[str, ChangeLog] = {}
         dated = frozenset((CONFIG_KIND,))
         self.source = RelayedSource(
-            clock, self.store_client, self.changelogs, bounds.apply_ms, dated, self.metrics
+            clock,
+            self.store_client,
+            self.changelogs,
+            bounds.apply_ms,
+            dated,
+            self.metrics,
+            self.screen,
         )
         self.source.apply_ms_by_kind = apply_times(bounds)
         followers: dict[str, Follower] = {
@@ -245,8 +254,9 @@
         self.fleet.news = self.source
 
     def _watch(self, kind: str, wait_ms: int, follower: Follower) -> KindWatch:
-        changes = self.changelogs[kind] = ChangeLog(self.clock)
-        return KindWatch(self.source, self.clock, kind, wait_ms, follower, changes)
+        kept_bytes = self.screen.rule(kind).kept_bytes
+        changes = self.changelogs[kind] = ChangeLog(self.clock, kept_bytes)
+        return KindWatch(self.source, self.clock, kind, wait_ms, follower, changes, self.screen)
 
     def _start_permits(self, members: Members, peers: Peers) -> None:
         rule = self.admission.rates.stated
--- a/src/jacinthcove/platform/decode.py
+++ b/src/jacinthcove/platform/decode.py
@@ -72,13 +72,14 @@
         raise ValueError("the entry is not an object")
     to_version = _text(spec, "to")
     current = status if isinstance(status, dict) and status.get("to") == to_version else {}
-    state = _ROLLOUT_STATE_BY_NAME.get(current.get("state", ""), RolloutState.REQUESTED)
+    named = current.get("state")
+    known = _ROLLOUT_STATE_BY_NAME.get(named) if isinstance(named, str) else None
     return Rollout(
         name=item.name,
         service=_text(spec, "service"),
         to_version=to_version,
         duration_ms=round(_number(spec, "duration_s") * 1_000),
-        state=state,
+        state=known or RolloutState.REQUESTED,
         share=_number(current, "share", 0),
         revision=item.revision,
         created_revision=item.created_revision,
--- a/src/jacinthcove/platform/quarantinestore.py
+++ b/src/jacinthcove/platform/quarantinestore.py
@@ -1,6 +1,7 @@
 """Keeps combinations of prompt parts in quarantine in the platform's store, each as one object."""
 
 from hashlib import blake2b
+from typing import Any
 
 import orjson
 import structlog
@@ -13,6 +14,9 @@
 
 log = structlog.get_logger()
 
+# The parts of the longest prompts.
+MAX_PARTS = 4_096
+
 
 def object_name(combination: Combination) -> str:
     """Return the name of a combination's object; callers choose the part ids, so it is a hash."""
@@ -53,9 +57,10 @@
         del in_outage
         name = change.object.name
         before = self.combination_by_name.pop(name, None)
-        if before is not None and change.deleted:
+        parts: Combination = frozenset() if change.deleted else _decode(change.object)
+        if before is not None and before != parts:
             self.quarantine.remove_stored(before)
-        if not change.deleted and (parts := _decode(change.object)):
+        if parts:
             self.combination_by_name[name] = parts
             self.quarantine.add_stored(parts)
 
@@ -63,10 +68,20 @@
         """Do nothing: no decision depends on the age of this state."""
 
 
+def decode_parts(spec: Any) -> Combination:
+    """Return the parts that an object names; raises `ValueError` if it is malformed."""
+    parts = spec.get("parts") if isinstance(spec, dict) else None
+    if not isinstance(parts, list) or not all(isinstance(part, str) for part in parts):
+        raise ValueError("its parts are no list of texts")
+    if not parts or len(parts) > MAX_PARTS:
+        raise ValueError(f"it names {len(parts)} parts")
+    return frozenset(parts)
+
+
 def _decode(item: KindObject) -> Combination:
     """Return the parts of an object, none if it is malformed."""
-    parts = item.spec.get("parts") if isinstance(item.spec, dict) else None
-    if not isinstance(parts, list) or not all(isinstance(part, str) for part in parts):
-        log.warning("quarantine_object_malformed", name=item.name)
+    try:
+        return decode_parts(item.spec)
+    except ValueError as error:
+        log.warning("quarantine_object_malformed", name=item.name, reason=str(error))
         return frozenset()
-    return frozenset(parts)
--- a/src/jacinthcove/store/changelog.py
+++ b/src/jacinthcove/store/changelog.py
@@ -7,9 +7,10 @@
 from gevent.event import Event
 
 from jacinthcove.clock import Clock
+from jacinthcove.entries.screen import object_bytes
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.store.kinds import Change, StoreRevision, WatchResult
-from jacinthcove.store.snapshot import Snapshot, encode_changes, size_bytes
+from jacinthcove.store.snapshot import Snapshot, encode_changes
 
 # Readers ask at least every few seconds; one that is further behind asks the store.
 MAX_BATCHES = 256
@@ -34,7 +35,7 @@
 
 def _encode_batch(result: WatchResult, known_at: int) -> ChangeBatch:
     encoded = encode_changes(result.changes)
-    size = sum(size_bytes(change.object) for change in encoded)
+    size = sum(object_bytes(change.object) for change in encoded)
     return ChangeBatch(result.revision, known_at, encoded, size)
 
 
@@ -45,7 +46,7 @@
     store. All times are boot milliseconds.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, max_snapshot_bytes: int | None = None):
         self.clock = clock
         self.watches_store = False
         self.base_revision = self.revision = StoreRevision(0, 0)
@@ -55,7 +56,7 @@
         self.batches: deque[ChangeBatch] = deque()
         self.kept_bytes = 0
         self.changed = Event()
-        self.snapshot = Snapshot()
+        self.snapshot = Snapshot(max_snapshot_bytes)
 
     def restart(self, revision: StoreRevision, known_at: int) -> None:
         """Drop all batches and start at `revision`, from which the store gave a full list."""
--- a/src/jacinthcove/store/connections.py
+++ b/src/jacinthcove/store/connections.py
@@ -1,8 +1,8 @@
 """A pool of HTTP connections with a time limit per call, for short bodies."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, TypeVar
 
 import gevent
 from geventhttpclient import HTTPClient
@@ -15,6 +15,8 @@
 MAX_REPLY_BYTES = 32 * 1024 * 1024
 PIECE_BYTES = 65_536
 
+T = TypeVar("T")
+
 
 class NoReply(JacinthcoveError):  # noqa: N818 - names an outcome
     """A call got no complete reply; it may have taken effect unless `refused` is set.
@@ -36,14 +38,39 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
-def _read_body(response: Any) -> bytes:
-    """Return the whole body; raises `HTTPParseError` if it is too long."""
-    body = bytearray()
-    while piece := response.read(PIECE_BYTES):
-        body += piece
-        if len(body) > MAX_REPLY_BYTES:
-            raise HTTPParseError(f"the reply is longer than {MAX_REPLY_BYTES} bytes")
-    return bytes(body)
+class ReplyBody:
+    """The body of a reply, which is read piece by piece; it is `length` bytes long if known."""
+
+    def __init__(self, response: Any, max_bytes: int):
+        self.response = response
+        self.max_bytes = max_bytes
+        length = response.get("content-length")
+        self.length = int(str(length)) if length is not None else None
+        self.read_bytes = 0
+        self.first = self._read()
+
+    def read(self) -> bytes:
+        """Return the next piece, empty at the end; raises `HTTPParseError` if it is too long."""
+        first, self.first = self.first, b""
+        return first or self._read()
+
+    def _read(self) -> bytes:
+        piece: bytes = self.response.read(PIECE_BYTES)
+        self.read_bytes += len(piece)
+        if self.read_bytes > self.max_bytes:
+            raise HTTPParseError(f"the reply is longer than {self.max_bytes} bytes")
+        return piece
+
+
+# Reads the body of a reply, of which it gets the status and headers.
+Receiver = Callable[[Reply, ReplyBody], T]
+
+
+def _receive_whole(reply: Reply, body: ReplyBody) -> Reply:
+    content = bytearray()
+    while piece := body.read():
+        content += piece
+    return replace(reply, body=bytes(content))
 
 
 class Connections:
@@ -67,14 +94,29 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_ms: int | None = None,
+        max_bytes: int | None = None,
     ) -> Reply:
         """Make one call without retrying; raise `NoReply` without a complete reply in time."""
+        return self.receive(method, path, _receive_whole, body, headers, timeout_ms, max_bytes)
+
+    def receive(
+        self,
+        method: str,
+        path: str,
+        receiver: Receiver[T],
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_ms: int | None = None,
+        max_bytes: int | None = None,
+    ) -> T:
+        """Make one call as `request` does, and return what `receiver` makes of the reply."""
         limit_ms = self.timeout_ms if timeout_ms is None else timeout_ms
         client = self.idle.pop() if self.idle else self._open()
         limit = gevent.Timeout(limit_ms / 1000)
         try:
             with limit:
-                reply = self._exchange(client, method, path, body, headers or {})
+                response = client.request(method, path, body=body, headers=dict(headers or {}))
+                received = self._receive(response, receiver, max_bytes or MAX_REPLY_BYTES)
         except gevent.Timeout as error:
             self._discard(client)
             if error is not limit:
@@ -90,7 +132,7 @@
             client.close()
             raise
         self._release(client)
-        return reply
+        return received
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -111,21 +153,15 @@
         client._connection_pool.size = -1
         return client
 
-    def _exchange(
-        self,
-        client: HTTPClient,
-        method: str,
-        path: str,
-        body: bytes,
-        headers: Mapping[str, str],
-    ) -> Reply:
-        response = client.request(method, path, body=body, headers=dict(headers))
-        content = _read_body(response)
-        length = response.get("content-length")
-        if length is not None and len(content) != int(str(length)):
-            raise HTTPParseError("the reply broke off")
+    def _receive(self, response: Any, receiver: Receiver[T], max_bytes: int) -> T:
         names = {name.lower(): str(value) for name, value in response.items()}
-        return Reply(int(response.status_code), content, names)
+        body = ReplyBody(response, max_bytes)
+        received = receiver(Reply(int(response.status_code), b"", names), body)
+        while body.read():
+            pass
+        if body.length is not None and body.read_bytes != body.length:
+            raise HTTPParseError("the reply broke off")
+        return received
 
     def _release(self, client: HTTPClient) -> None:
         if len(self.idle) < self.max_idle:
--- a/src/jacinthcove/store/kinds.py
+++ b/src/jacinthcove/store/kinds.py
@@ -63,10 +63,15 @@
 
 @dataclass(frozen=True)
 class Change:
-    """One written or deleted object; `object` holds the last state of a deleted one."""
+    """One written or deleted object; `object` has no values if it was deleted or is odd.
+
+    An object is `odd` if its new state names nothing that may be used, so that it counts as
+    deleted.
+    """
 
     object: KindObject
     deleted: bool
+    odd: bool = False
 
 
 def without_superseded(changes: Sequence[Change]) -> list[Change]:
--- a/src/jacinthcove/store/kindwatch.py
+++ b/src/jacinthcove/store/kindwatch.py
@@ -9,6 +9,7 @@
 
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
+from jacinthcove.entries.screen import NO_ROOM, ObjectScreen, odd_change
 from jacinthcove.errors import NoRouterKnows, StoreUnavailable
 from jacinthcove.store.changelog import ChangeLog
 from jacinthcove.store.kinds import (
@@ -21,7 +22,7 @@
     WatchResult,
     without_superseded,
 )
-from jacinthcove.store.snapshot import encode_changes
+from jacinthcove.store.snapshot import encode_object
 
 log = structlog.get_logger()
 
@@ -63,6 +64,7 @@
         wait_ms: int,
         follower: Follower,
         changes: ChangeLog | None = None,
+        screen: ObjectScreen | None = None,
     ):
         self.source = source
         self.clock = clock
@@ -70,6 +72,7 @@
         self.wait_ms = wait_ms
         self.follower = follower
         self.changes = changes or ChangeLog(clock)
+        self.screen = screen or ObjectScreen()
         self.revision: StoreRevision | None = None
         self.listed = False
         # The era of the last list.
@@ -144,23 +147,34 @@
 
     def _apply(self, result: WatchResult, since: StoreRevision, sent_at: int) -> int:
         """Apply changes after revision `since`; return the boot ms at which they were complete."""
-        newest = without_superseded(result.changes)
-        for change in newest:
-            self.follower.on_change(change, self._entries_may_expire())
-        self.revision = result.revision
         if result.relay_age_ms is not None:
             # The other router replied after `sent_at`, so its data is no older than this.
             known_at = sent_at - result.relay_age_ms
+        else:
+            known_at = min(self.clock.boot(), sent_at + result.waited_ms)
+        kept = [
+            self._apply_one(change, result.revision, known_at)
+            for change in without_superseded(result.changes)
+        ]
+        self.revision = result.revision
+        if result.relay_age_ms is not None:
             self.changes.stop()
-            kept = encode_changes(newest)
         else:
             self.delay_next_watch = bool(result.changes)
-            known_at = min(self.clock.boot(), sent_at + result.waited_ms)
-            kept = encode_changes(result.changes)
             self.changes.add(since, replace(result, changes=kept), known_at)
-        self.changes.snapshot.apply(kept, result.revision, known_at)
+        self.changes.snapshot.apply((), result.revision, known_at)
         return known_at
 
+    def _apply_one(self, change: Change, revision: StoreRevision, known_at: int) -> Change:
+        """Apply a change, unless there is no room for its object; return what is kept of it."""
+        if not change.deleted and not self.changes.snapshot.has_room(change.object):
+            self.screen.record_odd(self.kind, change.object.name, NO_ROOM)
+            change = odd_change(change.object)
+        self.follower.on_change(change, self._entries_may_expire() and not change.odd)
+        kept = replace(change, object=encode_object(change.object))
+        self.changes.snapshot.apply((kept,), revision, known_at)
+        return kept
+
     def _gap_before(self, listing: Listing) -> Gap:
         before, self.listed_era = self.listed_era, listing.revision.era
         if before is not None and listing.revision.era > before:
--- a/src/jacinthcove/store/otherrouters.py
+++ b/src/jacinthcove/store/otherrouters.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from jacinthcove.clock import Clock
+from jacinthcove.entries.screen import ObjectScreen
 from jacinthcove.errors import PeerUnavailable, StoreUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.kinds import STORE_PULL
@@ -30,8 +31,9 @@
 class OtherRouters:
     """Calls other routers, and never takes state of an era before one that it has heard of."""
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, screen: ObjectScreen | None = None):
         self.clock = clock
+        self.screen = screen or ObjectScreen()
         # None before this router has joined the others.
         self.peers: Peers | None = None
         self.least_era = 0
@@ -58,7 +60,7 @@
             raise HistoryGone(f"{router} knows that the store came back from an older copy")
         if reply.list_again:
             raise HistoryGone(f"{router} does not have the changes since {revision.number}")
-        result = decode_result(reply)
+        result = decode_result(reply, kind, self.screen)
         if result.revision.era < revision.era:
             raise StoreUnavailable(f"{router} does not know that the store was restored")
         return result
@@ -93,7 +95,9 @@
             if self.peers is None or self.clock.now() >= ends_at:
                 break
             try:
-                listing = pull_listing(self.clock, self.peers, router, kind, at_least, max_age_ms)
+                listing = pull_listing(
+                    self.clock, self.peers, router, kind, at_least, max_age_ms, self.screen
+                )
                 return router, listing
             except PeerUnavailable as error:
                 log.debug("store_helper_failed", kind=kind, router=router, reason=str(error))
--- a/src/jacinthcove/store/relay.py
+++ b/src/jacinthcove/store/relay.py
@@ -22,6 +22,7 @@
 from gevent.event import Event
 
 from jacinthcove.clock import Clock
+from jacinthcove.entries.screen import ObjectScreen
 from jacinthcove.errors import NoRouterKnows, PeerUnavailable, StoreUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
 from jacinthcove.mesh.peers import Members, Peers
@@ -90,6 +91,7 @@
         apply_ms: int,
         dated_kinds: frozenset[str] = frozenset(),
         metrics: Metrics | None = None,
+        screen: ObjectScreen | None = None,
     ):
         self.clock = clock
         self.apply_ms = apply_ms
@@ -104,7 +106,7 @@
         self.start_wait = StartWait(clock, self.roles)
         self.digests = DigestBoard(clock)
         self.service = RelayService(clock, logs)
-        self.others = OtherRouters(clock)
+        self.others = OtherRouters(clock, screen)
         self.last_resort = LastResort(clock, self.roles)
         # The router of this failure domain that last had word instead of the relay router.
         self.helper: str | None = None
--- a/src/jacinthcove/store/relaycodec.py
+++ b/src/jacinthcove/store/relaycodec.py
@@ -1,12 +1,9 @@
 """Encodes what routers tell each other about the store."""
 
-from collections.abc import Iterable
-
-import orjson
-
+from jacinthcove.entries.screen import ObjectScreen
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.mesh import mesh_pb2 as pb
-from jacinthcove.store.encodedjson import encode_json
+from jacinthcove.store.encodedjson import EncodedJson, encode_json
 from jacinthcove.store.kinds import Change, KindObject, StoreRevision, WatchResult
 from jacinthcove.store.snapshot import Snapshot
 
@@ -21,12 +18,16 @@
     )
 
 
-def decode_result(message: pb.StoreNews) -> WatchResult:
+def decode_result(
+    message: pb.StoreNews, kind: str = "", screen: ObjectScreen | None = None
+) -> WatchResult:
     """Decode another router's watch result; raises `StoreUnavailable` if there is no usable one."""
     if message.unknown:
         raise StoreUnavailable("the other router does not watch the store at present")
     revision = StoreRevision(message.era, message.revision)
-    return WatchResult(_decode_changes(message.changes), revision, relay_age_ms=message.age_ms)
+    screen = screen or ObjectScreen()
+    changes = [screen.admit_change(kind, _decode_change(item)) for item in message.changes]
+    return WatchResult(changes, revision, relay_age_ms=message.age_ms)
 
 
 def encode_page(snapshot: Snapshot, after: str, now: int) -> pb.StoreListPage:
@@ -44,8 +45,8 @@
 
 
 def decode_objects(message: pb.StoreListPage) -> list[KindObject]:
-    """Decode the objects of a page; raises `StoreUnavailable` if one is malformed."""
-    return [change.object for change in _decode_changes(message.objects)]
+    """Return the objects of a page with their values still encoded, for a screen to admit."""
+    return [_decode_change(item).object for item in message.objects]
 
 
 def _encode_change(change: Change) -> pb.StoreChange:
@@ -56,24 +57,17 @@
         created_revision=item.created_revision,
         spec=encode_json(item.spec),
         status=encode_json(item.status),
-        deleted=change.deleted,
+        # Whoever receives it finds out that it is odd.
+        deleted=change.deleted and not change.odd,
     )
 
 
-def _decode_changes(messages: Iterable[pb.StoreChange]) -> list[Change]:
-    try:
-        return [
-            Change(
-                KindObject(
-                    item.name,
-                    item.revision,
-                    orjson.loads(item.spec),
-                    orjson.loads(item.status),
-                    item.created_revision,
-                ),
-                item.deleted,
-            )
-            for item in messages
-        ]
-    except orjson.JSONDecodeError as error:
-        raise StoreUnavailable(f"the objects from another router are malformed: {error}") from error
+def _decode_change(message: pb.StoreChange) -> Change:
+    item = KindObject(
+        message.name,
+        message.revision,
+        EncodedJson(message.spec),
+        EncodedJson(message.status),
+        message.created_revision,
+    )
+    return Change(item, message.deleted)
--- a/src/jacinthcove/store/snapshot.py
+++ b/src/jacinthcove/store/snapshot.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from jacinthcove.entries.screen import object_bytes
 from jacinthcove.store.encodedjson import EncodedJson, encode_json
 from jacinthcove.store.kinds import Change, KindObject, Listing, StoreRevision
 
@@ -11,8 +12,6 @@
 MAX_SNAPSHOT_BYTES = 10 * 1024 * 1024
 # A page has more bytes only if its first object is larger.
 MAX_PAGE_BYTES = 512 * 1024
-# What an object takes beside its text.
-OBJECT_OVERHEAD_BYTES = 500
 
 
 def encode_object(item: KindObject) -> KindObject:
@@ -25,11 +24,6 @@
     return [replace(change, object=encode_object(change.object)) for change in changes]
 
 
-def size_bytes(item: KindObject) -> int:
-    """Return about how much memory an object takes whose values are `EncodedJson`."""
-    return len(item.spec.data) + len(item.status.data) + len(item.name) + OBJECT_OVERHEAD_BYTES
-
-
 def _kept(value: Any) -> EncodedJson:
     if isinstance(value, EncodedJson):
         return value
@@ -48,10 +42,12 @@
 class Snapshot:
     """The objects of a kind at `revision`, which the store confirmed at boot ms `known_at`.
 
-    `revision` is None while they are not known, or take more than `MAX_SNAPSHOT_BYTES`.
+    `revision` is None while they are not known, or take more than `max_bytes`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int | None = None) -> None:
+        # None means `MAX_SNAPSHOT_BYTES`.
+        self.max_bytes = max_bytes
         self.revision: StoreRevision | None = None
         self.known_at = 0
         self.objects: dict[str, KindObject] = {}
@@ -63,7 +59,7 @@
         self.revision, self.known_at = listing.revision, known_at
         for item in listing.objects:
             self._put(item)
-        self._limit()
+        self._check_size()
 
     def apply(self, changes: Iterable[Change], revision: StoreRevision, known_at: int) -> None:
         """Apply the changes up to `revision`."""
@@ -74,7 +70,15 @@
             if not change.deleted:
                 self._put(change.object)
         self.revision, self.known_at = revision, known_at
-        self._limit()
+        self._check_size()
+
+    def has_room(self, item: KindObject) -> bool:
+        """Return whether an object fits beside the others; True while they are not known."""
+        if self.revision is None:
+            return True
+        before = self.objects.get(item.name)
+        freed_bytes = object_bytes(before) if before is not None else 0
+        return self.kept_bytes - freed_bytes + object_bytes(item) <= self._limit()
 
     def page(self, after: str) -> SnapshotPage:
         """Return the next objects whose names sort after `after`, up to `MAX_PAGE_BYTES`."""
@@ -82,7 +86,7 @@
         page_bytes = 0
         for name in sorted(name for name in self.objects if name > after):
             item = self.objects[name]
-            page_bytes += size_bytes(item)
+            page_bytes += object_bytes(item)
             if found and page_bytes > MAX_PAGE_BYTES:
                 return SnapshotPage(found, True)
             found.append(item)
@@ -91,15 +95,18 @@
     def _put(self, item: KindObject) -> None:
         self._remove(item.name)
         encoded = self.objects[item.name] = encode_object(item)
-        self.kept_bytes += size_bytes(encoded)
+        self.kept_bytes += object_bytes(encoded)
 
     def _remove(self, name: str) -> None:
         item = self.objects.pop(name, None)
         if item is not None:
-            self.kept_bytes -= size_bytes(item)
+            self.kept_bytes -= object_bytes(item)
+
+    def _limit(self) -> int:
+        return MAX_SNAPSHOT_BYTES if self.max_bytes is None else self.max_bytes
 
-    def _limit(self) -> None:
-        if self.kept_bytes > MAX_SNAPSHOT_BYTES:
+    def _check_size(self) -> None:
+        if self.kept_bytes > self._limit():
             self._clear()
 
     def _clear(self) -> None:
--- a/tests/ingress/conftest.py
+++ b/tests/ingress/conftest.py
@@ -23,8 +23,8 @@
 
 
 @pytest.fixture
-def start(tmp_path):
-    """Return a function that starts a router process with more lines of settings."""
+def store():
+    """Yield a store with a configuration and one target."""
     store = StoreStandin()
     store.start()
     target = ScriptedTarget(
@@ -33,6 +33,15 @@
     store.put("servers", "i-1", ENTRY | {"service": "ledger", "address": target.address})
     tenants = [{"name": "small", "api_keys": [KEY]}]
     store.put("config", "main", {**CONFIG, "limits": LIMITS, "tenants": tenants})
+    yield store
+    target.close()
+    store.close()
+    gevent.sleep(0.01)
+
+
+@pytest.fixture
+def start(store, tmp_path):
+    """Return a function that starts a router process with more lines of settings."""
     routers = []
 
     def make(more):
@@ -44,7 +53,5 @@
     yield make
     for router in routers:
         router.kill()
-    target.close()
-    store.close()
     # Lets the servers of the stand-ins see the end of their connections.
     gevent.sleep(0.01)
