platform: replace a mesh key that no router can read

It is now replaced under the condition of its revision, so that all routers agree on one key. The new test failed before (TypeError).

--- a/src/jacinthcove/platform/registration.py
+++ b/src/jacinthcove/platform/registration.py
@@ -1,6 +1,7 @@
 """What a router writes about itself in the store, and the key of the mesh."""
 
 import secrets
+from typing import Any
 
 import structlog
 
@@ -22,6 +23,11 @@
     return address if isinstance(address, str) else ""
 
 
+def _holds_key(spec: Any) -> bool:
+    key = spec.get("key") if isinstance(spec, dict) else None
+    return isinstance(key, str) and key != ""
+
+
 class Registration:
     """Registers this router; all methods raise `StoreUnavailable`, and the caller tries again."""
 
@@ -37,7 +43,10 @@
     def load_key(self) -> str:
         """Return the mesh key of the fleet, which the first router creates."""
         new = {"key": secrets.token_hex(16)}
-        self.key = str(self._get_or_create(SECRETS_KIND, MESH_SECRET, new).spec["key"])
+        stored = self._get_or_create(SECRETS_KIND, MESH_SECRET, new)
+        spec = stored.spec if _holds_key(stored.spec) else new
+        self._correct(SECRETS_KIND, stored, spec)
+        self.key = spec["key"]
         return self.key
 
     def register(self) -> list[KindObject]:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -8,7 +8,9 @@
 
 from jacinthcove.clock import SystemClock
 from jacinthcove.gateway.targets import TargetRegistry
+from jacinthcove.mesh.peers import Member
 from jacinthcove.platform.followers import TargetFollower
+from jacinthcove.platform.registration import Registration
 from jacinthcove.platform.storeclient import PlatformStoreClient
 from jacinthcove.store.changelog import ChangeLog
 from jacinthcove.store.kinds import Change, KindObject, StoreRevision, WatchResult
@@ -72,6 +74,17 @@
     assert "i-2" in registry.states
 
 
+def test_odd_mesh_key_of_another_writer_does_not_keep_a_router_from_its_fleet(store):
+    """Without a key a router never joined the others, and no later one could."""
+    store.put("jacinthcove-secrets", "mesh", [{"key": 7}])
+    client = PlatformStoreClient(store.address, 500)
+    routers = [Registration(client, Member(f"r-{n}", "a:1", "a:2", "a")) for n in range(2)]
+    keys = {router.load_key() for router in routers}
+    assert len(keys) == 1
+    assert store.objects["jacinthcove-secrets", "mesh"]["spec"] == {"key": keys.pop()}
+    client.close()
+
+
 def test_a_deep_object_does_not_keep_the_others_from_other_routers():
     deep = orjson.loads(b"[" * 800 + b"]" * 800)
     changes = [Change(KindObject(name, 2, spec), False) for name, spec in (("a", deep), ("b", 1))]
