gateway: say in a refusal by which draw and on how old a report it came

To tell why a hot workspace got less than its share, the log has to show who refused each try, by which limit, on which age of which report, and whether it had been refused there before. request_not_placed now has over_share, admitted_fraction, returned and oldest_report_ms. _log_rejection takes the pending request in place of three of its parts.

--- a/src/jacinthcove/entries/screen.py
+++ b/src/jacinthcove/entries/screen.py
@@ -40,9 +40,9 @@
 class KindRule:
     """What is kept of the objects of a kind.
 
-    `reduce` returns what routers read of an object, and raises `ValueError` or
-    `TypeError` if it is odd. Objects of other names than `names`, if any, are odd. Values of
-    more than `max_value_bytes` are not decoded. All objects take `kept_bytes` at most.
+    `reduce` returns what routers read of an object, and raises `ValueError` or `TypeError` if it is
+    odd. Objects of other names than `names`, if any, are odd, too. Values of more than
+    `max_value_bytes` are not decoded. All objects together take `kept_bytes` at most.
     """
 
     reduce: Callable[[KindObject], KindObject] = keep_whole
--- a/src/jacinthcove/gateway/admission.py
+++ b/src/jacinthcove/gateway/admission.py
@@ -206,7 +206,7 @@
             # Each check costs the same CPU time as the first, which a late router cannot afford.
             no_wait = result is RejectReason.TOO_SLOW or self.is_late()
             if no_wait or self._capacity_at(service) >= give_up_at:
-                self._log_rejection(request, service, result, pending.avoid)
+                self._log_rejection(pending, result)
                 raise self._rejection(result, request, service)
             return None
         if self._waits_for_holder(result, give_up_at):
@@ -226,9 +226,8 @@
         return not searched_just_now and not self.ledger.engines_have_backlog()
 
     def _reject_over_share(self, pending: PendingRequest) -> RequestRefused:
-        reason, service = RejectReason.OVER_SHARE, pending.service
-        self._log_rejection(pending.request, service, reason, pending.avoid)
-        return self._rejection(reason, pending.request, service)
+        self._log_rejection(pending, RejectReason.OVER_SHARE)
+        return self._rejection(RejectReason.OVER_SHARE, pending.request, pending.service)
 
     def _waits_for_holder(self, choice: Choice, give_up_at: int) -> bool:
         """Return whether to wait for an engine with the parts, because copying them costs more."""
@@ -340,11 +339,10 @@
             limit=limit,
         )
 
-    def _log_rejection(
-        self, request: GatewayRequest, service: str, reason: RejectReason, avoid: frozenset[str]
-    ) -> None:
+    def _log_rejection(self, pending: PendingRequest, reason: RejectReason) -> None:
         now = self.clock.now()
-        usable = self.registry.usable(service)
+        request = pending.request
+        usable = self.registry.usable(pending.service)
         self.decisions.log_decision(
             "request_not_placed",
             request_id=request.id,
@@ -352,7 +350,11 @@
             route=request.route.name,
             own_tokens=request.prompt.own_tokens,
             standing=self.ledger.standing(request.workspace).value,
-            avoided=len(avoid),
+            over_share=pending.over_share,
+            returned=pending.returned,
+            admitted_fraction=round(self.ledger.admitted_fraction(request.workspace), 3),
+            oldest_report_ms=self.ledger.others.oldest_ms(),
+            avoided=len(pending.avoid),
             reachable=sum(target.unreachable_until <= now for target in usable),
             # Of each target: wait in ms, requests, memory in 1,000 tokens, ms until it is warm.
             targets={
--- a/src/jacinthcove/gateway/workspaceusage.py
+++ b/src/jacinthcove/gateway/workspaceusage.py
@@ -133,6 +133,12 @@
         """Drop the usage that `source` reported."""
         self.by_source.pop(source, None)
 
+    def oldest_ms(self) -> int:
+        """Return the age of the oldest report that counts, 0 without any."""
+        return max(
+            (self.clock.now() - report.reported_at for report in self.by_source.values()), default=0
+        )
+
     def sum(self, sources: frozenset[str] | None = None) -> UsageByWorkspace:
         """Return the unexpired usage of `sources`, or of all sources if None."""
         since = self.clock.now() - USAGE_TTL_MS
--- a/tests/gateway/test_shares.py
+++ b/tests/gateway/test_shares.py
@@ -183,3 +183,12 @@
     run(ledger, clock, 4, flood=(10_000, 900), small=(100, 10))
     run(ledger, clock, WINDOW_MS // TICK_MS + 1)
     assert ledger.standing("flood") is Standing.WITHIN
+
+
+def test_a_refusal_can_tell_how_old_the_reports_were(ledger, clock):
+    """Without it, a share that follows old reports could not be told from a wrong one."""
+    assert ledger.others.oldest_ms() == 0
+    ledger.others.replace("a", {})
+    clock.advance(300)
+    ledger.others.replace("b", {})
+    assert ledger.others.oldest_ms() == 300
