--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -111,8 +111,8 @@
         self.decisions = DecisionLog(clock, self.metrics)
         self.arrivals = ArrivalLog(clock, lambda: engine_stats(self.admission))
         bounds = settings.bounds
-        self.screen = ObjectScreen(kind_rules(settings.memory_mb), self.metrics, clock)
-        self.store_client = PlatformStoreClient(settings.store, STORE_TIMEOUT_MS, self.screen)
+        screen = ObjectScreen(kind_rules(settings.memory_mb), self.metrics, clock)
+        self.store_client = PlatformStoreClient(settings.store, STORE_TIMEOUT_MS, screen)
         self.active_config = ActiveConfig(
             clock, bounds.revoke_ms - REVOKE_MARGIN_MS, bounds.apply_ms
         )
@@ -219,16 +219,11 @@
         self.stop = PlannedStop(clock, bounds.grace_ms)
         self.relief = CallerRelief(clock)
         self.admission.is_late = self.loop_delay.is_late
-        self.changelogs: dict[str, ChangeLog] = {}
+        waits = watch_waits(bounds)
+        self.changelogs = {kind: ChangeLog(clock, screen.rule(kind).kept_bytes) for kind in waits}
         dated = frozenset((CONFIG_KIND,))
         self.source = RelayedSource(
-            clock,
-            self.store_client,
-            self.changelogs,
-            bounds.apply_ms,
-            dated,
-            self.metrics,
-            self.screen,
+            clock, self.store_client, self.changelogs, bounds.apply_ms, dated, self.metrics, screen
         )
         self.source.apply_ms_by_kind = apply_times(bounds)
         followers: dict[str, Follower] = {
@@ -238,9 +233,11 @@
             ROLLOUTS_KIND: RolloutFollower(self.rollouts),
             QUARANTINE_KIND: QuarantineFollower(self.quarantine),
         }
-        waits = watch_waits(bounds)
         self.watches = [
-            self._watch(kind, waits[kind], follower) for kind, follower in followers.items()
+            KindWatch(
+                self.source, clock, kind, waits[kind], follower, self.changelogs[kind], screen
+            )
+            for kind, follower in followers.items()
         ]
         self.permits: PermitExchange | None = None
         self.store_client.on_restored.append(self._on_store_restored)
@@ -253,11 +250,6 @@
         ]
         self.fleet.news = self.source
 
-    def _watch(self, kind: str, wait_ms: int, follower: Follower) -> KindWatch:
-        kept_bytes = self.screen.rule(kind).kept_bytes
-        changes = self.changelogs[kind] = ChangeLog(self.clock, kept_bytes)
-        return KindWatch(self.source, self.clock, kind, wait_ms, follower, changes, self.screen)
-
     def _start_permits(self, members: Members, peers: Peers) -> None:
         rule = self.admission.rates.stated
         self.permits = PermitExchange(self.clock, members, peers, self.registry, rule)
