targets: keep a former target superseded when the next one names its own start

What listens at the address of a target that crashed may be another target. Its report names a start that is not the known one, so the former target counted as started again, at the very start of its heir, and was no longer superseded: routers went on to send there and got 421 until its entry lapsed. What an entry says of the start decides who is superseded now, not what the report said. An outdated entry no longer makes the new start leave either.

--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -63,8 +63,9 @@
     lapsed_at: int | None = None
     unreachable_until: int = 0
     connect_failures: int = 0
-    # The start before the one that the target itself named; an entry of it is outdated. 0: none.
-    previous_started_at: int = 0
+    # The start that its entry names, if that is outdated because what listens at its address named
+    # a later one; 0 otherwise.
+    outdated_started_at: int = 0
     # No requests are sent before this time, because the target was full or asked for a pause.
     paused_until: int = 0
     # Consecutive requests that it rejected because it was full.
@@ -78,6 +79,11 @@
     parts_version: int = 0
     reuse_distances: ReuseDistances = NO_DISTANCES
 
+    @property
+    def entry_started_at(self) -> int:
+        """Return the start that the entry of the target names."""
+        return self.outdated_started_at or self.record.started_at
+
     def forget_start(self) -> None:
         """Forget what belongs to a start of the target that has ended."""
         self.load = TargetLoad(self.load.clock)
@@ -199,11 +205,15 @@
             state = TargetState(record, revision, TargetLoad(self.clock))
             self.states[record.id] = state
             log.info("target_added", target=record.id, service=record.service, revision=revision)
-        elif record.started_at == state.previous_started_at != 0:
-            record = replace(record, started_at=state.record.started_at, cold_for_ms=0)
+        elif record.started_at == state.outdated_started_at != 0:
+            known = state.record.started_at
+            record = replace(record, started_at=known, leaving=False, cold_for_ms=0)
         elif state.record.started_at != record.started_at:
             log.info("target_restarted", target=record.id, revision=revision)
             state.forget_start()
+            state.outdated_started_at = 0
+        else:
+            state.outdated_started_at = 0
         if record.leaving and not state.record.leaving:
             log.info("target_leaving", target=record.id, revision=revision)
         self._forget_leaving(state.record, record)
@@ -222,7 +232,7 @@
         log.info("target_said_restarted", target=target_id, started_at=started_at)
         state.forget_start()
         self.leaving_starts.pop(target_id, None)
-        state.previous_started_at = state.record.started_at
+        state.outdated_started_at = state.entry_started_at
         state.record = replace(state.record, started_at=started_at, leaving=False)
         state.cold_until = max(state.cold_until, self.clock.now() + cold_ms)
         self._index()
@@ -357,10 +367,10 @@
         """
         newest: dict[str, int] = {}
         for state in self.states.values():
-            record = state.record
-            newest[record.address] = max(record.started_at, newest.get(record.address, 0))
+            address = state.record.address
+            newest[address] = max(state.entry_started_at, newest.get(address, 0))
         return frozenset(
             target_id
             for target_id, state in self.states.items()
-            if 0 < state.record.started_at < newest[state.record.address]
+            if 0 < state.entry_started_at < newest[state.record.address]
         )
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -207,3 +207,23 @@
     assert [state.record.id for state in registry.usable("models")] == ["new", "other"]
     registry.delete("new", False)
     assert [state.record.id for state in registry.usable("models")] == ["old", "other"]
+
+
+def test_reused_address_does_not_bring_a_former_target_back(clock):
+    registry = TargetRegistry(clock)
+    registry.put(record("t1", started_at=1_000), 1)
+    registry.record_start("t1", 9_000, 3_000)
+    registry.put(record("t2", started_at=9_000), 2)
+    assert usable(registry) == ["t2"]
+
+
+def test_restarted_target_is_not_superseded_by_itself(clock):
+    registry = TargetRegistry(clock)
+    registry.put(record("t1", started_at=1_000, leaving=True), 1)
+    registry.record_start("t1", 9_000, 3_000)
+    assert usable(registry) == ["t1"]
+    registry.put(record("t1", started_at=1_000, leaving=True), 2)
+    assert [state.record.started_at for state in registry.usable("models")] == [9_000]
+    registry.put(record("t1", started_at=9_000), 3)
+    registry.put(record("t1", started_at=12_000, cold_for_ms=500), 4)
+    assert [state.record.started_at for state in registry.usable("models")] == [12_000]
