coldstart: ignore the report of a start that has ended meanwhile

A late router may read a report after the entry of the next start: the report names the start for which the connection was opened. It was recorded as a new one, so the entry counted as outdated and the target as cold once more. The test fails without the comparison.

--- a/src/jacinthcove/coldstart/startcheck.py
+++ b/src/jacinthcove/coldstart/startcheck.py
@@ -45,10 +45,11 @@
         """Return whether a request may be sent only on a confirmed connection."""
         return self.cold.quota(target) is None and not self.cold.allows_send(target, False)
 
-    def record_read(self, target: TargetState, started_at: int | None) -> bool:
+    def record_read(self, target: TargetState, opened_for: int, started_at: int | None) -> bool:
         """Record the start that a connection leads to; returns whether it is the known one.
 
-        A target that does not name its start cannot be checked, and is trusted.
+        `opened_for` is the start that was known when the connection was opened. A target that does
+        not name its start cannot be checked, and is trusted.
         """
         if started_at is None:
             self.unnamed.add()
@@ -57,6 +58,9 @@
             self.confirmed.add()
             return True
         self.changed.add()
+        if started_at == opened_for:
+            # The report was read late: the router has learned of a later start meanwhile.
+            return False
         service = self.cold.services.get(target.record.service)
         cold_ms = service.cold_ms if service is not None else 0
         self.registry.record_start(target.record.id, started_at, cold_ms)
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -248,7 +248,7 @@
         if exchange.start_confirmed or not starts.is_needed(target):
             return
         started_at = exchange.read_start(starts.reader)
-        exchange.start_confirmed = starts.record_read(target, started_at)
+        exchange.start_confirmed = starts.record_read(target, exchange.key.started_at, started_at)
         if not exchange.start_confirmed:
             raise TargetIneligible("the target has started again")
 
--- a/tests/coldstart/restart_bed.py
+++ b/tests/coldstart/restart_bed.py
@@ -108,7 +108,8 @@
         """Send a request on its connection if the router decides so."""
         if not connection.confirmed and self.starts.is_needed(self.target):
             self.starts_read += 1
-            read = self.starts.record_read(self.target, connection.start.started_at)
+            known, found = connection.known_started_at, connection.start.started_at
+            read = self.starts.record_read(self.target, known, found)
             connection.confirmed = read
             if not read:
                 return False
--- a/tests/coldstart/test_restarted_targets.py
+++ b/tests/coldstart/test_restarted_targets.py
@@ -4,7 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.coldstart.restart_bed import ALLOWED_PER_S, COLD_MS, Play
+from jacinthcove.clock import ManualClock
+from jacinthcove.gateway.fleetquota import FleetQuota
+from tests.coldstart.restart_bed import ALLOWED_PER_S, COLD_MS, Play, Router, Start
 
 VIEW_LAG_MS = st.one_of(st.integers(0, 300), st.integers(0, 6_000))
 
@@ -50,3 +52,15 @@
     warm_at = second.at + COLD_MS + 700
     served = sum(warm_at <= at < warm_at + 1_000 for at in second.arrivals)
     assert served >= 50
+
+
+def test_report_of_an_ended_start_that_is_read_late_does_not_bring_it_back():
+    clock = ManualClock()
+    quota = FleetQuota(clock, "r1")
+    first = Start(clock.now() - 60_000, clock.now(), False)
+    second = Start(clock.now() + 500, 1 << 60, True)
+    router = Router("r1", clock, quota, first)
+    router.registry.put(second.record(second.at), 2)
+    starts, target = router.starts, router.target
+    assert not starts.record_read(target, first.started_at, first.started_at)
+    assert target.record.started_at == second.started_at
