targets: end the cold time of a restarted target when its entry says so

A start that a target names itself counts as cold for the usual time from then on. Its entry, which comes up to 0.65 s later, says how much is left, but the later of the two ends counted, so a warm target got its load late by the time between its start and the report. The new test failed before.

--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -212,8 +212,9 @@
             log.info("target_restarted", target=record.id, revision=revision)
             state.forget_start()
             state.outdated_started_at = 0
-        else:
-            state.outdated_started_at = 0
+        elif state.outdated_started_at:
+            # From here on the entry says how long the target is cold, not the usual time.
+            state.outdated_started_at, state.cold_until = 0, now
         if record.leaving and not state.record.leaving:
             log.info("target_leaving", target=record.id, revision=revision)
         self._forget_leaving(state.record, record)
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -227,3 +227,13 @@
     registry.put(record("t1", started_at=9_000), 3)
     registry.put(record("t1", started_at=12_000, cold_for_ms=500), 4)
     assert [state.record.started_at for state in registry.usable("models")] == [12_000]
+
+
+@pytest.mark.parametrize("left_ms", [0, 2_000])
+def test_restarted_target_is_cold_no_longer_than_its_entry_says(clock, left_ms):
+    registry = TargetRegistry(clock)
+    registry.put(record("t1", started_at=1_000), 1)
+    registry.record_start("t1", 9_000, 3_000)
+    clock.advance(500)
+    registry.put(record("t1", started_at=9_000, cold_for_ms=left_ms), 2)
+    assert registry.states["t1"].cold_until == clock.now() + left_ms
