targets: use an entry again once its target names the start in it

After a report that was wrong or late and then a right one, the start in the entry counted as outdated: a draining target went on to get requests, and an entry that said it was cold was ignored.

--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -233,7 +233,8 @@
         log.info("target_said_restarted", target=target_id, started_at=started_at)
         state.forget_start()
         self.leaving_starts.pop(target_id, None)
-        state.outdated_started_at = state.entry_started_at
+        entry_start = state.entry_started_at
+        state.outdated_started_at = entry_start if entry_start != started_at else 0
         state.record = replace(state.record, started_at=started_at, leaving=False)
         state.cold_until = max(state.cold_until, self.clock.now() + cold_ms)
         self._index()
