coldstart: take only a report for a report

Any response confirmed a connection if no start could be read from it: an error of a failing target, bytes that are no JSON, or the late answer to an earlier request, and then every further request went to a later start without a limit. Answers to requests are skipped now, as on any reused connection, and a response that is no report makes the connection unusable. Only a target that has no report (404), or whose report names no start, is used as before; the cases of the test are dealt out anew between the two tests for that reason, and none is dropped.

--- a/src/jacinthcove/coldstart/startcheck.py
+++ b/src/jacinthcove/coldstart/startcheck.py
@@ -23,8 +23,8 @@
     def read_start(self, sock: Any, address: str) -> int | None:
         """Return when the target at the other end of an idle connection started, in wall ms.
 
-        None if it does not say; raises `OSError` or `HTTPParseError` if the connection is of no
-        more use.
+        None if it does not say; raises `OSError`, `ValueError` or `HTTPParseError` if the
+        connection is of no more use.
         """
 
 
--- a/src/jacinthcove/gateway/exchange.py
+++ b/src/jacinthcove/gateway/exchange.py
@@ -67,7 +67,7 @@
         self.reused = True
         try:
             return reader.read_start(self.sock, self.address)
-        except (OSError, HTTPParseError) as error:
+        except (OSError, ValueError, HTTPParseError) as error:
             raise TargetUnreachable(f"{self.address} did not report: {error}") from error
 
     def send(
--- a/tests/platform/test_start_reports.py
+++ b/tests/platform/test_start_reports.py
@@ -80,15 +80,7 @@
     assert 0 < state.cold_until - bed.registry.clock.now() <= COLD_MS
 
 
-@pytest.mark.parametrize(
-    "script",
-    [
-        reports("{}"),
-        reports("[]"),
-        reports("not json"),
-        reports(f'{{"born": {LATER_START}}}', status="500 Failed"),
-    ],
-)
+@pytest.mark.parametrize("script", [reports("{}"), reports("", status="404 Not Found")])
 def test_target_that_does_not_name_its_start_is_used_as_before(add, call, script):
     target = add(script)
     assert [call() for _ in range(3)] == [200] * 3
@@ -96,7 +88,14 @@
 
 
 @pytest.mark.parametrize(
-    "script", [reports(None), reports(f'{{"born": {KNOWN_START}}}', extra="Connection: close\r\n")]
+    "script",
+    [
+        reports(None),
+        reports("[]"),
+        reports("not json"),
+        reports(f'{{"born": {KNOWN_START}}}', status="500 Failed"),
+        reports(f'{{"born": {KNOWN_START}}}', extra="Connection: close\r\n"),
+    ],
 )
 def test_connection_without_a_usable_report_gets_no_request(monkeypatch, bed, add, call, script):
     monkeypatch.setattr(startreport, "REPORT_TIMEOUT_MS", 100)
@@ -135,3 +134,16 @@
     assert state.cold_until > bed.registry.clock.now()
     bed.registry.put(target.record(started_at=LATER_START, cold_for_ms=2_000), 3)
     assert state.record.started_at == LATER_START
+
+
+def test_late_answer_to_a_request_is_not_taken_for_a_report(bed, add, call):
+    def duplicating(target, sock, head):
+        if head.startswith(f"GET {REPORT_PATH} "):
+            sock.sendall(response(target.seen[0], b"late", extra=KEEP_ALIVE))
+            reports(f'{{"born": {LATER_START}}}')(target, sock, head)
+        else:
+            sock.sendall(response(head, extra=KEEP_ALIVE))
+
+    target = add(duplicating)
+    assert [call() for _ in range(3)] == [200, 503, 503]
+    assert asked_for_report(target).count(False) == 1
