coldstart: count what a target says of its coldness once

Callers waited for engines that were warm: each list that repeated an entry (after an outage, from an older copy, a lapsed or held entry) made its target cold again for the whole of cold_left_ms. And a target removed and listed again within its cold time lost what was known of it.

ColdTimes keeps what the last start of each target said, by revision and duration, with the time until which it holds: it counts from the first hearing, which is never before the writing, so never for a shorter time than the target said. A list through another router has an age, but that is no reason to count less, as the entry may be as young as the list. Revisions alone do not identify a statement, since a store that came back from an older copy gives them out again.

--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -7,6 +7,7 @@
 import structlog
 
 from jacinthcove.clock import Clock
+from jacinthcove.coldstart.coldtimes import ColdStatement, ColdTimes
 from jacinthcove.gateway.departed import DepartedTargets
 from jacinthcove.gateway.drains import DrainedDomains
 from jacinthcove.gateway.load import TargetLoad
@@ -176,6 +177,7 @@
         self.leaving_starts: dict[str, int] = {}
         self.departed = DepartedTargets(clock)
         self.stated_limits = StatedLimits(clock)
+        self.cold_times = ColdTimes(clock)
 
     def replace_all(self, entries: Iterable[ListedTarget], gap: Gap) -> None:
         """Replace all entries by a complete list.
@@ -196,7 +198,6 @@
         self._index()
 
     def _put(self, record: TargetRecord, revision: int) -> None:
-        now = self.clock.now()
         self.departed.forget(record.id)
         state = self.states.get(record.id)
         if state is not None and _is_older(record, state.record):
@@ -220,7 +221,10 @@
         self._forget_leaving(state.record, record)
         state.record, state.revision, state.lapsed_at = record, revision, None
         if record.cold_for_ms > 0:
-            state.cold_until = max(state.cold_until, now + record.cold_for_ms)
+            cold = ColdStatement(record.started_at, revision, record.cold_for_ms)
+            self.cold_times.record(record.id, cold, record.cold_for_ms, "entry")
+        known_until = self.cold_times.until(record.id, record.started_at)
+        state.cold_until = max(state.cold_until, known_until)
 
     def record_start(self, target_id: str, started_at: int, cold_ms: int) -> None:
         """Record that a target itself says that it has started again, at `started_at` (wall ms).
@@ -236,7 +240,9 @@
         entry_start = state.entry_started_at
         state.outdated_started_at = entry_start if entry_start != started_at else 0
         state.record = replace(state.record, started_at=started_at, leaving=False)
-        state.cold_until = max(state.cold_until, self.clock.now() + cold_ms)
+        cold = ColdStatement(started_at, 0, cold_ms)
+        self.cold_times.record(target_id, cold, cold_ms, "target")
+        state.cold_until = max(state.cold_until, self.cold_times.until(target_id, started_at))
         self._index()
 
     def delete(self, target_id: str, store_was_away: bool) -> None:
