gateway: an outdated entry says nothing about the start after it

An entry of the start that a target itself said has ended was taken over with the start time replaced. If it said that the target leaves, the new start counted as leaving, which is final for a start: it got no request until it ended.

Nothing of such an entry is taken over now. The test failed before.

--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -206,9 +206,8 @@
             state = TargetState(record, revision, TargetLoad(self.clock))
             self.states[record.id] = state
             log.info("target_added", target=record.id, service=record.service, revision=revision)
-        elif record.started_at == state.outdated_started_at != 0:
-            known = state.record.started_at
-            record = replace(record, started_at=known, leaving=False, cold_for_ms=0)
+        elif record.started_at == state.previous_started_at != 0:
+            record = replace(state.record, cold_for_ms=0)
         elif state.record.started_at != record.started_at:
             log.info("target_restarted", target=record.id, revision=revision)
             state.forget_start()
--- a/tests/coldstart/test_cold_times.py
+++ b/tests/coldstart/test_cold_times.py
@@ -116,3 +116,10 @@
             assert registry.states["t1"].cold_until - begin >= heard
             said = max(at + item.record.cold_for_ms for at, item in events)
             assert registry.states["t1"].cold_until - begin <= said
+
+
+def test_outdated_entry_that_leaves_does_not_end_the_start_after_it(registry):
+    registry.record_start("t1", 99, COLD_MS)
+    registry.put(record("t1", started_at=77, leaving=True), 6)
+    registry.put(record("t1", started_at=99), 7)
+    assert not registry.states["t1"].record.leaving
