gateway: routers tell each other which targets are cold

A router whose path to the store works one way, or whose relay is late, sent to a cold target as to a warm one, although other routers knew better: in the tests, one router of 8 or of 48 knew, and the others never learned.

Load reports carry, only while a target is cold, what it said (start, revision of its entry, duration) and the time that is left, also if it has no load. Collectors pass it on in digests and in the sums of their domain; members do not repeat to their collector what others reported. What was said is counted once at each router: if it counted with each report, the time would grow with each hop and never end. A start that is later than the known one is a restart; the start before the known one and earlier ones are not, so late routers do not undo a restart, even where the clock of the target was set back.

An entry that another start follows is kept from then on as previous_started_at for entries as well, which an older copy of the store can list again.

--- a/src/jacinthcove/coldstart/coldtimes.py
+++ b/src/jacinthcove/coldstart/coldtimes.py
@@ -5,7 +5,7 @@
 would make the time longer.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -33,10 +33,14 @@
 
 @dataclass(frozen=True)
 class ColdTime:
-    """A statement, and the monotonic ms until which it holds at this router."""
+    """A statement, and the monotonic ms until which it holds at this router.
+
+    `reported`: another router reported it.
+    """
 
     statement: ColdStatement
     until: int
+    reported: bool
 
 
 class ColdTimes:
@@ -44,7 +48,7 @@
 
     def __init__(self, clock: Clock):
         self.clock = clock
-        self.by_target: dict[str, dict[ColdStatement, int]] = {}
+        self.by_target: dict[str, dict[ColdStatement, ColdTime]] = {}
 
     def record(self, target_id: str, statement: ColdStatement, left_ms: int, source: str) -> None:
         """Record that a target is cold for `left_ms` from now on, unless that is known already.
@@ -54,17 +58,45 @@
         known = self.by_target.get(target_id, {})
         if any(item.started_at != statement.started_at for item in known):
             known = {}
-        if statement in known:
+        if statement not in known:
+            self._log(target_id, statement, left_ms, source)
+            known[statement] = ColdTime(statement, self.clock.now() + left_ms, False)
+            self._keep(target_id, known)
+
+    def record_report(self, target_id: str, statement: ColdStatement, left_ms: int) -> None:
+        """Record what another router reports; an earlier start than the known one is ignored."""
+        known = self.by_target.get(target_id, {})
+        if any(item.started_at > statement.started_at for item in known):
             return
-        cold_before = max(known.values(), default=0) > self.clock.now()
-        known[statement] = self.clock.now() + left_ms
+        self.record(target_id, statement, left_ms, "report")
+        known = self.by_target[target_id]
+        known[statement] = replace(known[statement], reported=True)
+
+    def find(self, target_id: str, started_at: int) -> ColdTime | None:
+        """Return what holds longest for a start of a target, None if it is not known to be cold."""
+        known = self.by_target.get(target_id)
+        if known is None:
+            return None
+        now = self.clock.now()
+        cold = (item for item in known.values() if item.until > now)
+        same = (item for item in cold if item.statement.started_at == started_at)
+        return max(same, key=lambda item: item.until, default=None)
+
+    def until(self, target_id: str, started_at: int) -> int:
+        """Return the monotonic ms until which a start of a target is cold, 0 if it is not known."""
+        found = self.find(target_id, started_at)
+        return found.until if found is not None else 0
+
+    def _keep(self, target_id: str, known: dict[ColdStatement, ColdTime]) -> None:
         if len(known) > MAX_STATEMENTS:
             del known[next(iter(known))]
         self.by_target.pop(target_id, None)
         self.by_target[target_id] = known
         if len(self.by_target) > MAX_TARGETS:
             del self.by_target[next(iter(self.by_target))]
-        if not cold_before:
+
+    def _log(self, target_id: str, statement: ColdStatement, left_ms: int, source: str) -> None:
+        if self.find(target_id, statement.started_at) is None:
             log.info(
                 "target_cold",
                 target=target_id,
@@ -74,8 +106,3 @@
                 revision=statement.revision,
                 started_at=statement.started_at,
             )
-
-    def until(self, target_id: str, started_at: int) -> int:
-        """Return the monotonic ms until which a start of a target is cold, 0 if it is not known."""
-        known = self.by_target.get(target_id, {})
-        return max((u for item, u in known.items() if item.started_at == started_at), default=0)
--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -15,6 +15,7 @@
 
 from jacinthcove.background import run_step
 from jacinthcove.clock import Clock
+from jacinthcove.coldstart.coldtimes import ColdStatement
 from jacinthcove.gateway.callercounts import NO_CALLERS, CallerCounts, callers_from_report
 from jacinthcove.gateway.collectors import Collectors
 from jacinthcove.gateway.digests import (
@@ -28,6 +29,7 @@
 from jacinthcove.gateway.loadreports import (
     PERIOD_MS,
     REFRESH_MS,
+    CollectorGroup,
     DirectReceivers,
     LoadReporter,
     ReceiverGroup,
@@ -76,7 +78,7 @@
         self.same_domain = DirectReceivers(members, True, SAME_DOMAIN_MESSAGES_PER_S)
         self.cross_domain = DirectReceivers(members, False, CROSS_DOMAIN_MESSAGES_PER_S)
         # What was last sent to the collector, and to other domains while this router collects.
-        self.collector_group = ReceiverGroup()
+        self.collector_group = CollectorGroup()
         self.others_group = ReceiverGroup()
         # Period of the reports between failure domains, and so their usual age.
         self.cross_domain_period_ms = float(PERIOD_MS)
@@ -128,7 +130,7 @@
             log.info("load_collector", router=current, before=self.collector_id)
             self.collector_id = current
             # The new collector does not have the reports that went to the previous one.
-            self.collector_group = ReceiverGroup()
+            self.collector_group = CollectorGroup()
             if current == self.members.me.id:
                 self.digest_totals.clear()
         return current
@@ -188,6 +190,9 @@
                 self.registry.stated_limits.record_report(
                     item.target_id, item.started_at, per_s, item.limit.age_ms
                 )
+            if item.HasField("cold"):
+                said = ColdStatement(item.started_at, item.cold.revision, item.cold.said_ms)
+                self.registry.record_cold_report(item.target_id, said, item.cold.left_ms)
             target = self.registry.states.get(item.target_id)
             if target is not None:
                 target.record_parts(item.parts)
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from jacinthcove.clock import Clock
+from jacinthcove.coldstart.coldtimes import ColdTime
 from jacinthcove.gateway.digests import OwnContribution
 from jacinthcove.gateway.load import PeerLoad, TargetLoad
 from jacinthcove.gateway.shares import ShareLedger
@@ -31,6 +32,8 @@
     leaving: bool
     # The limit of the target, None if it stated none or lifted it.
     limit_per_s: float | None
+    # Until when it is cold, 0 if it was not reported as cold.
+    cold_until: int
     sent_at: int
 
 
@@ -39,6 +42,7 @@
     """What a router reports about a target.
 
     `leaving`: the target said that it leaves. `limit` is what it last said about its own limit.
+    `cold` is None unless it is cold.
     `parts` are cacheable blocks of prompt prefixes that were sent to it since the last report.
     """
 
@@ -46,12 +50,16 @@
     load: PeerLoad
     leaving: bool
     limit: StatedLimit | None
+    cold: ColdTime | None
     parts: list[str]
 
 
 class ReceiverGroup:
     """What was last sent to a group of routers that all receive the same reports."""
 
+    # Whether a member's report repeats to them what other routers reported about cold targets.
+    repeats_cold_times = True
+
     def __init__(self) -> None:
         self.loads: dict[str, SentLoad] = {}
         self.usage: dict[str, tuple[WorkspaceUsage, int]] = {}
@@ -60,7 +68,7 @@
     def add_load(self, message: pb.LoadShare, report: TargetReport, now: int) -> None:
         """Add the report about a target to `message` if it changed or is due for a refresh."""
         target = report.record.id
-        load, limit = report.load, report.limit
+        load, limit, cold = report.load, report.limit, report.cold
         sent_before = self.loads.get(target)
         state = SentLoad(
             load.running,
@@ -68,10 +76,11 @@
             load.memory_tokens,
             report.leaving,
             limit.per_s if limit is not None else None,
+            cold.until if cold is not None else 0,
             now,
         )
         idle = not (load.running or load.unread_tokens or load.memory_tokens or report.leaving)
-        silent = idle and limit is None
+        silent = idle and limit is None and cold is None
         if sent_before is None:
             changed = not silent
         else:
@@ -90,8 +99,9 @@
             memory_tokens=load.memory_tokens,
             parts=report.parts,
             leaving=report.leaving,
-            started_at=report.record.started_at if report.leaving or limit else 0,
+            started_at=report.record.started_at if report.leaving or limit or cold else 0,
             limit=encode_limit(limit, now) if limit is not None else None,
+            cold=encode_cold_time(cold, now) if cold is not None else None,
         )
 
     def add_usage(
@@ -111,6 +121,12 @@
                 self.usage[workspace] = (usage, now)
 
 
+class CollectorGroup(ReceiverGroup):
+    """The collector of this failure domain, which has told this router what others reported."""
+
+    repeats_cold_times = False
+
+
 class DirectReceivers(ReceiverGroup):
     """The other routers of this failure domain, or the routers of all other failure domains."""
 
@@ -159,7 +175,10 @@
         message, since, now = self._begin(group)
         for state in self.registry.states.values():
             parts = state.parts_sent_since(since)
-            group.add_load(message, self._report(state, own_load(state.load, now), parts), now)
+            report = self._report(state, own_load(state.load, now), parts)
+            if not group.repeats_cold_times and report.cold is not None and report.cold.reported:
+                report = replace(report, cold=None)
+            group.add_load(message, report, now)
         group.add_usage(message, self.ledger.own.sum(), now)
         return message
 
@@ -193,7 +212,8 @@
         record = state.record
         leaving = record.id in self.registry.leaving_starts
         limit = self.registry.stated_limits.find(record.id, record.started_at)
-        return TargetReport(record, load, leaving, limit, parts)
+        cold = self.registry.cold_times.find(record.id, record.started_at)
+        return TargetReport(record, load, leaving, limit, cold, parts)
 
     def _begin(self, group: ReceiverGroup) -> tuple[pb.LoadShare, int, int]:
         self.sequence += 1
@@ -220,6 +240,16 @@
     )
 
 
+def encode_cold_time(cold: ColdTime, now: int) -> pb.ColdTime:
+    """Encode what a target said about its coldness."""
+    statement = cold.statement
+    return pb.ColdTime(
+        left_ms=max(0, cold.until - now),
+        said_ms=statement.cold_ms,
+        revision=statement.revision,
+    )
+
+
 def own_load(load: TargetLoad, now: int) -> PeerLoad:
     """Return the load of a target that comes from this router's own requests."""
     return PeerLoad(len(load.own), load.own_memory_tokens, load.own_unread_tokens, now)
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -64,9 +64,8 @@
     lapsed_at: int | None = None
     unreachable_until: int = 0
     connect_failures: int = 0
-    # The start that its entry names, if that is outdated because what listens at its address named
-    # a later one; 0 otherwise.
-    outdated_started_at: int = 0
+    # The start before the known one; what is said about it is outdated. 0: none.
+    previous_started_at: int = 0
     # No requests are sent before this time, because the target was full or asked for a pause.
     paused_until: int = 0
     # Consecutive requests that it rejected because it was full.
@@ -210,6 +209,7 @@
             record = replace(state.record, cold_for_ms=0)
         elif state.record.started_at != record.started_at:
             log.info("target_restarted", target=record.id, revision=revision)
+            state.previous_started_at = state.record.started_at
             state.forget_start()
             state.outdated_started_at = 0
         elif state.outdated_started_at:
@@ -222,8 +222,7 @@
         if record.cold_for_ms > 0:
             cold = ColdStatement(record.started_at, revision, record.cold_for_ms)
             self.cold_times.record(record.id, cold, record.cold_for_ms, "entry")
-        known_until = self.cold_times.until(record.id, record.started_at)
-        state.cold_until = max(state.cold_until, known_until)
+        self._update_cold_until(state)
 
     def record_start(self, target_id: str, started_at: int, cold_ms: int) -> None:
         """Record that a target itself says that it has started again, at `started_at` (wall ms).
@@ -233,17 +232,42 @@
         state = self.states.get(target_id)
         if state is None or state.record.started_at == started_at:
             return
-        log.info("target_said_restarted", target=target_id, started_at=started_at)
+        self.cold_times.record(target_id, ColdStatement(started_at, 0, cold_ms), cold_ms, "target")
+        self._restart(state, started_at, "target")
+
+    def record_cold_report(self, target_id: str, cold: ColdStatement, left_ms: int) -> None:
+        """Record that another router knows a target to be cold for `left_ms`.
+
+        A start that is later than the known one counts as a restart, but not one that has ended.
+        """
+        state = self.states.get(target_id)
+        if state is not None and cold.started_at == state.previous_started_at != 0:
+            return
+        if state is not None and cold.started_at < state.record.started_at:
+            return
+        self.cold_times.record_report(target_id, cold, left_ms)
+        if state is None:
+            return
+        if cold.started_at > state.record.started_at:
+            self._restart(state, cold.started_at, "report")
+        self._update_cold_until(state)
+
+    def _restart(self, state: TargetState, started_at: int, source: str) -> None:
+        """Record a later start of a target than its entry names."""
+        target_id = state.record.id
+        log.info("target_said_restarted", target=target_id, started_at=started_at, source=source)
         state.forget_start()
         self.leaving_starts.pop(target_id, None)
         entry_start = state.entry_started_at
         state.outdated_started_at = entry_start if entry_start != started_at else 0
         state.record = replace(state.record, started_at=started_at, leaving=False)
-        cold = ColdStatement(started_at, 0, cold_ms)
-        self.cold_times.record(target_id, cold, cold_ms, "target")
-        state.cold_until = max(state.cold_until, self.cold_times.until(target_id, started_at))
+        self._update_cold_until(state)
         self._index()
 
+    def _update_cold_until(self, state: TargetState) -> None:
+        known_until = self.cold_times.until(state.record.id, state.record.started_at)
+        state.cold_until = max(state.cold_until, known_until)
+
     def delete(self, target_id: str, store_was_away: bool) -> None:
         """Remove an entry; after a store outage the target gets a grace period."""
         self.departed.release(target_id)
