coldstart: use a returned domain as warm once its targets are known again

Cold engines of a failure domain that returns got 26 requests in a second from 8 routers and 46 from 300, where 16.7 are allowed (tests/coldstart, with this rule switched off). Drains and targets are watched apart, and a router that learned of the return before the entries sent as to warm targets.

DomainReturns keeps when a router learned of each return. Until its word of the targets is as new as that, they keep to the quota of a cold target. The moment at which a watch or list was current is already kept, with the age of another router's state taken off; comparing revisions instead would not work for a router that waits for its relay's digests, whose revision does not rise while no target changes. A drain that an older copy lacks returns when it is no longer kept.

The cost: a domain that returns warm gets its cold rate until the next watch of the targets ends. Reports also no longer look up what warm targets once said.

--- a/src/jacinthcove/gateway/drains.py
+++ b/src/jacinthcove/gateway/drains.py
@@ -5,6 +5,7 @@
 import structlog
 
 from jacinthcove.clock import Clock
+from jacinthcove.coldstart.domainreturns import DomainReturns
 from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
@@ -23,14 +24,18 @@
         self.listed: frozenset[str] = frozenset()
         # Ends of the drains that are kept although an older copy lacks them, in boot ms.
         self.kept_until: dict[str, int] = {}
+        self.returns = DomainReturns(clock)
 
     def replace(self, domains: frozenset[str], gap: Gap) -> None:
         """Replace the drained domains by a complete list."""
         missing = self.listed - domains
+        ends_at = self.clock.boot()
         if gap is Gap.OLDER_COPY and missing:
             log.info("drains_kept", domains=heapq.nsmallest(MAX_LOGGED, missing))
-            ends_at = self.clock.boot() + KEPT_MS
+            ends_at += KEPT_MS
             self.kept_until.update(dict.fromkeys(missing, ends_at))
+        for domain in missing:
+            self.returns.record(domain, ends_at)
         self._set(domains)
 
     def add(self, domain: str) -> None:
@@ -39,6 +44,8 @@
 
     def remove(self, domain: str) -> None:
         """Return a domain to service."""
+        if domain in self:
+            self.returns.record(domain, self.clock.boot())
         self.kept_until.pop(domain, None)
         self._set(self.listed - {domain})
 
--- a/src/jacinthcove/gateway/loadreports.py
+++ b/src/jacinthcove/gateway/loadreports.py
@@ -212,7 +212,9 @@
         record = state.record
         leaving = record.id in self.registry.leaving_starts
         limit = self.registry.stated_limits.find(record.id, record.started_at)
-        cold = self.registry.cold_times.find(record.id, record.started_at)
+        cold = None
+        if state.cold_until > self.clock.now():
+            cold = self.registry.cold_times.find(record.id, record.started_at)
         return TargetReport(record, load, leaving, limit, cold, parts)
 
     def _begin(self, group: ReceiverGroup) -> tuple[pb.LoadShare, int, int]:
--- a/src/jacinthcove/gateway/raterule.py
+++ b/src/jacinthcove/gateway/raterule.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from jacinthcove.clock import Clock
+from jacinthcove.coldstart.domainreturns import DomainReturns
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.model import GatewayService
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
@@ -58,10 +59,13 @@
     that has just started fails well above its cold rate.
     """
 
-    def __init__(self, clock: Clock, fleet: FleetQuota, rate_limit: ColdRateLimit):
+    def __init__(
+        self, clock: Clock, fleet: FleetQuota, rate_limit: ColdRateLimit, returns: DomainReturns
+    ):
         self.clock = clock
         self.fleet = fleet
         self.rate_limit = rate_limit
+        self.returns = returns
         self.services: dict[str, GatewayService] = {}
         self.limiter = TargetRateLimiter(clock, COLD_WINDOW_MS)
         # Counts only what may reach a cold start: on unconfirmed connections, or to a cold target.
@@ -72,10 +76,14 @@
         service = self.services.get(target.record.service)
         if service is None or service.cold_requests_per_s <= 0:
             return None
-        if target.cold_until <= self.clock.now():
+        if not self._may_be_cold(target):
             return None
         return self._quota_if_cold(target, service)
 
+    def _may_be_cold(self, target: TargetState) -> bool:
+        is_cold = target.cold_until > self.clock.now()
+        return is_cold or self.returns.is_pending(target.record.failure_domain)
+
     def _quota_if_cold(self, target: TargetState, service: GatewayService) -> int:
         rate = service.cold_requests_per_s * self.rate_limit.factor + self.rate_limit.slack
         return self.fleet.quota(target.record.id, rate)
@@ -106,7 +114,7 @@
     def record_sent(self, target: TargetState, start_confirmed: bool) -> None:
         """Count a request that is sent now."""
         self.limiter.record_sent(target.record.id)
-        if not start_confirmed or target.cold_until > self.clock.now():
+        if not start_confirmed or self._may_be_cold(target):
             self.unconfirmed.record_sent(target.record.id)
 
 
--- a/src/jacinthcove/gateway/targetrates.py
+++ b/src/jacinthcove/gateway/targetrates.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from jacinthcove.clock import Clock
+from jacinthcove.coldstart.domainreturns import DomainReturns
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.raterule import ColdRateLimit, ColdRule, RateRule, StatedRule
 from jacinthcove.gateway.statedlimits import StatedLimits
@@ -18,9 +19,10 @@
         fleet: FleetQuota,
         cold_rate_limit: ColdRateLimit,
         stated_limits: StatedLimits,
+        returns: DomainReturns | None = None,
     ):
         self.fleet = fleet
-        self.cold = ColdRule(clock, fleet, cold_rate_limit)
+        self.cold = ColdRule(clock, fleet, cold_rate_limit, returns or DomainReturns(clock))
         self.stated = StatedRule(clock, fleet, stated_limits)
         self.rules: tuple[RateRule, ...] = (self.cold, self.stated)
 
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -140,6 +140,7 @@
                 self.fleet.fleet_quota,
                 bounds.cold_rate_limit,
                 self.registry.stated_limits,
+                self.registry.drained.returns,
             ),
             self.decisions,
             self.rollouts,
--- a/src/jacinthcove/platform/followers.py
+++ b/src/jacinthcove/platform/followers.py
@@ -80,8 +80,8 @@
             self.registry.delete(change.object.name, in_outage and change.deleted)
 
     def on_confirmed(self, known_at: int) -> None:
-        """Drop lapsed targets whose grace period is over."""
-        del known_at
+        """Record when all entries were current; drop targets whose grace period is over."""
+        self.registry.drained.returns.confirm(known_at)
         self.registry.expire()
 
     def _decode(self, item: KindObject) -> TargetRecord | None:
--- a/tests/coldstart/restart_bed.py
+++ b/tests/coldstart/restart_bed.py
@@ -70,7 +70,8 @@
         self.id = id
         self.clock = clock
         self.registry = TargetRegistry(clock)
-        self.rates = TargetRates(clock, quota, COLD_RATE_LIMIT, self.registry.stated_limits)
+        limits, returns = self.registry.stated_limits, self.registry.drained.returns
+        self.rates = TargetRates(clock, quota, COLD_RATE_LIMIT, limits, returns)
         self.rates.cold.services = SERVICES
         self.starts = StartCheck(self.registry, self.rates.cold, None, Metrics())
         self.starts_read = 0
