coldstart: spare a target that turned cold while it ran until all routers know

A router that learns of it now sends nothing to that target for 1,850 ms: the time in which load reports reach all routers in touch (700 ms, shown in a test for direct reports and for collectors), and the window of the limit. Then no second holds both, and the most is the larger of the quotas and of what went to it before all knew: the warm rate times the age of the knowledge, at most a second. What this cannot hold: a warm rate above the rule for a second in which no router knows, and routers that learn more than 700 ms after the first.

Only a named start that is known to have run before is spared so. A start of its own, a drained domain and a target that is warm again are not delayed; a target that does not name its start is not either, as it may have started again. The cost is 1,850 ms of the cold rate for each turn, for all routers together.

--- a/src/jacinthcove/gateway/drains.py
+++ b/src/jacinthcove/gateway/drains.py
@@ -54,6 +54,10 @@
             return True
         return bool(self.kept_until) and self.kept_until.get(domain, 0) > self.clock.boot()
 
+    def was_drained(self, domain: str) -> bool:
+        """Return whether a domain is drained, or its targets are not known since its return."""
+        return domain in self or self.returns.is_pending(domain)
+
     def _set(self, domains: frozenset[str]) -> None:
         if domains != self.listed:
             shown = heapq.nsmallest(MAX_LOGGED, domains)
--- a/src/jacinthcove/gateway/raterule.py
+++ b/src/jacinthcove/gateway/raterule.py
@@ -6,14 +6,13 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.coldstart.domainreturns import DomainReturns
+from jacinthcove.coldstart.turnedcold import COLD_WINDOW_MS
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.model import GatewayService
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
 from jacinthcove.gateway.statedlimits import StatedLimits
 from jacinthcove.gateway.targets import TargetState
 
-# A little over a second, because requests may take different times to arrive.
-COLD_WINDOW_MS = 1_150
 # Longer, so that in a fleet larger than a limit more routers have a quota of it.
 STATED_WINDOW_MS = 4_000
 # A smaller limit allows this many requests in a window: their responses show when it is lifted.
@@ -78,6 +77,8 @@
             return None
         if not self._may_be_cold(target):
             return None
+        if target.quiet_until > self.clock.now():
+            return 0
         return self._quota_if_cold(target, service)
 
     def _may_be_cold(self, target: TargetState) -> bool:
--- a/src/jacinthcove/gateway/targetrecord.py
+++ b/src/jacinthcove/gateway/targetrecord.py
@@ -1,5 +1,6 @@
 """The entries of targets in the store."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from jacinthcove.targets.pool import TargetKey
@@ -31,3 +32,17 @@
 
     record: TargetRecord
     revision: int
+
+
+def find_superseded(records: Collection[TargetRecord]) -> frozenset[str]:
+    """Return the ids of targets at whose address a target with a later start is registered.
+
+    The entry of a crashed target remains for some time, while another target may already listen at
+    the same address.
+    """
+    newest: dict[str, int] = {}
+    for record in records:
+        newest[record.address] = max(record.started_at, newest.get(record.address, 0))
+    return frozenset(
+        record.id for record in records if 0 < record.started_at < newest[record.address]
+    )
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -8,11 +8,12 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.coldstart.coldtimes import ColdStatement, ColdTimes
+from jacinthcove.coldstart.turnedcold import QUIET_MS
 from jacinthcove.gateway.departed import DepartedTargets
 from jacinthcove.gateway.drains import DrainedDomains
 from jacinthcove.gateway.load import TargetLoad
 from jacinthcove.gateway.statedlimits import StatedLimits
-from jacinthcove.gateway.targetrecord import ListedTarget, TargetRecord
+from jacinthcove.gateway.targetrecord import ListedTarget, TargetRecord, find_superseded
 from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
@@ -61,6 +62,8 @@
     revision: int
     load: TargetLoad
     cold_until: int = 0
+    # No requests are sent before this time while it is cold, because it turned cold as it ran.
+    quiet_until: int = 0
     lapsed_at: int | None = None
     unreachable_until: int = 0
     connect_failures: int = 0
@@ -89,7 +92,7 @@
         self.load = TargetLoad(self.load.clock)
         self.recent_parts.clear()
         self.parts_version += 1
-        self.paused_until = self.unreachable_until = 0
+        self.paused_until = self.unreachable_until = self.quiet_until = 0
         self.connect_failures = self.rejected_count = 0
 
     def record_parts(self, parts: Iterable[str], own: bool = False) -> None:
@@ -201,6 +204,7 @@
         state = self.states.get(record.id)
         if state is not None and _is_older(record, state.record):
             record = replace(record, leaving=True)
+        same_start = state is not None and state.record.key == record.key
         if state is None or state.record.address != record.address:
             state = TargetState(record, revision, TargetLoad(self.clock))
             self.states[record.id] = state
@@ -222,7 +226,7 @@
         if record.cold_for_ms > 0:
             cold = ColdStatement(record.started_at, revision, record.cold_for_ms)
             self.cold_times.record(record.id, cold, record.cold_for_ms, "entry")
-        self._update_cold_until(state)
+        self._update_cold_until(state, same_start)
 
     def record_start(self, target_id: str, started_at: int, cold_ms: int) -> None:
         """Record that a target itself says that it has started again, at `started_at` (wall ms).
@@ -250,7 +254,7 @@
             return
         if cold.started_at > state.record.started_at:
             self._restart(state, cold.started_at, "report")
-        self._update_cold_until(state)
+        self._update_cold_until(state, same_start=True)
 
     def _restart(self, state: TargetState, started_at: int, source: str) -> None:
         """Record a later start of a target than its entry names."""
@@ -261,12 +265,21 @@
         entry_start = state.entry_started_at
         state.outdated_started_at = entry_start if entry_start != started_at else 0
         state.record = replace(state.record, started_at=started_at, leaving=False)
-        self._update_cold_until(state)
+        self._update_cold_until(state, same_start=False)
         self._index()
 
-    def _update_cold_until(self, state: TargetState) -> None:
-        known_until = self.cold_times.until(state.record.id, state.record.started_at)
+    def _update_cold_until(self, state: TargetState, same_start: bool) -> None:
+        """Apply what is known of a target's coldness; `same_start`: it ran before, maybe warm.
+
+        A target that does not name its start may have started again.
+        """
+        record, now = state.record, self.clock.now()
+        known_until = self.cold_times.until(record.id, record.started_at)
+        turned_cold = same_start and record.started_at and state.cold_until <= now < known_until
         state.cold_until = max(state.cold_until, known_until)
+        if turned_cold and not self.drained.was_drained(record.failure_domain):
+            state.quiet_until = now + QUIET_MS
+            log.info("target_turned_cold", target=record.id, cold_ms=known_until - now)
 
     def delete(self, target_id: str, store_was_away: bool) -> None:
         """Remove an entry; after a store outage the target gets a grace period."""
@@ -388,20 +401,4 @@
             state = self.states[target_id]
             index.setdefault(state.record.service, []).append(state)
         self.by_service = index
-        self.superseded = self._find_superseded()
-
-    def _find_superseded(self) -> frozenset[str]:
-        """Return the ids of targets at whose address a target with a later start is registered.
-
-        The entry of a crashed target remains for some time, while another target may already listen
-        at the same address.
-        """
-        newest: dict[str, int] = {}
-        for state in self.states.values():
-            address = state.record.address
-            newest[address] = max(state.entry_started_at, newest.get(address, 0))
-        return frozenset(
-            target_id
-            for target_id, state in self.states.items()
-            if 0 < state.entry_started_at < newest[state.record.address]
-        )
+        self.superseded = find_superseded([state.record for state in self.states.values()])
--- a/src/jacinthcove/platform/fleet.py
+++ b/src/jacinthcove/platform/fleet.py
@@ -9,6 +9,7 @@
 
 from jacinthcove.background import BackgroundTask
 from jacinthcove.clock import Clock
+from jacinthcove.coldstart.turnedcold import COLD_WINDOW_MS
 from jacinthcove.errors import StoreUnavailable
 from jacinthcove.gateway.digests import NoStoreNews, StoreNewsRelay
 from jacinthcove.gateway.directory import Candidate
@@ -16,7 +17,6 @@
 from jacinthcove.gateway.loadexchange import LoadExchange
 from jacinthcove.gateway.loadreports import PERIOD_MS
 from jacinthcove.gateway.partexchange import PartsExchange
-from jacinthcove.gateway.raterule import COLD_WINDOW_MS
 from jacinthcove.gateway.rolloutdriver import RolloutDriver
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -6,12 +6,13 @@
 
 from jacinthcove.bytebudget import ByteBudget
 from jacinthcove.clock import ManualClock
+from jacinthcove.coldstart.turnedcold import COLD_WINDOW_MS
 from jacinthcove.gateway.admission import Admission
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
 from jacinthcove.gateway.forward import Forwarder
 from jacinthcove.gateway.placement import Placement
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
-from jacinthcove.gateway.raterule import COLD_WINDOW_MS, ColdRateLimit
+from jacinthcove.gateway.raterule import ColdRateLimit
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 from jacinthcove.gateway.rollouts import Rollouts
 from jacinthcove.gateway.shares import ShareLedger
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -3,9 +3,9 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
+from jacinthcove.coldstart.turnedcold import COLD_WINDOW_MS
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
-from jacinthcove.gateway.raterule import COLD_WINDOW_MS
 from jacinthcove.gateway.retrybudget import WindowedRetryBudget
 
 
--- a/tests/gateway/test_stated_limits.py
+++ b/tests/gateway/test_stated_limits.py
@@ -6,9 +6,10 @@
 import pytest
 
 from jacinthcove.clock import ManualClock
+from jacinthcove.coldstart.turnedcold import COLD_WINDOW_MS
 from jacinthcove.gateway.fleetquota import SETTLE_MS, FleetQuota
 from jacinthcove.gateway.ratelimiter import TargetRateLimiter
-from jacinthcove.gateway.raterule import COLD_WINDOW_MS, ColdRateLimit
+from jacinthcove.gateway.raterule import ColdRateLimit
 from jacinthcove.gateway.statedlimits import LIFTED_TTL_MS, LIMIT_TTL_MS, StatedLimits
 from jacinthcove.gateway.targetrates import TargetRates
 from tests.gateway.exchange_bed import Fleet, load_exchange
--- a/tests/platform/test_platform_router.py
+++ b/tests/platform/test_platform_router.py
@@ -8,9 +8,9 @@
 from wire_bed import KEY, response
 
 from jacinthcove.codes import ResultCode
+from jacinthcove.coldstart.turnedcold import COLD_WINDOW_MS
 from jacinthcove.gateway.exchange import Exchange
 from jacinthcove.gateway.loopdelay import REJECT_ALL_DELAY_MS
-from jacinthcove.gateway.raterule import COLD_WINDOW_MS
 from jacinthcove.platform import fleet
 
 
