targets: join what entries, targets and other routers say of a start

The start that an entry names is kept beside the known one, so that a report decides neither who is superseded nor which entries count. Once the entry of a start is known, the usual cold time that its report was given counts no more, also when other routers still report it: it would have ended up to a report's time later and then have begun a quiet time. An ended start leaves no error rate and no sent parts behind (found by the reviewer).

--- a/src/jacinthcove/coldstart/coldtimes.py
+++ b/src/jacinthcove/coldstart/coldtimes.py
@@ -58,6 +58,11 @@
         known = self.by_target.get(target_id, {})
         if any(item.started_at != statement.started_at for item in known):
             known = {}
+        if not statement.revision and any(item.revision for item in known):
+            # The entry says more exactly how long this start is cold.
+            return
+        if statement.revision:
+            known = {item: time for item, time in known.items() if item.revision}
         if statement not in known:
             self._log(target_id, statement, left_ms, source)
             known[statement] = ColdTime(statement, self.clock.now() + left_ms, False)
@@ -70,7 +75,8 @@
             return
         self.record(target_id, statement, left_ms, "report")
         known = self.by_target[target_id]
-        known[statement] = replace(known[statement], reported=True)
+        if statement in known:
+            known[statement] = replace(known[statement], reported=True)
 
     def find(self, target_id: str, started_at: int) -> ColdTime | None:
         """Return what holds longest for a start of a target, None if it is not known to be cold."""
--- a/src/jacinthcove/gateway/load.py
+++ b/src/jacinthcove/gateway/load.py
@@ -6,6 +6,7 @@
 unread tokens instead of changes, so an error lasts only as long as the requests that caused it.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from jacinthcove.clock import Clock
@@ -27,6 +28,22 @@
 REPORT_LIFETIME_MS = 1_500
 
 
+@dataclass(frozen=True)
+class ReuseDistances:
+    """The reuse distance of each part: tokens of the parts used since its last use, with its own.
+
+    Parts with a distance above `limit` are left out. It is current if `version` equals the
+    target's `parts_version`.
+    """
+
+    version: int
+    limit: float
+    distance_tokens: Mapping[str, float]
+
+
+NO_DISTANCES = ReuseDistances(-1, 0.0, {})
+
+
 @dataclass
 class InFlightRequest:
     """A request that this router sent; `unread_tokens` is 0 after its first event.
--- a/src/jacinthcove/gateway/prefixcache.py
+++ b/src/jacinthcove/gateway/prefixcache.py
@@ -8,8 +8,9 @@
 
 from dataclasses import dataclass
 
+from jacinthcove.gateway.load import ReuseDistances
 from jacinthcove.gateway.model import EngineCapacity, PromptShape
-from jacinthcove.gateway.targets import ReuseDistances, TargetState
+from jacinthcove.gateway.targets import TargetState
 
 # Usable fraction of an engine's memory; rounding and requests unknown to this router take the rest.
 CACHE_FRACTION = 0.9
--- a/src/jacinthcove/gateway/targetrecord.py
+++ b/src/jacinthcove/gateway/targetrecord.py
@@ -34,6 +34,12 @@
     revision: int
 
 
+def is_older(record: TargetRecord, known: TargetRecord) -> bool:
+    """Return whether an entry does not show yet that the target leaves, which is final."""
+    same_start = record.started_at == known.started_at != 0
+    return same_start and known.leaving and not record.leaving
+
+
 def find_superseded(records: Collection[TargetRecord]) -> frozenset[str]:
     """Return the ids of targets at whose address a target with a later start is registered.
 
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -11,9 +11,9 @@
 from jacinthcove.coldstart.turnedcold import QUIET_MS
 from jacinthcove.gateway.departed import DepartedTargets
 from jacinthcove.gateway.drains import DrainedDomains
-from jacinthcove.gateway.load import TargetLoad
+from jacinthcove.gateway.load import NO_DISTANCES, ReuseDistances, TargetLoad
 from jacinthcove.gateway.statedlimits import StatedLimits
-from jacinthcove.gateway.targetrecord import ListedTarget, TargetRecord, find_superseded
+from jacinthcove.gateway.targetrecord import ListedTarget, TargetRecord, find_superseded, is_older
 from jacinthcove.store.kinds import Gap
 
 log = structlog.get_logger()
@@ -35,22 +35,6 @@
 MAX_LEAVING = 4_096
 
 
-@dataclass(frozen=True)
-class ReuseDistances:
-    """The reuse distance of each part: tokens of the parts used since its last use, with its own.
-
-    Parts with a distance above `limit` are left out. It is current if `version` equals the
-    target's `parts_version`.
-    """
-
-    version: int
-    limit: float
-    distance_tokens: Mapping[str, float]
-
-
-NO_DISTANCES = ReuseDistances(-1, 0.0, {})
-
-
 @dataclass(eq=False)
 class TargetState:
     """A target as this router sees it; equal only to itself.
@@ -69,6 +53,8 @@
     connect_failures: int = 0
     # The start before the known one; what is said about it is outdated. 0: none.
     previous_started_at: int = 0
+    # The start that its entry names; the target or another router may have named a later one.
+    entry_started_at: int = 0
     # No requests are sent before this time, because the target was full or asked for a pause.
     paused_until: int = 0
     # Consecutive requests that it rejected because it was full.
@@ -83,15 +69,19 @@
     reuse_distances: ReuseDistances = NO_DISTANCES
 
     @property
-    def entry_started_at(self) -> int:
-        """Return the start that the entry of the target names."""
-        return self.outdated_started_at or self.record.started_at
+    def entry_record(self) -> TargetRecord:
+        """Return the record with the start that the entry of the target names."""
+        if self.entry_started_at == self.record.started_at:
+            return self.record
+        return replace(self.record, started_at=self.entry_started_at)
 
     def forget_start(self) -> None:
         """Forget what belongs to a start of the target that has ended."""
         self.load = TargetLoad(self.load.clock)
         self.recent_parts.clear()
+        self.sent_parts.clear()
         self.parts_version += 1
+        self.error_rate = 0.0
         self.paused_until = self.unreachable_until = self.quiet_until = 0
         self.connect_failures = self.rejected_count = 0
 
@@ -157,12 +147,6 @@
         log.info("target_refuses", target=self.record.id, retry_after_ms=retry_after_ms)
 
 
-def _is_older(record: TargetRecord, known: TargetRecord) -> bool:
-    """Return whether an entry does not show yet that the target leaves, which is final."""
-    same_start = record.started_at == known.started_at != 0
-    return same_start and known.leaving and not record.leaving
-
-
 class TargetRegistry:
     """The targets of all services, updated from complete lists and single changes of the store."""
 
@@ -202,31 +186,32 @@
     def _put(self, record: TargetRecord, revision: int) -> None:
         self.departed.forget(record.id)
         state = self.states.get(record.id)
-        if state is not None and _is_older(record, state.record):
+        if state is not None and is_older(record, state.record):
             record = replace(record, leaving=True)
         same_start = state is not None and state.record.key == record.key
+        entry_start, is_news = record.started_at, False
         if state is None or state.record.address != record.address:
             state = TargetState(record, revision, TargetLoad(self.clock))
             self.states[record.id] = state
             log.info("target_added", target=record.id, service=record.service, revision=revision)
         elif record.started_at == state.previous_started_at != 0:
-            record = replace(state.record, cold_for_ms=0)
+            record, entry_start = replace(state.record, cold_for_ms=0), state.entry_started_at
         elif state.record.started_at != record.started_at:
             log.info("target_restarted", target=record.id, revision=revision)
             state.previous_started_at = state.record.started_at
             state.forget_start()
-            state.outdated_started_at = 0
-        elif state.outdated_started_at:
+        elif state.entry_started_at != entry_start:
             # From here on the entry says how long the target is cold, not the usual time.
-            state.outdated_started_at, state.cold_until = 0, now
+            state.cold_until, is_news = 0, True
         if record.leaving and not state.record.leaving:
             log.info("target_leaving", target=record.id, revision=revision)
         self._forget_leaving(state.record, record)
         state.record, state.revision, state.lapsed_at = record, revision, None
-        if record.cold_for_ms > 0:
+        state.entry_started_at = entry_start
+        if record.cold_for_ms > 0 or is_news:
             cold = ColdStatement(record.started_at, revision, record.cold_for_ms)
             self.cold_times.record(record.id, cold, record.cold_for_ms, "entry")
-        self._update_cold_until(state, same_start)
+        self._update_cold_until(state, same_start and not is_news)
 
     def record_start(self, target_id: str, started_at: int, cold_ms: int) -> None:
         """Record that a target itself says that it has started again, at `started_at` (wall ms).
@@ -245,13 +230,14 @@
         A start that is later than the known one counts as a restart, but not one that has ended.
         """
         state = self.states.get(target_id)
-        if state is not None and cold.started_at == state.previous_started_at != 0:
+        if state is None:
+            self.cold_times.record_report(target_id, cold, left_ms)
             return
-        if state is not None and cold.started_at < state.record.started_at:
+        if cold.started_at == state.previous_started_at != 0:
             return
-        self.cold_times.record_report(target_id, cold, left_ms)
-        if state is None:
+        if cold.started_at < state.record.started_at:
             return
+        self.cold_times.record_report(target_id, cold, left_ms)
         if cold.started_at > state.record.started_at:
             self._restart(state, cold.started_at, "report")
         self._update_cold_until(state, same_start=True)
@@ -262,8 +248,7 @@
         log.info("target_said_restarted", target=target_id, started_at=started_at, source=source)
         state.forget_start()
         self.leaving_starts.pop(target_id, None)
-        entry_start = state.entry_started_at
-        state.outdated_started_at = entry_start if entry_start != started_at else 0
+        state.previous_started_at = state.record.started_at
         state.record = replace(state.record, started_at=started_at, leaving=False)
         self._update_cold_until(state, same_start=False)
         self._index()
@@ -401,4 +386,4 @@
             state = self.states[target_id]
             index.setdefault(state.record.service, []).append(state)
         self.by_service = index
-        self.superseded = find_superseded([state.record for state in self.states.values()])
+        self.superseded = find_superseded([state.entry_record for state in self.states.values()])
--- a/tests/coldstart/test_cold_times.py
+++ b/tests/coldstart/test_cold_times.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from jacinthcove.clock import ManualClock
+from jacinthcove.coldstart.coldtimes import ColdStatement
 from jacinthcove.gateway.departed import HELD_MS
 from jacinthcove.gateway.targetrecord import ListedTarget
 from jacinthcove.gateway.targets import LAPSED_GRACE_MS, TargetRegistry
@@ -123,3 +124,13 @@
     registry.put(record("t1", started_at=77, leaving=True), 6)
     registry.put(record("t1", started_at=99), 7)
     assert not registry.states["t1"].record.leaving
+
+
+def test_usual_cold_time_that_others_report_does_not_extend_what_the_entry_says(clock, registry):
+    registry.record_start("t1", 99, COLD_MS)
+    registry.put(record("t1", started_at=99, cold_for_ms=500), 6)
+    clock.advance(500)
+    registry.record_cold_report("t1", ColdStatement(99, 0, COLD_MS), 2_000)
+    state = registry.states["t1"]
+    assert state.cold_until <= clock.now()
+    assert state.quiet_until == 0
