gateway: book what an answer says on the start that gave it

The hints of an answer (it leaves, its limit) were recorded for the start that was known when the answer was read. The answer of an ended start, read late, marked the next one as leaving, which is final and told to all routers. The start of the connection counts now.

--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -26,7 +26,7 @@
 )
 from jacinthcove.gateway.routes import choose_service
 from jacinthcove.gateway.targets import TargetState
-from jacinthcove.targets.pool import ConnectionPool
+from jacinthcove.targets.pool import ConnectionPool, TargetKey
 from jacinthcove.targets.response import TargetResponse
 from jacinthcove.targets.sockets import TargetUnreachable
 
@@ -260,7 +260,7 @@
         if head.execution is Execution.OTHER_TARGET:
             target.record_address_reused(self.clock.now())
         else:
-            self._record_target_hints(attempt, head)
+            self._record_target_hints(exchange.key, attempt, head)
         if head.execution in (Execution.NOT_RUN, Execution.OTHER_TARGET):
             moved = head.execution is Execution.OTHER_TARGET
             attempt.end = AttemptOutcome.OTHER_TARGET if moved else AttemptOutcome.REJECTED
@@ -294,19 +294,19 @@
     def _is_own_response(self, response: TargetResponse) -> bool:
         return self.forwarder.codec.is_response_to(self.request, response)
 
-    def _record_target_hints(self, attempt: Attempt, head: ResponseHead) -> None:
+    def _record_target_hints(self, key: TargetKey, attempt: Attempt, head: ResponseHead) -> None:
         """Record whether the target is about to stop, its limit, and how long it refuses requests.
 
-        A rejection without a limit does not lift the limit of a target.
+        They are those of the start that answered, which may have ended by now. A rejection without
+        a limit does not lift the limit of a target.
         """
         target, registry = attempt.choice.target, self.forwarder.admission.registry
-        record = target.record
         if head.leaving:
-            registry.mark_leaving(record.id, record.started_at)
+            registry.mark_leaving(key.id, key.started_at)
         executed = head.execution is not Execution.NOT_RUN
         if head.limit is not None and (executed or head.limit.per_s is not None):
             registry.stated_limits.record_response(
-                record.id, record.started_at, head.limit.per_s, attempt.sent_at
+                key.id, key.started_at, head.limit.per_s, attempt.sent_at
             )
         if head.retry_after_ms:
             target.pause_for(self.clock.now(), head.retry_after_ms)
--- a/tests/platform/test_target_signals.py
+++ b/tests/platform/test_target_signals.py
@@ -57,6 +57,17 @@
     assert bed.call("/publish/7", id="q3")[0] == 200
 
 
+def test_leaving_header_of_an_ended_start_does_not_exclude_the_next_one(bed):
+    def restarted_meanwhile(target, sock, head):
+        bed.registry.put(target.record(started_at=99), 2)
+        sock.sendall(response(head, extra=LEAVING_HEADER))
+
+    target = bed.add("t1", "ledger", restarted_meanwhile, started_at=77)
+    bed.call("/publish/7")
+    target.script = responds_with(response)
+    assert bed.call("/publish/7", id="q2")[0] == 200
+
+
 def test_leaving_header_of_another_target_is_ignored(bed):
     moved = responds_with(lambda head: not_run(head, "421 Misdirected Request", LEAVING_HEADER))
     target = bed.add("t1", "ledger", moved)
