coldstart: ignore a report read for a target that has moved since

A target that starts again at another address has a new state. A report that was read at its former address, where another target may listen, was recorded on it: its own entries counted as outdated, its leaving too.

--- a/src/jacinthcove/coldstart/startcheck.py
+++ b/src/jacinthcove/coldstart/startcheck.py
@@ -58,7 +58,8 @@
             self.confirmed.add()
             return True
         self.changed.add()
-        if started_at == opened_for:
+        is_former = self.registry.states.get(target.record.id) is not target
+        if started_at == opened_for or is_former:
             # The report was read late: the router has learned of a later start meanwhile.
             return False
         service = self.cold.services.get(target.record.service)
--- a/tests/coldstart/test_restarted_targets.py
+++ b/tests/coldstart/test_restarted_targets.py
@@ -1,5 +1,7 @@
 """A target that starts again under its id is spared, however late routers know of it."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -64,3 +66,16 @@
     starts, target = router.starts, router.target
     assert not starts.record_read(target, first.started_at, first.started_at)
     assert target.record.started_at == second.started_at
+
+
+def test_report_of_what_listens_at_a_former_address_says_nothing_of_the_target():
+    clock = ManualClock()
+    first = Start(clock.now() - 60_000, clock.now(), False)
+    router = Router("r1", clock, FleetQuota(clock, "r1"), first)
+    former = router.target
+    moved = replace(first.record(), address="10.0.0.9:80", started_at=2_000_000)
+    router.registry.put(moved, 2)
+    assert not router.starts.record_read(former, first.started_at, 1_999_000)
+    router.registry.put(replace(moved, leaving=True), 3)
+    assert router.target.record.started_at == 2_000_000
+    assert not router.registry.usable("models")
