coldstart: confirm a connection only by the start that a target names

A report without a start confirmed its connection (25 requests in a second where 16.7 are allowed, with a tenth of the reports unnamed): it confirms nothing now if the entry names a start. An entry without one lifted the limit (200 of 200 requests passed): its target keeps to the quota until its report names the start. An entry of a start before the last known one brought it back, and the entry of a removed target counted with the start that the target had said, so an older copy of the store could bring it back, too.

A caller's disconnect is looked for after the report, not before, as a report may take half a second.

--- a/src/jacinthcove/coldstart/startcheck.py
+++ b/src/jacinthcove/coldstart/startcheck.py
@@ -48,12 +48,12 @@
     def record_read(self, target: TargetState, opened_for: int, started_at: int | None) -> bool:
         """Record the start that a connection leads to; returns whether it is the known one.
 
-        `opened_for` is the start that was known when the connection was opened. A target that does
-        not name its start cannot be checked, and is trusted.
+        `opened_for` is the start that was known when the connection was opened. A target of which
+        neither the entry nor the report names a start cannot be checked, and is trusted.
         """
         if started_at is None:
             self.unnamed.add()
-            return True
+            return not target.record.started_at
         if started_at == target.record.started_at:
             self.confirmed.add()
             return True
--- a/src/jacinthcove/gateway/forward.py
+++ b/src/jacinthcove/gateway/forward.py
@@ -208,8 +208,8 @@
         exchange = Exchange(target.record.key, self.forwarder.connections, self.kept)
         try:
             exchange.open()
-            self.sink.check_connected()
             self._confirm_start(exchange, target)
+            self.sink.check_connected()
             self.forwarder.check_may_send(self.request, target, exchange.start_confirmed)
             self.sent_count += 1
             attempt.sent_at = self.clock.now()
--- a/src/jacinthcove/gateway/raterule.py
+++ b/src/jacinthcove/gateway/raterule.py
@@ -107,7 +107,7 @@
 
     def _allows_unconfirmed(self, target: TargetState) -> bool:
         service = self.services.get(target.record.service)
-        if service is None or service.cold_requests_per_s <= 0 or not target.record.started_at:
+        if service is None or service.cold_requests_per_s <= 0:
             return True
         quota = self._quota_if_cold(target, service)
         return self.unconfirmed.allows_send(target.record.id, quota)
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -75,6 +75,11 @@
             return self.record
         return replace(self.record, started_at=self.entry_started_at)
 
+    def is_outdated(self, entry_start: int) -> bool:
+        """Return whether an entry that names this start says nothing about the known one."""
+        repeated = entry_start == self.entry_started_at != self.record.started_at
+        return repeated or entry_start == self.previous_started_at != 0
+
     def forget_start(self) -> None:
         """Forget what belongs to a start of the target that has ended."""
         self.load = TargetLoad(self.load.clock)
@@ -194,7 +199,7 @@
             state = TargetState(record, revision, TargetLoad(self.clock))
             self.states[record.id] = state
             log.info("target_added", target=record.id, service=record.service, revision=revision)
-        elif record.started_at == state.previous_started_at != 0:
+        elif state.is_outdated(entry_start):
             record, entry_start = replace(state.record, cold_for_ms=0), state.entry_started_at
         elif state.record.started_at != record.started_at:
             log.info("target_restarted", target=record.id, revision=revision)
@@ -377,7 +382,7 @@
 
     def _remove(self, target_id: str, reason: str) -> None:
         state = self.states.pop(target_id)
-        self.departed.record(ListedTarget(state.record, state.revision))
+        self.departed.record(ListedTarget(state.entry_record, state.revision))
         log.info("target_removed", target=target_id, reason=reason)
 
     def _index(self) -> None:
--- a/tests/gateway/test_gateway_targets.py
+++ b/tests/gateway/test_gateway_targets.py
@@ -246,3 +246,40 @@
     registry.record_start("t1", 1_000, 3_000)
     registry.put(record("t1", started_at=1_000, leaving=True), 2)
     assert usable(registry) == []
+
+
+def test_entry_of_an_earlier_start_is_outdated_however_often_the_target_restarted(clock):
+    registry = TargetRegistry(clock)
+    registry.put(record("t1", started_at=1_000), 1)
+    registry.record_start("t1", 2_000, 3_000)
+    registry.record_start("t1", 3_000, 3_000)
+    for revision, started_at in ((1, 1_000), (2, 2_000)):
+        registry.put(record("t1", started_at=started_at), revision)
+        assert registry.states["t1"].record.started_at == 3_000
+
+
+def test_removed_target_of_an_older_copy_is_held_back_after_it_named_a_start(clock):
+    registry = TargetRegistry(clock)
+    registry.put(record("t1", started_at=1_000), 1)
+    registry.record_start("t1", 2_000, 3_000)
+    registry.delete("t1", False)
+    registry.replace_all(listed(1, record("t1", started_at=1_000)), Gap.OLDER_COPY)
+    assert usable(registry) == []
+
+
+def test_restarted_target_keeps_nothing_of_its_former_start(clock):
+    registry = TargetRegistry(clock)
+    registry.put(record("t1", started_at=1_000), 1)
+    state = registry.states["t1"]
+    state.load.begin("q1", 100, 100)
+    state.record_parts(["p"], own=True)
+    state.record_result(True)
+    state.record_full(clock.now(), 0.5)
+    registry.mark_leaving("t1", 1_000)
+    registry.record_start("t1", 2_000, 3_000)
+    assert usable(registry) == ["t1"]
+    assert state.load.running == 0
+    assert not state.recent_parts
+    assert not state.sent_parts
+    assert state.error_rate == 0
+    assert registry.may_send(state)
--- a/tests/platform/test_start_reports.py
+++ b/tests/platform/test_start_reports.py
@@ -81,12 +81,29 @@
 
 
 @pytest.mark.parametrize("script", [reports("{}"), reports("", status="404 Not Found")])
-def test_target_that_does_not_name_its_start_is_used_as_before(add, call, script):
-    target = add(script)
+def test_target_that_never_names_its_start_is_used_as_before(add, call, script):
+    target = add(script, started_at=0)
     assert [call() for _ in range(3)] == [200] * 3
     assert asked_for_report(target) == [False, True, False, False]
 
 
+@pytest.mark.parametrize("script", [reports("{}"), reports("", status="404 Not Found")])
+def test_target_that_no_longer_names_its_start_gets_its_quota(add, call, script):
+    target = add(script)
+    assert [call() for _ in range(3)] == [200, 503, 503]
+    assert asked_for_report(target).count(False) == 1
+
+
+def test_start_is_learned_from_the_report_if_the_entry_has_none(bed, add, call):
+    target = add(reports(f'{{"born": {KNOWN_START}}}'), started_at=0)
+    assert [call(), call()] == [200, 503]
+    bed.registry.put(target.record(), 2)
+    state = bed.registry.states["t1"]
+    assert state.record.started_at == KNOWN_START
+    state.cold_until = 0
+    assert [call() for _ in range(3)] == [200] * 3
+
+
 @pytest.mark.parametrize(
     "script",
     [
