tests: the usual cold time gives way to the entry of a start

Guards of the join of what entries, targets and other routers say: in either order the entry decides, and the entry of a restart begins no quiet time.

--- a/tests/coldstart/test_cold_reports.py
+++ b/tests/coldstart/test_cold_reports.py
@@ -125,3 +125,23 @@
         for exchange in fleet.exchanges.values():
             if exchange.collector_in_use() != exchange.members.me.id:
                 assert not exchange.reporter.report(exchange.collector_group).targets
+
+
+def test_usual_cold_time_that_others_report_does_not_replace_that_of_the_entry(clock):
+    sender, receiver = load_exchange(clock), load_exchange(clock)
+    sender.registry.record_start("t1", LATER_START, COLD_MS)
+    receiver.registry.put(record("t1", started_at=LATER_START, cold_for_ms=500), 7)
+    receiver.take("r2", sender.reporter.report(sender.same_domain))
+    assert cold_left_ms(receiver) == 500
+
+
+def test_entry_ends_the_usual_cold_time_that_others_reported(clock):
+    sender, receiver = load_exchange(clock), load_exchange(clock)
+    for exchange in (sender, receiver):
+        exchange.registry.put(record("t1", started_at=STARTED_AT), 5)
+    sender.registry.record_start("t1", LATER_START, COLD_MS)
+    receiver.take("r2", sender.reporter.report(sender.same_domain))
+    assert cold_left_ms(receiver) == COLD_MS
+    receiver.registry.put(record("t1", started_at=LATER_START, cold_for_ms=500), 7)
+    receiver.take("r2", sender.reporter.report(ReceiverGroup()))
+    assert cold_left_ms(receiver) == 500
--- a/tests/coldstart/test_turned_cold.py
+++ b/tests/coldstart/test_turned_cold.py
@@ -147,6 +147,13 @@
     assert router.choose() is not None
 
 
+def test_entry_of_a_restart_that_a_connection_showed_starts_no_quiet_time(router):
+    router.registry.record_start(TARGET, 99_000_000, COLD_MS)
+    router.clock.advance(300)
+    router.registry.put(record(TARGET, started_at=99_000_000, cold_for_ms=COLD_MS), 2)
+    assert router.choose() is not None
+
+
 def test_restart_ends_the_quiet_time_of_the_start_before(router):
     known = router.target.record
     router.registry.put(record(TARGET, started_at=known.started_at, cold_for_ms=COLD_MS), 2)
