soak: targets answer GET /-/report and go on with the connection

Since the start check routers ask targets for their report. A report names the start, which each target takes from the clock now instead of one constant. Schedules and draws are unchanged.

--- a/soak/targets.py
+++ b/soak/targets.py
@@ -2,10 +2,12 @@
 
 import random
 import socket
+import time
 from dataclasses import dataclass
 from pathlib import PurePosixPath
 
 import gevent
+import orjson
 
 from jacinthcove.platform import names
 from soak.history import Arrival, History
@@ -18,6 +20,7 @@
 EVENT_S = 0.03
 EVENT_END = b"\n\n"
 SLOW_FACTOR = 8
+KEEP_ALIVE = "Keep-Alive: timeout=5\r\n"
 # Time for which every second refusal wants nothing more.
 REFUSES_FOR_S = 0.6
 
@@ -45,8 +48,16 @@
     return f"id: {number}\ndata: {id}-{number}".encode() + EVENT_END
 
 
+class SoakServer(ScriptedTarget):
+    """Listens for one start of a target."""
+
+    def serve_next(self, sock: socket.socket) -> None:
+        """Serve another request on a connection."""
+        self._serve(sock, None)
+
+
 class SoakTarget:
-    """One boot of a target behind a proxy of its own."""
+    """A target behind a proxy of its own; `born` is the wall ms of its present start."""
 
     def __init__(
         self, id: str, service: str, domain: str, version: str, history: History, seed: int
@@ -58,7 +69,8 @@
         self.history = history
         self.rng = random.Random(seed)
         self.behaviour = Behaviour()
-        self.server = ScriptedTarget(id, service, self._script)
+        self.born = time.time_ns() // 1_000_000
+        self.server = SoakServer(id, service, self._script)
         self.proxy = Proxy(self.server.address, random.Random(seed + 1))
         self.leaving = False
 
@@ -73,7 +85,7 @@
             "state": "draining" if self.leaving else "ready",
             "cold_left_ms": cold_ms,
             "sequence": 1,
-            "born": 1_764_000_000_000,
+            "born": self.born,
         }
 
     @property
@@ -86,7 +98,12 @@
         self.proxy.close()
         self.server.close()
 
-    def _script(self, target: ScriptedTarget, sock: socket.socket, head: str) -> None:
+    def _script(self, server: SoakServer, sock: socket.socket, head: str) -> None:
+        if head.startswith(f"GET {names.REPORT_PATH} "):
+            body = orjson.dumps({"born": self.born})
+            sock.sendall(response(head, body, extra=KEEP_ALIVE))
+            server.serve_next(sock)
+            return
         draw = self.rng.random
         arrival = Arrival(
             header(head, names.ATTEMPT_ID) or "",
