soak: targets start again under their ids, cold and registered late

Arrivals and cold spans name the start, so what reached the start before does not count; the span begins when it listens.

Restarts are drawn apart (--restarts, the number of series, 0 by default): the schedules of all seeds stay as they were (tested).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,7 +25,8 @@
     """Play one seed in this process and print what it broke."""
     from soak.runner import run  # noqa: PLC0415 - patches the standard library
 
-    return run(seed, options.seconds, options.routers, options.callers, REPORTS / str(seed))
+    directory = REPORTS / str(seed)
+    return run(seed, options.seconds, options.routers, options.callers, options.restarts, directory)
 
 
 def run_seeds(options: argparse.Namespace, seeds: list[int]) -> int:
@@ -34,7 +35,7 @@
 
     def play(seed: int) -> bool:
         command = [sys.executable, "-m", "soak", "--seeds", str(seed), "--inside"]
-        for name in ("seconds", "routers", "callers"):
+        for name in ("seconds", "routers", "callers", "restarts"):
             command += [f"--{name}", str(getattr(options, name))]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
         sys.stdout.write(done.stdout)
@@ -58,6 +59,7 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="time in which faults come")
     parser.add_argument("--routers", type=int, default=3)
     parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument("--restarts", type=int, default=0, help="series of restarted targets")
     parser.add_argument("--jobs", type=int, default=2, help="seeds played at a time")
     parser.add_argument("--inside", action="store_true", help=argparse.SUPPRESS)
     options = parser.parse_args()
--- a/soak/checkers.py
+++ b/soak/checkers.py
@@ -18,8 +18,7 @@
 EVACUATE_S = 5.0
 CONTACT_S = 3.0
 GRACE_S = 8.0
-COLD_PER_S = 12.0
-COLD_LIMIT = COLD_PER_S * 1.5 + 5
+COLD_OVER, COLD_SLACK = 1.5, 5
 # A stopped process needs this long to be collected.
 EXIT_SLACK_S = 1.0
 RECOVER_S = 5.0
@@ -128,14 +127,17 @@
 def cold_targets_are_spared(history: History) -> list[str]:
     """No second holds more requests at a cold target than it bears."""
     found = []
+    limit = history.cold_per_s * COLD_OVER + COLD_SLACK
     for span in history.cold:
         times = sorted(
             a.at
             for a in history.arrivals
-            if a.target == span.subject and span.start <= a.at < span.end
+            if a.target == span.subject
+            and span.born in (0, a.born)
+            and span.start <= a.at < span.end
         )
         most = max((bisect_right(times, at + 1.0) - i for i, at in enumerate(times)), default=0)
-        if most > COLD_LIMIT:
+        if most > limit:
             found.append(f"{span.subject}: {most} requests in a second while cold")
     return found
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -43,16 +43,22 @@
     body: bytes | None = None
     # The target broke off, sent wrong bytes or answered late on purpose.
     spoiled: bool = False
+    # Wall ms of the start of the target that it reached.
+    born: int = 0
 
 
 @dataclass(frozen=True)
 class Span:
-    """Something that held from `start` to `end` for `subject`, empty for all."""
+    """Something that held from `start` to `end` for `subject`, empty for all.
+
+    `born` is the wall ms of the start of a target for which it held, 0 for all.
+    """
 
     kind: str
     start: float
     end: float
     subject: str = ""
+    born: int = 0
 
 
 @dataclass
@@ -69,6 +75,8 @@
     removed_keys: list[Span] = field(default_factory=list)
     removed_routes: list[Span] = field(default_factory=list)
     cold: list[Span] = field(default_factory=list)
+    # Requests per second that a cold target takes, before the bounds of the deployment.
+    cold_per_s: float = 12.0
     terminated: list[Span] = field(default_factory=list)
     exit_codes: dict[str, int] = field(default_factory=dict)
     workspaces: dict[str, str] = field(default_factory=dict)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -10,6 +10,7 @@
 from gevent.server import StreamServer
 
 CHUNK_BYTES = 65_536
+BACKLOG = 256
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -37,17 +38,33 @@
         self.pairs: set[tuple[socket.socket, socket.socket]] = set()
         self.listener = StreamServer((host, 0), self._serve)
         self.listener.start()
+        self.host, self.port = host, self.listener.server_port
 
     @property
     def address(self) -> str:
         """Return the address to connect to."""
-        return f"{self.listener.server_host}:{self.listener.server_port}"
+        return f"{self.host}:{self.port}"
 
     def close(self) -> None:
         """Stop listening and drop all connections."""
         self.listener.stop(timeout=0)
         self.reset_all()
 
+    def stop_listening(self) -> None:
+        """Refuse connections and reset those that are open; the port stays reserved."""
+        self.listener.stop(timeout=0)
+        self.reserved = gsocket.socket()
+        self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reserved.bind((self.host, self.port))
+        self.reset_all()
+
+    def listen_again(self, server: str) -> None:
+        """Listen at the same address for another server."""
+        self.server = server
+        self.reserved.listen(BACKLOG)
+        self.listener = StreamServer(self.reserved, self._serve)
+        self.listener.start()
+
     def reset_all(self) -> None:
         """Reset the open connections."""
         for pair in list(self.pairs):
--- a/soak/router_process.py
+++ b/soak/router_process.py
@@ -1,6 +1,8 @@
 """Runs the router program with a time of day that a file shifts.
 
-The file named by SOAK_CLOCK_FILE holds the milliseconds by which the time of day is ahead.
+The file named by SOAK_CLOCK_FILE holds the milliseconds by which the time of day is ahead. With
+SOAK_TRUST_STARTS set, routers do not check which start of a target a connection leads to: a fault
+that the checkers have to find.
 """
 
 import os
@@ -22,4 +24,8 @@
 
 
 time.time_ns = _shifted_time_ns
+if os.environ.get("SOAK_TRUST_STARTS"):
+    from jacinthcove.gateway.raterule import ColdRule
+
+    ColdRule._allows_unconfirmed = lambda rule, target: True
 runpy.run_path(str(PROGRAM), run_name="__main__")
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -14,17 +14,21 @@
 from soak.checkers import check  # noqa: E402
 from soak.history import History  # noqa: E402
 from soak.schedule import make_schedule  # noqa: E402
-from soak.world import World, network_of  # noqa: E402
+from soak.world import COLD_PER_S, RESTARTED_COLD_PER_S, World, network_of  # noqa: E402
 
 SHOWN_VIOLATIONS = 5
 
 
-def run(seed: int, seconds: float, routers: int, callers: int, directory: Path) -> int:
+def run(
+    seed: int, seconds: float, routers: int, callers: int, restarts: int, directory: Path
+) -> int:
     """Play a seed; returns 0 if it held, 1 if it broke a promise."""
     shutil.rmtree(directory, ignore_errors=True)
-    schedule = make_schedule(seed, seconds)
+    schedule = make_schedule(seed, seconds, restarts)
     network = network_of(seed, os.getpid())
-    history = World(seed, routers, callers, directory, network).run(schedule, seconds)
+    cold_per_s = RESTARTED_COLD_PER_S if restarts else COLD_PER_S
+    world = World(seed, routers, callers, directory, network, cold_per_s)
+    history = world.run(schedule, seconds)
     broken = check(history)
     kinds = Counter(action.kind.value for action in schedule)
     statuses = Counter(call.status for call in history.calls)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -73,6 +73,7 @@
         self.server = SoakServer(id, service, self._script)
         self.proxy = Proxy(self.server.address, random.Random(seed + 1))
         self.leaving = False
+        self.running = True
 
     def entry(self, cold_ms: int = 0) -> dict:
         """Return the entry of this target in the store."""
@@ -98,6 +99,19 @@
         self.proxy.close()
         self.server.close()
 
+    def end(self) -> None:
+        """End this start: its connections are reset, and nothing listens at its address."""
+        self.running = False
+        self.proxy.stop_listening()
+        self.server.close()
+
+    def start_again(self) -> None:
+        """Listen at the same address under the same id, without registering."""
+        self.born = time.time_ns() // 1_000_000
+        self.server = SoakServer(self.id, self.service, self._script)
+        self.proxy.listen_again(self.server.address)
+        self.running = True
+
     def _script(self, server: SoakServer, sock: socket.socket, head: str) -> None:
         if head.startswith(f"GET {names.REPORT_PATH} "):
             body = orjson.dumps({"born": self.born})
@@ -114,6 +128,7 @@
             self.failure_domain,
             self.history.now(),
             ran=False,
+            born=self.born,
         )
         expected = header(head, names.EXPECTED_TARGET)
         if expected not in (None, self.id):
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,7 +15,6 @@
     TARGETS_KIND,
 )
 from soak.callers import Caller
-from soak.checkers import COLD_PER_S
 from soak.history import History, Span
 from soak.proxy import Fault, Proxy
 from soak.routers import RouterProcess
@@ -36,6 +35,11 @@
 EXTRA_ROUTE = ("extra", "safe", False, "ledger")
 MODELS, LEDGERS = 4, 3
 COLD_S = 3.0
+COLD_PER_S = 12.0
+# With restarts, so that the load of a warm target is a flood for a cold one.
+RESTARTED_COLD_PER_S = 2.0
+# A target that starts again registers up to this time later.
+REGISTERED_LATE_S = 0.7
 LEAVE_S = 2.6
 LOST_ANSWER_S = 1.5
 ROLLOUT_S = 6.0
@@ -54,9 +58,17 @@
 class World:
     """Builds everything from the seed; `run` plays a schedule and returns the history."""
 
-    def __init__(self, seed: int, routers: int, callers: int, directory: Path, network: str):
+    def __init__(
+        self,
+        seed: int,
+        routers: int,
+        callers: int,
+        directory: Path,
+        network: str,
+        cold_per_s: float = COLD_PER_S,
+    ):
         self.rng = random.Random(seed)
-        self.history = History(workspaces=dict(KEYS))
+        self.history = History(workspaces=dict(KEYS), cold_per_s=cold_per_s)
         self.history.removed_routes.append(Span("route", 0.0, NEVER, EXTRA_ROUTE[0]))
         self.store = StoreStandin()
         self.version = 1
@@ -133,11 +145,14 @@
         )
         self.targets.append(target)
         if cold_s:
-            now = self.history.now()
-            self.history.cold.append(Span("cold", now, now + cold_s, target.id))
+            self._record_cold(target, cold_s)
         self._register(target, cold_s)
         return target
 
+    def _record_cold(self, target: SoakTarget, cold_s: float) -> None:
+        now = self.history.now()
+        self.history.cold.append(Span("cold", now, now + cold_s, target.id, target.born))
+
     def _register(self, target: SoakTarget, cold_s: float = 0.0) -> None:
         self.store.put(TARGETS_KIND, target.id, target.entry(round(cold_s * 1_000)))
 
@@ -161,10 +176,11 @@
             }
             for name, kind, resumable, service in self.routes
         ]
+        cold_per_s = self.history.cold_per_s
         engine = {"slots": 16, "kv_tokens": 100_000}
         services = [
-            {"name": "models", "cold_s": COLD_S, "cold_per_s": COLD_PER_S, "engine": engine},
-            {"name": "ledger", "cold_s": COLD_S, "cold_per_s": COLD_PER_S},
+            {"name": "models", "cold_s": COLD_S, "cold_per_s": cold_per_s, "engine": engine},
+            {"name": "ledger", "cold_s": COLD_S, "cold_per_s": cold_per_s},
         ]
         tenants = [
             {"name": workspace, "api_keys": [key]} for key, workspace in sorted(self.keys.items())
@@ -249,10 +265,11 @@
         elif kind is Kind.TARGET_DRAIN:
             self._drain(target)
         elif kind is Kind.TARGET_COLD:
-            now = self.history.now()
+            self._record_cold(target, COLD_S)
             self._register(target, COLD_S)
-            self.history.cold.append(Span("cold", now, now + COLD_S, target.id))
             gevent.sleep(COLD_S)
+        elif kind is Kind.TARGET_RESTART:
+            self._restart(target, hold)
         else:
             self._crash(target, hold, reuse=kind is Kind.TARGET_REUSE)
 
@@ -282,6 +299,21 @@
             self.store.remove(TARGETS_KIND, target.id)
         self._add_target(target.service, target.failure_domain, target.version, COLD_S)
 
+    def _restart(self, target: SoakTarget, hold: float) -> None:
+        """End a target and start it again under its id, cold; its entry changes later."""
+        if not target.running:
+            return
+        target.end()
+        gevent.sleep(hold)
+        if target.leaving:
+            return
+        target.start_again()
+        self._record_cold(target, COLD_S)
+        late_s = random.Random(hold).uniform(0.0, REGISTERED_LATE_S)
+        gevent.sleep(late_s)
+        if not target.leaving:
+            self._register(target, COLD_S - late_s)
+
     def _stop(self, target: SoakTarget) -> None:
         target.close()
         self.targets.remove(target)
--- a/tests/soak/test_soak_checkers.py
+++ b/tests/soak/test_soak_checkers.py
@@ -69,6 +69,14 @@
             cold=[Span("cold", 9.0, 12.0, "i-1")],
         ),
     ),
+    "cold start of a restarted target": (
+        checkers.cold_targets_are_spared,
+        history(
+            [],
+            [arrival(f"c{number}", at=10 + number / 50, born=2) for number in range(24)],
+            cold=[Span("cold", 9.0, 12.0, "i-1", 2)],
+        ),
+    ),
     "slow stop": (
         checkers.stops_are_graceful,
         history(terminated=[Span("router_term", 5.0, 14.5, "r1")]),
@@ -131,6 +139,17 @@
             disturbances=[Span("store_slow", 6.0, 8.0)],
         ),
     ),
+    "requests to the start before": (
+        checkers.cold_targets_are_spared,
+        history(
+            [],
+            [
+                arrival(f"c{number}", at=10 + number / 50, born=1 + number % 2)
+                for number in range(44)
+            ],
+            cold=[Span("cold", 9.0, 12.0, "i-1", 2)],
+        ),
+    ),
     "refusals of a key and a route that are gone": (
         checkers.serves_again,
         history(
@@ -172,5 +191,12 @@
 
 
 def test_every_action_kind_occurs_in_some_schedule():
-    observed = {action.kind for seed in range(200) for action in make_schedule(seed, 20)}
+    observed = {action.kind for seed in range(200) for action in make_schedule(seed, 20, 1)}
     assert observed == set(Kind)
+
+
+def test_restarts_leave_the_other_actions_of_a_seed_as_they_are():
+    for seed in range(50):
+        actions = make_schedule(seed, 20, 3)
+        others = [action for action in actions if action.kind is not Kind.TARGET_RESTART]
+        assert others == make_schedule(seed, 20)
--- a/tests/soak/test_soak_world.py
+++ b/tests/soak/test_soak_world.py
@@ -1,16 +1,21 @@
 """Tests of the networks of soak runs, and of the check that a process handles a signal."""
 
+import contextlib
 import signal
 import subprocess
 import sys
 
 import gevent
+import orjson
 import pytest
 
+from jacinthcove.platform.names import REPORT_PATH
 from soak.history import Call, History
 from soak.routers import RouterProcess
+from soak.targets import SoakTarget
 from soak.world import network_of
 from testbed.processes import handles_signal
+from tests.platform.wire_bed import read_response, request
 
 
 def test_runs_of_one_seed_in_several_processes_use_different_networks():
@@ -86,3 +91,37 @@
 
 def test_a_router_with_its_handler_may_not_end_with_an_error(terminate):
     assert list(terminate(SLEEP_WITH_HANDLER).exit_codes.values()) == [7]
+
+
+@pytest.fixture
+def target():
+    target = SoakTarget("i-1", "ledger", "a", "v1", History(), 1)
+    yield target
+    target.close()
+
+
+def connect(target):
+    host, _, port = target.proxy.address.rpartition(":")
+    sock = gevent.socket.create_connection((host, int(port)), timeout=1)
+    sock.settimeout(1)
+    return sock
+
+
+def test_restarted_target_listens_at_its_address_with_a_later_start(target):
+    address, before = target.proxy.address, target.born
+    sock = connect(target)
+    target.end()
+    with pytest.raises(ConnectionRefusedError):
+        connect(target)
+    with contextlib.suppress(ConnectionResetError):
+        assert not sock.recv(1)
+    target.start_again()
+    assert target.proxy.address == address
+    sock = connect(target)
+    sock.sendall(f"GET {REPORT_PATH} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    assert orjson.loads(read_response(sock)[2]) == {"born": target.born}
+    # The connection goes on, and its request counts for the new start.
+    sock.sendall(request("/publish/1"))
+    assert read_response(sock)[0] == 200
+    assert [arrival.born for arrival in target.history.arrivals] == [target.born]
+    assert target.born > before
