coldstart: take no target for warm while cut off from all word of them

The start is the same, so no connection shows it, and a report of other routers does not arrive.

A router with others that has had no word of the targets for 1.5 s, from the store or from any other router, keeps to the quota of a cold target. In a store outage the others' reports go on, so it changes nothing there. Not covered: routers that are cut off together and hear only each other.

--- a/src/jacinthcove/gateway/loadexchange.py
+++ b/src/jacinthcove/gateway/loadexchange.py
@@ -137,6 +137,7 @@
 
     def on_share(self, sender: str, message: pb.LoadShare) -> None:
         """Apply another router's report; the collector also adds it to its next bundles."""
+        self.registry.last_word.record(self.clock.boot())
         self.on_report_received()
         self.take(sender, message)
         self.direct_reporters.add(sender)
@@ -145,6 +146,7 @@
 
     def on_bundle(self, sender: str, bundle: pb.LoadBundle) -> None:
         """Apply a bundle from a collector, of this or another failure domain."""
+        self.registry.last_word.record(self.clock.boot())
         self.on_report_received()
         self.collectors.record_bundle(sender)
         for item in bundle.shares:
--- a/src/jacinthcove/gateway/raterule.py
+++ b/src/jacinthcove/gateway/raterule.py
@@ -6,6 +6,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.coldstart.domainreturns import DomainReturns
+from jacinthcove.coldstart.lastword import LastWord
 from jacinthcove.coldstart.turnedcold import COLD_WINDOW_MS
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.model import GatewayService
@@ -59,12 +60,18 @@
     """
 
     def __init__(
-        self, clock: Clock, fleet: FleetQuota, rate_limit: ColdRateLimit, returns: DomainReturns
+        self,
+        clock: Clock,
+        fleet: FleetQuota,
+        rate_limit: ColdRateLimit,
+        returns: DomainReturns,
+        last_word: LastWord,
     ):
         self.clock = clock
         self.fleet = fleet
         self.rate_limit = rate_limit
         self.returns = returns
+        self.last_word = last_word
         self.services: dict[str, GatewayService] = {}
         self.limiter = TargetRateLimiter(clock, COLD_WINDOW_MS)
         # Counts only what may reach a cold start: on unconfirmed connections, or to a cold target.
@@ -83,7 +90,8 @@
 
     def _may_be_cold(self, target: TargetState) -> bool:
         is_cold = target.cold_until > self.clock.now()
-        return is_cold or self.returns.is_pending(target.record.failure_domain)
+        returns = self.returns.is_pending(target.record.failure_domain)
+        return is_cold or returns or (self.fleet.routers > 1 and self.last_word.is_lost())
 
     def _quota_if_cold(self, target: TargetState, service: GatewayService) -> int:
         rate = service.cold_requests_per_s * self.rate_limit.factor + self.rate_limit.slack
--- a/src/jacinthcove/gateway/targetrates.py
+++ b/src/jacinthcove/gateway/targetrates.py
@@ -4,6 +4,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.coldstart.domainreturns import DomainReturns
+from jacinthcove.coldstart.lastword import LastWord
 from jacinthcove.gateway.fleetquota import FleetQuota
 from jacinthcove.gateway.raterule import ColdRateLimit, ColdRule, RateRule, StatedRule
 from jacinthcove.gateway.statedlimits import StatedLimits
@@ -20,9 +21,16 @@
         cold_rate_limit: ColdRateLimit,
         stated_limits: StatedLimits,
         returns: DomainReturns | None = None,
+        last_word: LastWord | None = None,
     ):
         self.fleet = fleet
-        self.cold = ColdRule(clock, fleet, cold_rate_limit, returns or DomainReturns(clock))
+        self.cold = ColdRule(
+            clock,
+            fleet,
+            cold_rate_limit,
+            returns or DomainReturns(clock),
+            last_word or LastWord(clock),
+        )
         self.stated = StatedRule(clock, fleet, stated_limits)
         self.rules: tuple[RateRule, ...] = (self.cold, self.stated)
 
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -8,6 +8,7 @@
 
 from jacinthcove.clock import Clock
 from jacinthcove.coldstart.coldtimes import ColdStatement, ColdTimes
+from jacinthcove.coldstart.lastword import LastWord
 from jacinthcove.coldstart.turnedcold import QUIET_MS
 from jacinthcove.gateway.departed import DepartedTargets
 from jacinthcove.gateway.drains import DrainedDomains
@@ -169,6 +170,7 @@
         self.departed = DepartedTargets(clock)
         self.stated_limits = StatedLimits(clock)
         self.cold_times = ColdTimes(clock)
+        self.last_word = LastWord(clock)
 
     def replace_all(self, entries: Iterable[ListedTarget], gap: Gap) -> None:
         """Replace all entries by a complete list.
--- a/src/jacinthcove/platform/daemon.py
+++ b/src/jacinthcove/platform/daemon.py
@@ -141,6 +141,7 @@
                 bounds.cold_rate_limit,
                 self.registry.stated_limits,
                 self.registry.drained.returns,
+                self.registry.last_word,
             ),
             self.decisions,
             self.rollouts,
--- a/src/jacinthcove/platform/followers.py
+++ b/src/jacinthcove/platform/followers.py
@@ -82,6 +82,7 @@
     def on_confirmed(self, known_at: int) -> None:
         """Record when all entries were current; drop targets whose grace period is over."""
         self.registry.drained.returns.confirm(known_at)
+        self.registry.last_word.record(known_at)
         self.registry.expire()
 
     def _decode(self, item: KindObject) -> TargetRecord | None:
