--- a/soak/world.py
+++ b/soak/world.py
@@ -15,6 +15,7 @@
     TARGETS_KIND,
 )
 from soak.callers import Caller
+from soak.configuration import route_entry, service_entries
 from soak.history import History, Span
 from soak.proxy import Fault, Proxy
 from soak.routers import RouterProcess
@@ -22,7 +23,6 @@
 from soak.targets import Behaviour, SoakTarget
 from tests.platform.store_standin import StoreStandin
 
-HOST = "desk.example"
 DOMAINS = ("a", "b")
 KEYS = {"key-of-small": "small", "key-of-large": "large", "key-of-other": "other"}
 # Route, kind, whether it may be resumed, and its service.
@@ -158,30 +158,8 @@
 
     def _write_config(self) -> None:
         self.version += self.rng.randint(1, 3)
-        routes = [
-            {
-                "name": name,
-                "host": HOST,
-                "path_prefix": f"/{name}/",
-                "kind": kind,
-                "timeout_ms": self.timeout_ms,
-                "target_latency_ms": 400,
-                "priority": 1,
-                "service": service,
-                "max_attempts": 2,
-                "anonymous": False,
-                "sticky": False,
-                "can_resume": resumable,
-                "gap_aim_ms": 400,
-            }
-            for name, kind, resumable, service in self.routes
-        ]
-        cold_per_s = self.history.cold_per_s
-        engine = {"slots": 16, "kv_tokens": 100_000}
-        services = [
-            {"name": "models", "cold_s": COLD_S, "cold_per_s": cold_per_s, "engine": engine},
-            {"name": "ledger", "cold_s": COLD_S, "cold_per_s": cold_per_s},
-        ]
+        routes = [route_entry(*route, self.timeout_ms) for route in self.routes]
+        services = service_entries(COLD_S, self.history.cold_per_s)
         tenants = [
             {"name": workspace, "api_keys": [key]} for key, workspace in sorted(self.keys.items())
         ]
