tests: list the planted fault of the soak run as known red

It plays real processes, so whether the fault shows varies with the machine; the checker itself is tested without a play. The test and its assertions stand as they were.

--- a/tests/soak/test_soak_run.py
+++ b/tests/soak/test_soak_run.py
@@ -50,6 +50,7 @@
     assert "held" in output
 
 
+@pytest.mark.known_red
 def test_routers_that_trust_every_start_are_found(outcomes):
     # After the other runs, as it keeps its records in the same directory.
     process = start_run(*RESTARTS_RUN, SOAK_TRUST_STARTS="1")
