coldstart: drop a logger and a counter that nothing uses

Also, a start that another router reports updates the cold time once, in the restart, instead of twice. Behaviour is as before; tests/coldstart, tests/gateway and lint pass.

--- a/src/jacinthcove/coldstart/startcheck.py
+++ b/src/jacinthcove/coldstart/startcheck.py
@@ -8,14 +8,10 @@
 
 from typing import Any, Protocol
 
-import structlog
-
 from jacinthcove.gateway.raterule import ColdRule
 from jacinthcove.gateway.targets import TargetRegistry, TargetState
 from jacinthcove.observe.metrics import Metrics
 
-log = structlog.get_logger()
-
 
 class StartReader(Protocol):
     """Asks a target about itself."""
--- a/src/jacinthcove/gateway/targets.py
+++ b/src/jacinthcove/gateway/targets.py
@@ -247,7 +247,8 @@
         self.cold_times.record_report(target_id, cold, left_ms)
         if cold.started_at > state.record.started_at:
             self._restart(state, cold.started_at, "report")
-        self._update_cold_until(state, same_start=True)
+        else:
+            self._update_cold_until(state, same_start=True)
 
     def _restart(self, state: TargetState, started_at: int, source: str) -> None:
         """Record a later start of a target than its entry names."""
--- a/tests/coldstart/restart_bed.py
+++ b/tests/coldstart/restart_bed.py
@@ -74,7 +74,6 @@
         self.rates = TargetRates(clock, quota, COLD_RATE_LIMIT, limits, returns)
         self.rates.cold.services = SERVICES
         self.starts = StartCheck(self.registry, self.rates.cold, None, Metrics())
-        self.starts_read = 0
         self.registry.put(first.record(), 1)
         self.connections = []
         self.sent = 0
@@ -108,11 +107,9 @@
     def send(self, id, connection):
         """Send a request on its connection if the router decides so."""
         if not connection.confirmed and self.starts.is_needed(self.target):
-            self.starts_read += 1
             known, found = connection.known_started_at, connection.start.started_at
-            read = self.starts.record_read(self.target, known, found)
-            connection.confirmed = read
-            if not read:
+            connection.confirmed = self.starts.record_read(self.target, known, found)
+            if not connection.confirmed:
                 return False
         if not self.rates.try_send(id, self.target, connection.confirmed):
             return False
